--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -0,0 +1,74 @@
+package org.teaseldeal.gateway.event;
+
+import java.time.Duration;
+
+/** The closed list of what is logged: decisions about requests, and changes of belief. */
+public sealed interface GatewayEvent {
+  /** The name in logs and metrics. */
+  default String label() {
+    return getClass().getSimpleName();
+  }
+
+  /**
+   * A request was sent to a backend server.
+   *
+   * @param attempt counts from 1
+   * @param running this instance's requests at the server before this one
+   * @param candidates servers that it was chosen among
+   * @param resumeAfter the last event that the caller has; empty for a start from the beginning
+   */
+  record Placed(
+      String request,
+      String service,
+      String server,
+      int attempt,
+      int running,
+      int candidates,
+      String resumeAfter)
+      implements GatewayEvent {}
+
+  /** A backend server did not give its whole answer. */
+  record AttemptFailed(
+      String request, String server, int attempt, String failure, String detail, Duration after)
+      implements GatewayEvent {}
+
+  /**
+   * A request got its final answer, or its caller left.
+   *
+   * @param outcome {@code answered}, {@code caller-gone} or the label of an error
+   * @param status of the answer; 0 if there was none
+   * @param plan version of the plan that routed it; 0 if there was none
+   * @param waited for tokens of its customer's total
+   */
+  record RequestEnded(
+      String request,
+      String route,
+      String customer,
+      String outcome,
+      int status,
+      String detail,
+      int attempts,
+      long plan,
+      Duration waited,
+      Duration took)
+      implements GatewayEvent {}
+
+  /** A plan came in force. */
+  record PlanInForce(long version, int routes, String source) implements GatewayEvent {}
+
+  /** A published plan could not be read; the one before stays in force. */
+  record PlanUnreadable(long offset, String detail) implements GatewayEvent {}
+
+  /** A backend server is new on the list, leaves, or is gone from it. */
+  record ServerListed(String server, String service, String address, String state)
+      implements GatewayEvent {}
+
+  /** The instance itself started, is ready, is stopping, stopped, or read its settings again. */
+  record InstanceState(String state, String detail) implements GatewayEvent {}
+
+  /** Something that the instance depends on is lost or back. */
+  record Dependency(String name, boolean reachable, String detail) implements GatewayEvent {}
+
+  /** Lines did not fit into the log's buffer. */
+  record LinesDropped(long count) implements GatewayEvent {}
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -0,0 +1,176 @@
+package org.teaseldeal.gateway.flow;
+
+import java.io.ByteArrayOutputStream;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.net.HttpCall;
+import org.teaseldeal.net.HttpFailure;
+import org.teaseldeal.net.HttpListener;
+
+/** One sending of a request to one backend server, until it ends one way or another. */
+final class Attempt implements HttpListener {
+  private static final int OK = 200;
+
+  private final RequestFlow flow;
+  private final GatewayParts parts;
+  private final BackendServer server;
+  private final long promptTokens;
+  private final boolean streamed;
+  private final Instant started;
+  private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
+  private final EventSplitter events = new EventSplitter();
+
+  private @Nullable HttpCall call;
+  private @Nullable AnswerVerdict verdict;
+  private int status;
+  private Map<String, String> headers = Map.of();
+  private Instant lastHeard;
+  private boolean promptRead;
+  private boolean over;
+
+  Attempt(RequestFlow flow, GatewayParts parts, BackendServer server, boolean streamed) {
+    this.flow = flow;
+    this.parts = parts;
+    this.server = server;
+    this.streamed = streamed;
+    this.promptTokens = flow.request().prompt().map(PromptTerms::inputTokens).orElse(0L);
+    this.started = parts.clock().instant();
+    this.lastHeard = started;
+  }
+
+  void start(Handover handover) {
+    server.started(promptTokens);
+    HttpCall sent = parts.backends().send(parts.dialect().forward(flow.request(), handover), this);
+    if (!over) {
+      call = sent;
+    }
+  }
+
+  BackendServer server() {
+    return server;
+  }
+
+  Duration age() {
+    return Duration.between(started, parts.clock().instant());
+  }
+
+  /** How long the server has sent nothing. */
+  Duration silence() {
+    return Duration.between(lastHeard, parts.clock().instant());
+  }
+
+  /** Stops it: its connection is closed, so that the server stops working on it. */
+  void cancel() {
+    if (over) {
+      return;
+    }
+    finish();
+    if (call != null) {
+      call.cancel();
+    }
+  }
+
+  @Override
+  public boolean isAnswer(int answerStatus, Map<String, String> answerHeaders) {
+    return parts.dialect().isAnswerTo(flow.request(), answerHeaders);
+  }
+
+  @Override
+  public void onHead(int answerStatus, Map<String, String> answerHeaders) {
+    heard();
+    status = answerStatus;
+    headers = parts.dialect().answerHeaders(answerHeaders);
+    verdict = parts.dialect().verdict(answerStatus, answerHeaders);
+    if (verdict == AnswerVerdict.DOUBTFUL) {
+      HttpCall used = call;
+      fail(AttemptEnd.MAY_HAVE_RUN, "status %d is not the server's own".formatted(status));
+      if (used != null) {
+        used.cancel();
+      }
+    }
+  }
+
+  @Override
+  public void onPart(byte[] part) {
+    if (over) {
+      return;
+    }
+    heard();
+    if (verdict != AnswerVerdict.GENUINE) {
+      return;
+    }
+    if (!eventStream()) {
+      body.writeBytes(part);
+      return;
+    }
+    for (EventSplitter.Event event : events.add(part)) {
+      readPrompt();
+      flow.onEvent(status, headers, event);
+    }
+  }
+
+  @Override
+  public void onEnd() {
+    if (over) {
+      return;
+    }
+    switch (verdict) {
+      case GENUINE -> whole();
+      case NOT_RUN -> fail(AttemptEnd.NOT_RUN, "status %d, not run".formatted(status));
+      case OTHER_SERVER -> fail(AttemptEnd.OTHER_SERVER, "another server has the address");
+      case null, default -> fail(AttemptEnd.MAY_HAVE_RUN, "no genuine answer");
+    }
+  }
+
+  @Override
+  public void onFailure(HttpFailure failure, String detail) {
+    if (over) {
+      return;
+    }
+    if (verdict == AnswerVerdict.NOT_RUN || verdict == AnswerVerdict.OTHER_SERVER) {
+      onEnd();
+      return;
+    }
+    fail(
+        failure == HttpFailure.NOT_SENT ? AttemptEnd.NOT_SENT : AttemptEnd.MAY_HAVE_RUN,
+        failure + ": " + detail);
+  }
+
+  private void whole() {
+    finish();
+    if (eventStream()) {
+      flow.onStreamEnd(status, headers, events.rest());
+    } else {
+      flow.onWholeAnswer(status, headers, body.toByteArray());
+    }
+  }
+
+  private void fail(AttemptEnd end, String detail) {
+    finish();
+    flow.onAttemptFailed(this, end, detail);
+  }
+
+  private void finish() {
+    over = true;
+    readPrompt();
+    server.ended();
+  }
+
+  private void readPrompt() {
+    if (!promptRead) {
+      promptRead = true;
+      server.promptRead(promptTokens);
+    }
+  }
+
+  private void heard() {
+    lastHeard = parts.clock().instant();
+  }
+
+  private boolean eventStream() {
+    return streamed && status == OK;
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
@@ -0,0 +1,29 @@
+package org.teaseldeal.gateway.flow;
+
+import java.time.InstantSource;
+import java.util.function.IntSupplier;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.jspecify.annotations.Nullable;
+import org.teaseldeal.gateway.account.AccountBook;
+import org.teaseldeal.gateway.event.EventSink;
+import org.teaseldeal.gateway.plan.GatewayPlan;
+import org.teaseldeal.gateway.server.ServerDirectory;
+
+/**
+ * What the flow of requests works with.
+ *
+ * @param plan the plan in force; null until one is known
+ * @param instances how many instances there are, this one included
+ */
+public record GatewayParts(
+    Supplier<@Nullable GatewayPlan> plan,
+    ServerDirectory servers,
+    AccountBook accounts,
+    Dialect dialect,
+    BackendPort backends,
+    IntSupplier instances,
+    GatewayLimits limits,
+    EventSink events,
+    InstantSource clock,
+    RandomGenerator random) {}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptPart.java
@@ -0,0 +1,11 @@
+package org.teaseldeal.gateway.flow;
+
+import org.teaseldeal.api.Preconditions;
+
+/** A part of a prompt that other prompts may share. */
+public record PromptPart(String id, long tokens) {
+  public PromptPart {
+    Preconditions.requireText(id, "prompt part id");
+    Preconditions.requireNotNegative(tokens, "prompt part tokens");
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -0,0 +1,173 @@
+package org.teaseldeal.gateway.flow;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.teaseldeal.api.ErrorKind;
+import org.teaseldeal.api.Problem;
+import org.teaseldeal.api.Result;
+import org.teaseldeal.decisions.ComeBackTime;
+import org.teaseldeal.decisions.RetryWindow;
+import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.plan.GatewayPlan;
+import org.teaseldeal.gateway.plan.PlannedService;
+import org.teaseldeal.gateway.plan.PrepaidCustomer;
+import org.teaseldeal.gateway.plan.Route;
+import org.teaseldeal.net.HttpAnswer;
+import org.teaseldeal.net.HttpExchange;
+import org.teaseldeal.net.HttpHandler;
+
+/** Takes requests in: finds their route and customer, and starts the flow of each. */
+public final class RequestDesk implements HttpHandler {
+  /**
+   * When to come back to an instance that is starting: about the time that it takes to be ready.
+   */
+  private static final Duration COME_BACK_STARTING = Duration.ofMillis(500);
+
+  /**
+   * A server that sends nothing for this many times the aim of its route counts as silent. Answers
+   * under load take up to three times the aim; at four most of those still to come never will.
+   */
+  private static final int SILENT_AIMS = 3;
+
+  /** Callers leave a stream after two seconds of silence; half of that is left to go on. */
+  private static final Duration SHORTEST_STREAM_SILENCE = Duration.ofMillis(1000);
+
+  /** A request that may be passed on. */
+  record Admitted(
+      RoutedRequest request,
+      Route route,
+      Optional<PrepaidCustomer> customer,
+      String service,
+      int tokensPerEvent,
+      long planVersion,
+      Instant arrived) {}
+
+  private final GatewayParts parts;
+  private final ServerChoice choice;
+  private final Set<RequestFlow> flows = new LinkedHashSet<>();
+  private final Map<String, RetryWindow> retries = new HashMap<>();
+
+  /** Creates a desk. */
+  public RequestDesk(GatewayParts parts) {
+    this.parts = parts;
+    this.choice = new ServerChoice(parts.servers(), parts.random());
+  }
+
+  /** How many requests have no final answer yet. */
+  public int open() {
+    return flows.size();
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    Instant arrived = parts.clock().instant().minus(exchange.sinceHead());
+    switch (admit(exchange, arrived)) {
+      case Result.Ok<Admitted> admitted -> start(exchange, admitted.value());
+      case Result.Err<Admitted> refused -> refuse(exchange, refused.problem(), arrived);
+    }
+  }
+
+  /** Ends what takes too long and starts what waited. */
+  public void tick() {
+    choice.tick(parts.clock().instant());
+    new ArrayList<>(flows).forEach(RequestFlow::tick);
+  }
+
+  private void start(HttpExchange exchange, Admitted admitted) {
+    RequestFlow flow = new RequestFlow(parts, this, exchange, admitted);
+    flows.add(flow);
+    window(admitted.service()).onFirst(admitted.arrived());
+    flow.begin();
+  }
+
+  private Result<Admitted> admit(HttpExchange exchange, Instant arrived) {
+    GatewayPlan plan = parts.plan().get();
+    if (plan == null) {
+      return refusal(ErrorKind.NOT_READY, "no configuration is known yet");
+    }
+    return switch (parts.dialect().read(exchange)) {
+      case Result.Err<RoutedRequest> malformed -> Result.err(malformed.problem());
+      case Result.Ok<RoutedRequest> read -> admit(plan, read.value(), arrived);
+    };
+  }
+
+  private Result<Admitted> admit(GatewayPlan plan, RoutedRequest request, Instant arrived) {
+    Optional<Route> route = plan.route(request.host(), request.target());
+    if (route.isEmpty()) {
+      return Result.err(
+          Problem.of(ErrorKind.UNKNOWN_SERVICE, "no route in version " + plan.version()));
+    }
+    Optional<PrepaidCustomer> customer = request.key().flatMap(plan::customerOfKey);
+    if (customer.isEmpty() && plan.hasCustomers() && !route.get().keyless()) {
+      return Result.err(
+          Problem.of(ErrorKind.UNAUTHENTICATED, "key unknown in version " + plan.version()));
+    }
+    String service = route.get().drawService(parts.random());
+    int tokensPerEvent = plan.service(service).map(PlannedService::tokensPerEvent).orElse(0);
+    return Result.ok(
+        new Admitted(
+            request, route.get(), customer, service, tokensPerEvent, plan.version(), arrived));
+  }
+
+  private Result<Admitted> refusal(ErrorKind kind, String detail) {
+    return Result.err(Problem.retryable(kind, detail, spread(COME_BACK_STARTING)));
+  }
+
+  private void refuse(HttpExchange exchange, Problem problem, Instant arrived) {
+    HttpAnswer answer = parts.dialect().refuse(problem);
+    exchange.respond(answer.status(), answer.headers(), answer.body());
+    GatewayPlan plan = parts.plan().get();
+    parts
+        .events()
+        .accept(
+            new GatewayEvent.RequestEnded(
+                parts.dialect().requestId(exchange),
+                "",
+                "",
+                problem.kind().label(),
+                answer.status(),
+                problem.detail(),
+                0,
+                plan == null ? 0 : plan.version(),
+                Duration.ZERO,
+                Duration.between(arrived, parts.clock().instant())));
+  }
+
+  ServerChoice choice() {
+    return choice;
+  }
+
+  boolean tryRepeat(String service) {
+    return window(service).tryRepeat(parts.clock().instant(), parts.instances().getAsInt());
+  }
+
+  Duration longestSilence(Route route) {
+    Duration silence = route.aim().multipliedBy(SILENT_AIMS);
+    boolean tooShort = silence.compareTo(SHORTEST_STREAM_SILENCE) < 0;
+    return route.kind().streamed() && tooShort ? SHORTEST_STREAM_SILENCE : silence;
+  }
+
+  Duration spread(Duration comeBack) {
+    return ComeBackTime.spread(comeBack, parts.random());
+  }
+
+  void onEnded(RequestFlow flow) {
+    flows.remove(flow);
+  }
+
+  private RetryWindow window(String service) {
+    return retries.computeIfAbsent(
+        service,
+        name ->
+            new RetryWindow(
+                parts.limits().retryShare(),
+                parts.limits().retryReserve(),
+                parts.limits().retryWindow()));
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -0,0 +1,412 @@
+package org.teaseldeal.gateway.flow;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.api.ErrorKind;
+import org.teaseldeal.api.Problem;
+import org.teaseldeal.gateway.account.Reservation;
+import org.teaseldeal.gateway.account.ReservationListener;
+import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.plan.PrepaidCustomer;
+import org.teaseldeal.gateway.plan.Route;
+import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.net.HttpAnswer;
+import org.teaseldeal.net.HttpExchange;
+import org.teaseldeal.net.ResponseStream;
+
+/**
+ * One request from its admission to its final answer.
+ *
+ * <p>It waits for tokens, then for a backend server, then for the server's answer. It is sent again
+ * only where that is safe: after proof that it has not run, or if its route may repeat it.
+ */
+final class RequestFlow implements ReservationListener {
+  /** What it waits for. */
+  private enum Stage {
+    TOKENS,
+    SERVER,
+    ANSWER,
+    ENDED
+  }
+
+  /** A server that can't be reached is left out for about the time that a crashed one is away. */
+  private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
+
+  /** A full server is left out until a few of its requests have ended. */
+  private static final Duration FULL_PAUSE = Duration.ofMillis(100);
+
+  /** Connections that may fail to open; each costs a connect timeout at most. */
+  private static final int MAX_UNREACHABLE = 4;
+
+  /** How long a request waits for a server of its service to be listed. */
+  private static final Duration LONGEST_WAIT_FOR_SERVER = Duration.ofMillis(400);
+
+  /** When to come back if no server can take the request: a restart of one takes some seconds. */
+  private static final Duration COME_BACK_NO_SERVER = Duration.ofMillis(500);
+
+  /** When to come back after a server was full: its queue moves on within a few answers. */
+  private static final Duration COME_BACK_FULL = Duration.ofMillis(150);
+
+  private final GatewayParts parts;
+  private final RequestDesk desk;
+  private final HttpExchange exchange;
+  private final RoutedRequest request;
+  private final Route route;
+  private final Optional<PrepaidCustomer> customer;
+  private final String service;
+  private final int tokensPerEvent;
+  private final long planVersion;
+  private final Instant arrived;
+  private final Instant deadline;
+  private final Set<BackendServerId> tried = new HashSet<>();
+
+  private Stage stage = Stage.TOKENS;
+  private Reservation reservation = Reservation.NONE;
+  private Duration waited = Duration.ZERO;
+  private int sends;
+  private int unreachable;
+  private boolean mayHaveRun;
+  private @Nullable Attempt attempt;
+  private Instant waitingForServerSince = Instant.MAX;
+  private @Nullable ResponseStream stream;
+  private long eventsSent;
+  private String lastEventId = "";
+
+  RequestFlow(
+      GatewayParts parts, RequestDesk desk, HttpExchange exchange, RequestDesk.Admitted admitted) {
+    this.parts = parts;
+    this.desk = desk;
+    this.exchange = exchange;
+    this.request = admitted.request();
+    this.route = admitted.route();
+    this.customer = admitted.customer();
+    this.service = admitted.service();
+    this.tokensPerEvent = admitted.tokensPerEvent();
+    this.planVersion = admitted.planVersion();
+    this.arrived = admitted.arrived();
+    Duration patience = request.patience().orElse(route.timeout());
+    Duration longest = patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
+    this.deadline = arrived.plus(longest);
+  }
+
+  RoutedRequest request() {
+    return request;
+  }
+
+  Route route() {
+    return route;
+  }
+
+  String service() {
+    return service;
+  }
+
+  boolean ended() {
+    return stage == Stage.ENDED;
+  }
+
+  void begin() {
+    exchange.onCallerGone(this::callerGone);
+    if (customer.isPresent() && request.prompt().isPresent()) {
+      parts.accounts().reserve(customer.get().name(), request.prompt().get().atMost(), this);
+    } else {
+      onReserved(Reservation.NONE);
+    }
+  }
+
+  @Override
+  public void onReserved(Reservation granted) {
+    reservation = granted;
+    waited = Duration.between(arrived, now());
+    stage = Stage.SERVER;
+    waitingForServerSince = now();
+    send();
+  }
+
+  @Override
+  public void onRefused(Problem problem) {
+    refuse(problem);
+  }
+
+  /** Ends what takes too long, and sends what waited for a server. */
+  void tick() {
+    if (stage == Stage.ENDED) {
+      return;
+    }
+    if (!now().isBefore(deadline)) {
+      deadlinePassed();
+    } else if (stage == Stage.SERVER) {
+      send();
+    } else if (stage == Stage.ANSWER) {
+      leaveSilentServer();
+    }
+  }
+
+  private void send() {
+    Optional<ServerChoice.Chosen> chosen =
+        desk.choice()
+            .choose(
+                service,
+                request.prompt().map(PromptTerms::sharedBeginning).orElse(""),
+                tried,
+                now());
+    if (chosen.isEmpty()) {
+      waitOrGiveUp();
+      return;
+    }
+    BackendServer server = chosen.get().server();
+    stage = Stage.ANSWER;
+    sends++;
+    parts
+        .events()
+        .accept(
+            new GatewayEvent.Placed(
+                request.id(),
+                service,
+                server.id().name(),
+                sends,
+                server.running(),
+                chosen.get().candidates(),
+                lastEventId));
+    Attempt next = new Attempt(this, parts, server, route.kind().streamed());
+    attempt = next;
+    next.start(
+        new Handover(
+            server.id(),
+            server.address(),
+            customer.map(PrepaidCustomer::name),
+            Duration.between(now(), deadline),
+            rank(),
+            lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId)));
+  }
+
+  private int rank() {
+    return customer.isPresent() && customer.get().rank().isPresent()
+        ? customer.get().rank().getAsInt()
+        : route.rank();
+  }
+
+  private void waitOrGiveUp() {
+    Duration waiting = Duration.between(waitingForServerSince, now());
+    if (waiting.compareTo(LONGEST_WAIT_FOR_SERVER) > 0 || !tried.isEmpty()) {
+      giveUp(ErrorKind.NO_BACKEND_SERVER, "no server of the service can be reached");
+    }
+  }
+
+  /**
+   * Goes on at another server where the present one has gone silent.
+   *
+   * <p>A server that lost power closes no connection; its callers would wait out their deadline.
+   */
+  private void leaveSilentServer() {
+    Attempt silent = attempt;
+    if (silent == null || !route.repeatable() || sends >= route.maxAttempts()) {
+      return;
+    }
+    if (silent.silence().compareTo(desk.longestSilence(route)) <= 0) {
+      return;
+    }
+    silent.cancel();
+    onAttemptFailed(silent, AttemptEnd.MAY_HAVE_RUN, "silent");
+  }
+
+  void onEvent(int status, Map<String, String> headers, EventSplitter.Event event) {
+    if (stage == Stage.ENDED) {
+      return;
+    }
+    ResponseStream open = stream;
+    if (open == null) {
+      open = exchange.startStream(status, headers);
+      stream = open;
+    }
+    eventsSent++;
+    if (!event.id().isEmpty()) {
+      lastEventId = event.id();
+    }
+    open.write(event.bytes());
+  }
+
+  void onStreamEnd(int status, Map<String, String> headers, byte[] rest) {
+    if (stage == Stage.ENDED) {
+      return;
+    }
+    answered();
+    if (stream == null) {
+      exchange.respond(status, headers, rest);
+    } else {
+      stream.write(rest);
+      stream.finish();
+    }
+    end("answered", status, "");
+  }
+
+  void onWholeAnswer(int status, Map<String, String> headers, byte[] body) {
+    if (stage == Stage.ENDED) {
+      return;
+    }
+    if (stream != null) {
+      breakStream("a resumed stream was answered with status " + status);
+      return;
+    }
+    answered();
+    exchange.respond(status, headers, body);
+    end("answered", status, "");
+  }
+
+  private void answered() {
+    mayHaveRun = true;
+    Attempt whole = attempt;
+    if (whole != null) {
+      desk.choice().onAnswered(whole.server(), whole.age());
+    }
+  }
+
+  void onAttemptFailed(Attempt failed, AttemptEnd end, String detail) {
+    if (stage == Stage.ENDED) {
+      return;
+    }
+    attempt = null;
+    BackendServer server = failed.server();
+    parts
+        .events()
+        .accept(
+            new GatewayEvent.AttemptFailed(
+                request.id(), server.id().name(), sends, end.name(), detail, failed.age()));
+    tried.add(server.id());
+    stage = Stage.SERVER;
+    switch (end) {
+      case NOT_SENT -> {
+        sends--;
+        unreachable++;
+        server.avoidUntil(now().plus(UNREACHABLE_PAUSE));
+        sendAgainIf(unreachable < MAX_UNREACHABLE, ErrorKind.NO_BACKEND_SERVER, detail);
+      }
+      case OTHER_SERVER -> {
+        server.avoidUntil(Instant.MAX);
+        sendAgainIf(mayRepeat(), ErrorKind.NO_BACKEND_SERVER, detail);
+      }
+      case NOT_RUN -> {
+        server.avoidUntil(now().plus(FULL_PAUSE));
+        sendAgainIf(mayRepeat(), ErrorKind.OVERLOADED, detail);
+      }
+      case MAY_HAVE_RUN -> {
+        mayHaveRun = true;
+        desk.choice().onFailed(server);
+        sendAgainIf(route.repeatable() && mayRepeat(), ErrorKind.BACKEND_FAILED, detail);
+      }
+    }
+  }
+
+  private boolean mayRepeat() {
+    return sends < route.maxAttempts() && desk.tryRepeat(service);
+  }
+
+  private void sendAgainIf(boolean allowed, ErrorKind otherwise, String detail) {
+    if (allowed && now().isBefore(deadline)) {
+      waitingForServerSince = now();
+      send();
+    } else {
+      giveUp(otherwise, detail);
+    }
+  }
+
+  /** Answers with the most that is true: not run only if no server may have run it. */
+  private void giveUp(ErrorKind kind, String detail) {
+    if (mayHaveRun) {
+      fail(Problem.of(ErrorKind.BACKEND_FAILED, detail));
+    } else if (kind.retryable()) {
+      Duration comeBack = kind == ErrorKind.OVERLOADED ? COME_BACK_FULL : COME_BACK_NO_SERVER;
+      refuse(Problem.retryable(kind, detail, desk.spread(comeBack)));
+    } else {
+      refuse(Problem.of(kind, detail));
+    }
+  }
+
+  private void deadlinePassed() {
+    if (attempt != null) {
+      mayHaveRun = true;
+      attempt.cancel();
+      fail(Problem.of(ErrorKind.DEADLINE_PASSED, "no whole answer by the deadline"));
+    } else if (mayHaveRun) {
+      fail(Problem.of(ErrorKind.DEADLINE_PASSED, "no server was found in time"));
+    } else {
+      refuse(Problem.of(ErrorKind.EXPIRED_WAITING, "not run by the deadline"));
+    }
+  }
+
+  private void fail(Problem problem) {
+    if (stream != null) {
+      breakStream(problem.detail());
+    } else {
+      refuse(problem);
+    }
+  }
+
+  private void refuse(Problem problem) {
+    HttpAnswer answer = parts.dialect().refuse(problem);
+    exchange.respond(answer.status(), answer.headers(), answer.body());
+    end(problem.kind().label(), answer.status(), problem.detail());
+  }
+
+  /** The caller must see that the answer is not whole. */
+  private void breakStream(String detail) {
+    if (stream != null) {
+      stream.abort();
+    }
+    end(ErrorKind.STREAM_BROKEN.label(), 0, detail);
+  }
+
+  private void callerGone() {
+    if (stage == Stage.ENDED) {
+      return;
+    }
+    if (attempt != null) {
+      mayHaveRun = true;
+      attempt.cancel();
+    }
+    end("caller-gone", 0, "");
+  }
+
+  private void end(String outcome, int status, String detail) {
+    if (stage == Stage.TOKENS && customer.isPresent()) {
+      parts.accounts().withdraw(customer.get().name(), this);
+    }
+    stage = Stage.ENDED;
+    attempt = null;
+    parts.accounts().settle(reservation, used());
+    desk.onEnded(this);
+    parts
+        .events()
+        .accept(
+            new GatewayEvent.RequestEnded(
+                request.id(),
+                route.name(),
+                customer.map(PrepaidCustomer::name).orElse(""),
+                outcome,
+                status,
+                detail,
+                sends,
+                planVersion,
+                waited,
+                Duration.between(arrived, now())));
+  }
+
+  /** Tokens used at most: the prompt if it may have been read, and what the caller was sent. */
+  private long used() {
+    if (!mayHaveRun || request.prompt().isEmpty()) {
+      return 0;
+    }
+    PromptTerms prompt = request.prompt().get();
+    return prompt.inputTokens() + Math.min(prompt.maxOutputTokens(), eventsSent * tokensPerEvent);
+  }
+
+  private Instant now() {
+    return parts.clock().instant();
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -0,0 +1,87 @@
+package org.teaseldeal.gateway.flow;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.random.RandomGenerator;
+import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.decisions.PromptPlacement;
+import org.teaseldeal.decisions.ServerHealth;
+import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.ServerDirectory;
+
+/** Chooses the backend server of each attempt from what the list and own attempts say. */
+final class ServerChoice {
+  /** The first and the longest time that an unfit server is left out, and its way back. */
+  private static final Duration FIRST_EJECTION = Duration.ofSeconds(1);
+
+  private static final Duration LONGEST_EJECTION = Duration.ofSeconds(8);
+  private static final Duration RAMP = Duration.ofSeconds(1);
+
+  /** The servers of a choice, for the log. */
+  record Chosen(BackendServer server, int candidates) {}
+
+  private final ServerDirectory servers;
+  private final RandomGenerator random;
+  private final ServerHealth health = new ServerHealth(FIRST_EJECTION, LONGEST_EJECTION, RAMP);
+  private long seenChanges = -1;
+
+  ServerChoice(ServerDirectory servers, RandomGenerator random) {
+    this.servers = servers;
+    this.random = random;
+  }
+
+  /** Follows the list and leaves out servers that have become unfit. */
+  void tick(Instant now) {
+    if (seenChanges != servers.changes()) {
+      Set<BackendServerId> listed = new HashSet<>();
+      servers.all().forEach(server -> listed.add(server.id()));
+      health.onListed(listed, now, seenChanges < 0);
+      seenChanges = servers.changes();
+    }
+    health.update(now);
+  }
+
+  /**
+   * Chooses a server of {@code service}.
+   *
+   * @param beginning names what the prompt shares with others; empty if nothing
+   * @param tried servers that failed this request before
+   */
+  Optional<Chosen> choose(
+      String service, String beginning, Set<BackendServerId> tried, Instant now) {
+    List<BackendServer> ready = servers.ready(service);
+    List<BackendServer> untried =
+        ready.stream().filter(server -> !tried.contains(server.id())).toList();
+    List<BackendServer> fit =
+        untried.stream()
+            .filter(server -> !server.avoided(now) && health.isIn(server.id(), now))
+            .toList();
+    List<BackendServer> candidates = fit.isEmpty() ? untried : fit;
+    List<PromptPlacement.Candidate> views =
+        candidates.stream()
+            .map(
+                server ->
+                    new PromptPlacement.Candidate(
+                        server.id(), server.running(), health.slowness(server.id())))
+            .toList();
+    return PromptPlacement.choose(views, beginning, random)
+        .flatMap(servers::find)
+        .map(server -> new Chosen(server, candidates.size()));
+  }
+
+  /** Counts a whole answer. */
+  void onAnswered(BackendServer server, Duration took) {
+    health.onAnswered(server.id(), took, 1);
+  }
+
+  /** Counts a failure that is the server's. */
+  void onFailed(BackendServer server) {
+    if (servers.find(server.id()).isPresent()) {
+      health.onFailed(server.id());
+    }
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/package-info.java
@@ -0,0 +1,5 @@
+/** One request from its arrival to its final answer. */
+@NullMarked
+package org.teaseldeal.gateway.flow;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetView.java
@@ -0,0 +1,58 @@
+package org.teaseldeal.gateway.log;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** The instances that have ever joined, by the notes that each leaves once. */
+public final class FleetView implements LogParticipant {
+  private final SharedNote.Presence own;
+  private final Map<String, String> addresses = new TreeMap<>();
+  private boolean written;
+
+  /** Creates the view of {@code instance}, which others reach at {@code peerAddress}. */
+  public FleetView(String instance, String peerAddress) {
+    this.own = new SharedNote.Presence(instance, peerAddress);
+    addresses.put(instance, peerAddress);
+  }
+
+  /** How many instances there may be, this one included; those gone for good count too. */
+  public int size() {
+    return addresses.size();
+  }
+
+  /** Where the other instances can be reached. */
+  public List<String> others() {
+    return addresses.entrySet().stream()
+        .filter(entry -> !entry.getKey().equals(own.instance()))
+        .map(Map.Entry::getValue)
+        .toList();
+  }
+
+  @Override
+  public void onNote(SharedNote note, boolean ownNote) {
+    if (note instanceof SharedNote.Presence presence && !ownNote) {
+      addresses.put(presence.instance(), presence.peerAddress());
+    }
+  }
+
+  @Override
+  public void onLoaded(List<SharedNote> notes, boolean first) {
+    notes.forEach(note -> onNote(note, note.instance().equals(own.instance())));
+  }
+
+  @Override
+  public boolean waitsForOthers() {
+    return false;
+  }
+
+  @Override
+  public List<SharedNote> notesToWrite(Instant now) {
+    if (written) {
+      return List.of();
+    }
+    written = true;
+    return List.of(own);
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/KeyedRecord.java
@@ -0,0 +1,10 @@
+package org.teaseldeal.gateway.log;
+
+import org.teaseldeal.api.Preconditions;
+
+/** A record of a log that keeps the newest record of each key. */
+public record KeyedRecord(String key, byte[] value) {
+  public KeyedRecord {
+    Preconditions.requireText(key, "record key");
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/LogParticipant.java
@@ -0,0 +1,23 @@
+package org.teaseldeal.gateway.log;
+
+import java.time.Instant;
+import java.util.List;
+
+/** A part of the instance that writes notes and hears those of all instances. */
+public interface LogParticipant {
+  /** A note of any instance, in the order of the log. */
+  void onNote(SharedNote note, boolean own);
+
+  /**
+   * The newest notes of all keys, in no order, after a start or a gap.
+   *
+   * @param first whether it is the first time, so that own notes are those of an earlier process
+   */
+  void onLoaded(List<SharedNote> notes, boolean first);
+
+  /** Whether news of other instances is awaited. */
+  boolean waitsForOthers();
+
+  /** What to write now; empty if there is nothing that can't wait. */
+  List<SharedNote> notesToWrite(Instant now);
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -0,0 +1,100 @@
+package org.teaseldeal.gateway.log;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * Notes as records: the key names kind, instance and subject, the value holds the numbers.
+ *
+ * <p>A value begins with the version of its layout, so that a fleet can be upgraded in turn.
+ */
+final class NoteCodec {
+  private static final String ACCOUNT = "account";
+  private static final String CRASH = "crash";
+  private static final String PRESENCE = "presence";
+  private static final byte LAYOUT = 1;
+
+  private NoteCodec() {}
+
+  /** Writes the numbers of a note. */
+  private interface Body {
+    void write(DataOutputStream out) throws IOException;
+  }
+
+  static KeyedRecord encode(SharedNote note) {
+    return switch (note) {
+      case SharedNote.Account account ->
+          record(
+              key(ACCOUNT, account.instance(), account.customer()),
+              out -> {
+                out.writeLong(account.spent());
+                out.writeLong(account.held());
+                out.writeLong(account.idle());
+                out.writeLong(account.asked());
+              });
+      case SharedNote.Crash crash ->
+          record(
+              key(CRASH, crash.instance(), crash.fingerprint()),
+              out -> out.writeInt(crash.count()));
+      case SharedNote.Presence presence ->
+          record(
+              key(PRESENCE, presence.instance(), ""), out -> out.writeUTF(presence.peerAddress()));
+    };
+  }
+
+  /**
+   * Reads a note.
+   *
+   * @throws IllegalArgumentException if the record is none of this layout
+   */
+  static SharedNote decode(KeyedRecord record) {
+    String[] key = record.key().split("\\|", 3);
+    if (key.length != 3) {
+      throw new IllegalArgumentException(
+          "key was '%s', expected kind|instance|subject".formatted(record.key()));
+    }
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(record.value()))) {
+      byte layout = in.readByte();
+      if (layout != LAYOUT) {
+        throw new IllegalArgumentException(
+            "layout of %s was %d, expected %d".formatted(record.key(), layout, LAYOUT));
+      }
+      return decode(key[0], key[1], key[2], in);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("value of %s is too short".formatted(record.key()), e);
+    }
+  }
+
+  private static SharedNote decode(String kind, String instance, String subject, DataInputStream in)
+      throws IOException {
+    return switch (kind) {
+      case ACCOUNT ->
+          new SharedNote.Account(
+              instance, subject, in.readLong(), in.readLong(), in.readLong(), in.readLong());
+      case CRASH -> new SharedNote.Crash(instance, subject, in.readInt());
+      case PRESENCE -> new SharedNote.Presence(instance, in.readUTF());
+      default ->
+          throw new IllegalArgumentException(
+              "kind was '%s', expected account, crash or presence".formatted(kind));
+    };
+  }
+
+  private static String key(String kind, String instance, String subject) {
+    return kind + "|" + instance + "|" + subject;
+  }
+
+  private static KeyedRecord record(String key, Body body) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      out.writeByte(LAYOUT);
+      body.write(out);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return new KeyedRecord(key, bytes.toByteArray());
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -0,0 +1,38 @@
+package org.teaseldeal.gateway.log;
+
+import org.teaseldeal.api.Preconditions;
+
+/** Something that an instance tells all others; a later note with the same key replaces it. */
+public sealed interface SharedNote {
+  /** The instance that wrote it. */
+  String instance();
+
+  /**
+   * An instance's part of a customer's prepaid total.
+   *
+   * @param spent tokens used by this instance, and by those before it on the same machine
+   * @param held tokens that it may still use, those of running requests among them
+   * @param idle the part of {@code held} that no request has
+   * @param asked tokens that it wants besides; they count as held until its next note
+   */
+  record Account(String instance, String customer, long spent, long held, long idle, long asked)
+      implements SharedNote {
+    public Account {
+      Preconditions.requireNotNegative(spent, "spent");
+      Preconditions.requireNotNegative(held, "held");
+      Preconditions.requireNotNegative(idle, "idle");
+      Preconditions.requireNotNegative(asked, "asked");
+    }
+
+    /** What of the total can't be given to another instance. */
+    public long taken() {
+      return spent + held + asked;
+    }
+  }
+
+  /** How often this instance has seen a request's backend server break off without an answer. */
+  record Crash(String instance, String fingerprint, int count) implements SharedNote {}
+
+  /** Where an instance can be reached by the others. */
+  record Presence(String instance, String peerAddress) implements SharedNote {}
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -0,0 +1,97 @@
+package org.teaseldeal.gateway.server;
+
+import java.time.Instant;
+import org.teaseldeal.api.BackendServerId;
+
+/** One backend server as listed, and this instance's own work at it. */
+public final class BackendServer {
+  private final BackendServerId id;
+  private final String service;
+  private final String address;
+  private final String dataCentre;
+  private final int places;
+  private boolean leaving;
+  private int running;
+  private long promptTokensAhead;
+  private Instant avoidUntil = Instant.MIN;
+
+  BackendServer(ServerListing listing) {
+    this.id = listing.id();
+    this.service = listing.service();
+    this.address = listing.address();
+    this.dataCentre = listing.dataCentre();
+    this.places = listing.places();
+    this.leaving = listing.leaving();
+  }
+
+  /** Names this incarnation. */
+  public BackendServerId id() {
+    return id;
+  }
+
+  /** The service it belongs to. */
+  public String service() {
+    return service;
+  }
+
+  /** {@code host:port} by IP number. */
+  public String address() {
+    return address;
+  }
+
+  /** Where it stands. */
+  public String dataCentre() {
+    return dataCentre;
+  }
+
+  /** Requests that it runs at once. */
+  public int places() {
+    return places;
+  }
+
+  /** Whether it may be given requests, as far as the list says. */
+  public boolean listedAsReady() {
+    return !leaving;
+  }
+
+  /** Requests of this instance that it has now. */
+  public int running() {
+    return running;
+  }
+
+  /** Prompt tokens sent by this instance whose answer hasn't begun. */
+  public long promptTokensAhead() {
+    return promptTokensAhead;
+  }
+
+  /** Whether a recent failure says that a request would not reach it. */
+  public boolean avoided(Instant now) {
+    return now.isBefore(avoidUntil);
+  }
+
+  /** Gives it no requests until {@code until}. */
+  public void avoidUntil(Instant until) {
+    avoidUntil = until;
+  }
+
+  /** Leaving is final: a list that lags can't revive an incarnation. */
+  void markLeaving() {
+    leaving = true;
+  }
+
+  /** Counts a request as sent there. */
+  public void started(long promptTokens) {
+    running++;
+    promptTokensAhead += promptTokens;
+  }
+
+  /** Counts a prompt as read: the answer has begun, or never will. */
+  public void promptRead(long promptTokens) {
+    promptTokensAhead -= promptTokens;
+  }
+
+  /** Counts a request as ended. */
+  public void ended() {
+    running--;
+  }
+}
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
@@ -57,6 +57,11 @@
     return true;
   }
 
+  /** Whether an answer with this head is the call's own. */
+  synchronized boolean isAnswer(int status, Map<String, String> headers) {
+    return over || listener.isAnswer(status, headers);
+  }
+
   synchronized void head(int status, Map<String, String> headers) {
     if (over) {
       return;
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -21,6 +21,7 @@
 import io.netty.util.ReferenceCountUtil;
 import io.netty.util.concurrent.Future;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
@@ -37,7 +38,11 @@
   private @Nullable ChannelFuture writing;
   private @Nullable Future<?> idleTimer;
   private boolean keepAlive;
-  private boolean informational;
+
+  /** Whether the answer that is being read is none of the call's. */
+  private boolean skipped;
+
+  private @Nullable Duration serverIdleTimeout;
   private long bytesExpected;
 
   ClientConnection(SocketChannel channel, InetSocketAddress address, ConnectionPool pool) {
@@ -79,7 +84,9 @@
             request.path(),
             Unpooled.wrappedBuffer(request.body()));
     request.headers().forEach((name, value) -> encoded.headers().set(name, value));
-    encoded.headers().set(HttpHeaderNames.HOST, request.address());
+    if (!encoded.headers().contains(HttpHeaderNames.HOST)) {
+      encoded.headers().set(HttpHeaderNames.HOST, request.address());
+    }
     if (request.body().length > 0 || !request.method().equals("GET")) {
       encoded.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body().length);
     }
@@ -111,26 +118,30 @@
     if (object instanceof HttpResponse head) {
       readHead(call, head);
     }
-    if (object instanceof HttpContent content && !informational) {
+    if (object instanceof HttpContent content && !skipped) {
       readContent(call, content);
     }
     if (object instanceof LastHttpContent) {
-      informational = false;
+      skipped = false;
     }
   }
 
   private void readHead(ClientCall current, HttpResponse head) {
-    informational = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    if (informational) {
+    Map<String, String> headers = lowerCase(head.headers());
+    skipped =
+        head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+            || !current.isAnswer(head.status().code(), headers);
+    if (skipped) {
       return;
     }
     keepAlive = HttpUtil.isKeepAlive(head);
+    serverIdleTimeout = KeepAliveHeader.timeout(headers);
     boolean bodiless =
         current.request().method().equals("HEAD")
             || head.status().code() == 204
             || head.status().code() == 304;
     bytesExpected = bodiless ? -1 : HttpUtil.getContentLength(head, -1L);
-    current.head(head.status().code(), lowerCase(head.headers()));
+    current.head(head.status().code(), headers);
   }
 
   private void readContent(ClientCall current, HttpContent content) {
@@ -194,8 +205,14 @@
     idleTimer =
         channel
             .eventLoop()
-            .schedule(
-                this::closeIfIdle, pool.config().idleTimeout().toNanos(), TimeUnit.NANOSECONDS);
+            .schedule(this::closeIfIdle, idleTimeout().toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  private Duration idleTimeout() {
+    Duration own = pool.config().idleTimeout();
+    Duration safe =
+        serverIdleTimeout == null ? own : KeepAliveHeader.safeIdleTime(serverIdleTimeout);
+    return safe.compareTo(own) < 0 ? safe : own;
   }
 
   private void closeIfIdle() {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpExchange.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpExchange.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.net;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 
@@ -20,6 +21,9 @@
   /** The first header of that name, without regard to case. */
   Optional<String> header(String name);
 
+  /** All headers as sent, in order. */
+  List<Map.Entry<String, String>> headers();
+
   /** The whole body; empty if there is none. */
   byte[] body();
 
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
@@ -35,7 +35,7 @@
   private final AtomicInteger open = new AtomicInteger();
   private final AtomicInteger unanswered = new AtomicInteger();
   private final ByteBudget bodies;
-  private final HttpServerConfig config;
+  private volatile HttpServerConfig config;
   private final HttpHandler handler;
   private final HttpRejectionAnswer rejectionAnswer;
   private final Channel listening;
@@ -79,6 +79,11 @@
     return start(config, handler, HttpRejectionAnswer.plain());
   }
 
+  /** Holds connections accepted from now on to other limits; the address stays. */
+  public void useLimits(HttpServerConfig limits) {
+    config = limits;
+  }
+
   /** Where the server listens, with the port that the system chose. */
   public InetSocketAddress address() {
     return (InetSocketAddress) listening.localAddress();
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/NetRuntime.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/NetRuntime.java
@@ -16,14 +16,20 @@
 public final class NetRuntime {
   private static final int MAX_THREADS = 4;
 
+  /** System property: how many threads the event loops have, for programs that need just one. */
+  public static final String THREADS_PROPERTY = "teaseldeal.net.threads";
+
   private NetRuntime() {}
 
+  private static int threads() {
+    int present = Math.clamp(Runtime.getRuntime().availableProcessors(), 1, MAX_THREADS);
+    return Integer.getInteger(THREADS_PROPERTY, present);
+  }
+
   private static final class Holder {
     static final EventLoopGroup GROUP =
         new MultiThreadIoEventLoopGroup(
-            Math.clamp(Runtime.getRuntime().availableProcessors(), 1, MAX_THREADS),
-            new DefaultThreadFactory("net", true),
-            NioIoHandler.newFactory());
+            threads(), new DefaultThreadFactory("net", true), NioIoHandler.newFactory());
   }
 
   /**
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -70,6 +71,11 @@
     return Optional.ofNullable(head.headers().get(name));
   }
 
+  @Override
+  public List<Map.Entry<String, String>> headers() {
+    return head.headers().entries();
+  }
+
   @Override
   public byte[] body() {
     return body;
--- a/teaseldeal-router/src/test/java/org/teaseldeal/router/fake/FakeExchange.java
+++ b/teaseldeal-router/src/test/java/org/teaseldeal/router/fake/FakeExchange.java
@@ -2,6 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import org.teaseldeal.net.HttpExchange;
@@ -11,6 +12,11 @@
 public record FakeExchange(
     String method, String path, Map<String, String> headers, String text, Duration sinceHead)
     implements HttpExchange {
+  @Override
+  public List<Map.Entry<String, String>> headers() {
+    return List.copyOf(headers.entrySet());
+  }
+
   @Override
   public Optional<String> header(String name) {
     return Optional.ofNullable(headers.get(name));
--- a/teaseldeal-standin/src/test/java/org/teaseldeal/standin/runtime/FakeExchange.java
+++ b/teaseldeal-standin/src/test/java/org/teaseldeal/standin/runtime/FakeExchange.java
@@ -94,6 +94,11 @@
     return path;
   }
 
+  @Override
+  public List<Map.Entry<String, String>> headers() {
+    return List.copyOf(headers.entrySet());
+  }
+
   @Override
   public Optional<String> header(String name) {
     return Optional.ofNullable(headers.get(name));
