--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -15,6 +15,8 @@
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.decisions.LeaseSizing;
+import org.teaseldeal.gateway.event.EventSink;
+import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.log.LogParticipant;
 import org.teaseldeal.gateway.log.SharedNote;
 
@@ -59,6 +61,8 @@
   /** When to come back after waiting in vain for others' idle tokens. */
   private static final Duration COME_BACK = Duration.ofMillis(500);
 
+  private static final Duration REPORT_PERIOD = Duration.ofSeconds(5);
+
   private static final Duration RATE_PERIOD = Duration.ofSeconds(1);
 
   private record Waiting(long tokens, Instant since, ReservationListener listener) {}
@@ -82,16 +86,23 @@
 
   private final String instance;
   private final Function<String, OptionalLong> prepaid;
+  private final EventSink events;
   private final InstantSource clock;
   private final LeaseSizing sizing = new LeaseSizing(HORIZON, IDLE_SHARE, 0);
   private final Map<String, Own> accounts = new TreeMap<>();
   private final Map<String, Map<String, SharedNote.Account>> others = new HashMap<>();
   private Instant nextRefill = Instant.MIN;
   private Instant nextRate = Instant.MIN;
+  private Instant nextReport = Instant.MIN;
   private boolean loaded;
 
   /** Creates the book of {@code instance}; {@code prepaid} gives a customer's total in force. */
-  public AccountBook(String instance, Function<String, OptionalLong> prepaid, InstantSource clock) {
+  public AccountBook(
+      String instance,
+      Function<String, OptionalLong> prepaid,
+      EventSink events,
+      InstantSource clock) {
+    this.events = events;
     this.instance = instance;
     this.prepaid = prepaid;
     this.clock = clock;
@@ -144,6 +155,22 @@
       accounts.values().forEach(AccountBook::followRate);
     }
     accounts.forEach((customer, own) -> refuseOverdue(customer, own, now));
+    if (!now.isBefore(nextReport)) {
+      nextReport = now.plus(REPORT_PERIOD);
+      accounts.forEach(this::report);
+    }
+  }
+
+  private void report(String customer, Own own) {
+    events.accept(
+        new GatewayEvent.AccountLevel(
+            customer,
+            total(customer),
+            takenByOthers(customer) + own.spent + own.held(),
+            own.spent,
+            own.held(),
+            own.idle,
+            Math.round(own.rate)));
   }
 
   private static void followRate(Own own) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -69,6 +69,26 @@
   /** Something that the instance depends on is lost or back. */
   record Dependency(String name, boolean reachable, String detail) implements GatewayEvent {}
 
+  /**
+   * How a customer's prepaid total is used, as this instance knows it.
+   *
+   * @param total what the plan in force says
+   * @param taken spent and held by all instances
+   * @param spentHere by this instance and those before it on its machine
+   * @param heldHere that this instance may still use
+   * @param idleHere the part of it that no request has
+   * @param ratePerSecond at which this instance's requests set tokens aside
+   */
+  record AccountLevel(
+      String customer,
+      long total,
+      long taken,
+      long spentHere,
+      long heldHere,
+      long idleHere,
+      long ratePerSecond)
+      implements GatewayEvent {}
+
   /** Lines did not fit into the log's buffer. */
   record LinesDropped(long count) implements GatewayEvent {}
 }
