--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.decisions;
 
 import com.dynatrace.hash4j.hashing.Hashing;
+import java.time.Duration;
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
@@ -13,68 +14,104 @@
  *
  * <p>Load pattern: many subjects, each with a long beginning that its prompts share, over engines
  * whose caches hold a part of them. Spread at random, each beginning is read again at every engine,
- * and the caches hold many copies of few. The engine is therefore the first by rendezvous hash of
- * the beginning, which all instances work out alike without a message.
+ * and the caches hold many copies of few. So each beginning has a home, the first engine by
+ * rendezvous hash, which all instances work out alike without a message.
  *
- * <p>Load pattern: one subject takes a third of the requests. Its first engine alone would queue
- * while others idle, so an engine with more than {@link #CROWDED} times the mean of this instance's
- * own running requests is passed over for the next by the same hash; a hot subject thus spreads
- * over just as many engines as it needs.
+ * <p>Load pattern: one subject takes a third of the requests, or a prompt of fifty thousand tokens
+ * keeps an engine busy for a second. The home then makes callers wait while others idle. So the
+ * home is passed over as soon as the first token is expected there later than a part of the time in
+ * which it is on time; the next homes by the same hash are tried first, so that a hot subject is
+ * cached at just as many engines as it needs.
  */
 public final class PromptPlacement {
   /**
    * An engine.
    *
-   * @param running this instance's requests there
+   * @param running requests that it is thought to have
+   * @param promptTokensAhead of requests sent there whose answer hasn't begun
    * @param slowness its time to answer relative to the others'
    */
-  public record Candidate(BackendServerId id, int running, double slowness) {
+  public record Candidate(
+      BackendServerId id, int running, long promptTokensAhead, double slowness) {
     public Candidate {
       Preconditions.requireNotNegative(running, "running");
+      Preconditions.requireNotNegative(promptTokensAhead, "prompt tokens ahead");
     }
 
-    private double load() {
-      return (running + 1) * slowness;
+    /** The wait for the first token of a prompt of which {@code tokens} aren't cached. */
+    private double expectedMillis(long tokens) {
+      double reading = (promptTokensAhead + tokens) / TOKENS_PER_MILLI;
+      return (reading + running * MILLIS_PER_RUNNING) * slowness;
     }
   }
 
-  /** Times the mean load beyond which an engine is passed over. Below 1.5 chance alone spreads. */
-  private static final double CROWDED = 1.5;
-
-  /** Own requests that an engine may have in any case: the mean is near one at today's sizes. */
-  private static final double ALWAYS_ALLOWED = 3;
+  /**
+   * A prompt to place.
+   *
+   * @param beginning names what it shares with others; empty if nothing
+   * @param sharedTokens in the beginning
+   * @param tokens in all
+   * @param aim until when the first token is on time
+   */
+  public record Prompt(String beginning, long sharedTokens, long tokens, Duration aim) {
+    public Prompt {
+      Preconditions.require(
+          sharedTokens <= tokens,
+          "shared tokens were %d, expected at most %d".formatted(sharedTokens, tokens));
+    }
+  }
 
-  private static final Comparator<Candidate> BY_LOAD =
-      Comparator.comparingDouble(Candidate::load).thenComparing(Candidate::id);
+  /** Prompt tokens that an engine reads in a millisecond, from the sheets of those in use. */
+  private static final double TOKENS_PER_MILLI = 60;
 
-  private PromptPlacement() {}
+  /** What each running request adds to the wait: its step's part of the time between chunks. */
+  private static final double MILLIS_PER_RUNNING = 0.5;
 
   /**
-   * Chooses among {@code engines}.
-   *
-   * @param beginning names what the prompt shares with others; empty if nothing
+   * The part of the aim that the first token may be expected after at a home. Half leaves the other
+   * half for prompts that other instances have sent there since the last word of them.
    */
+  private static final double HOME_PATIENCE = 0.5;
+
+  /** Homes of a beginning that are tried in turn before any engine will do. */
+  private static final int HOMES = 3;
+
+  private PromptPlacement() {}
+
+  /** Chooses among {@code engines}; none only if there are none. */
   public static Optional<BackendServerId> choose(
-      List<Candidate> engines, String beginning, RandomGenerator random) {
-    if (engines.isEmpty()) {
-      return Optional.empty();
-    }
-    if (beginning.isEmpty()) {
-      return Optional.of(lessLoadedOfTwo(engines, random).id());
+      List<Candidate> engines, Prompt prompt, RandomGenerator random) {
+    if (!prompt.beginning().isEmpty()) {
+      long uncached = prompt.tokens() - prompt.sharedTokens();
+      double patience = prompt.aim().toMillis() * HOME_PATIENCE;
+      Optional<Candidate> home =
+          engines.stream()
+              .sorted(Comparator.comparingLong(engine -> score(engine, prompt.beginning())))
+              .limit(HOMES)
+              .filter(engine -> engine.expectedMillis(uncached) <= patience)
+              .findFirst();
+      if (home.isPresent()) {
+        return home.map(Candidate::id);
+      }
     }
-    double mean = engines.stream().mapToDouble(Candidate::load).average().orElse(1);
-    double bound = Math.max(ALWAYS_ALLOWED, CROWDED * mean);
-    return engines.stream()
-        .filter(engine -> engine.load() <= bound)
-        .max(Comparator.comparingLong(engine -> score(engine, beginning)))
-        .or(() -> engines.stream().min(BY_LOAD))
-        .map(Candidate::id);
+    return soonest(engines, prompt.tokens(), random);
   }
 
-  private static Candidate lessLoadedOfTwo(List<Candidate> engines, RandomGenerator random) {
-    Candidate first = engines.get(random.nextInt(engines.size()));
-    Candidate second = engines.get(random.nextInt(engines.size()));
-    return BY_LOAD.compare(first, second) <= 0 ? first : second;
+  /** The engine that is expected to answer first; of equal ones, any. */
+  private static Optional<BackendServerId> soonest(
+      List<Candidate> engines, long tokens, RandomGenerator random) {
+    Candidate best = null;
+    double bestMillis = Double.MAX_VALUE;
+    int first = engines.isEmpty() ? 0 : random.nextInt(engines.size());
+    for (int i = 0; i < engines.size(); i++) {
+      Candidate engine = engines.get((first + i) % engines.size());
+      double millis = engine.expectedMillis(tokens);
+      if (millis < bestMillis) {
+        best = engine;
+        bestMillis = millis;
+      }
+    }
+    return Optional.ofNullable(best).map(Candidate::id);
   }
 
   private static long score(Candidate engine, String beginning) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -75,6 +75,7 @@
    * @param total what the plan in force says
    * @param taken spent and held by all instances
    * @param spentHere by this instance and those before it on its machine
+   * @param lostHere held by earlier processes on this machine when they ended
    * @param heldHere that this instance may still use
    * @param idleHere the part of it that no request has
    * @param ratePerSecond at which this instance's requests set tokens aside
@@ -84,6 +85,7 @@
       long total,
       long taken,
       long spentHere,
+      long lostHere,
       long heldHere,
       long idleHere,
       long ratePerSecond)
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -36,11 +36,16 @@
     this.parts = parts;
     this.server = server;
     this.streamed = streamed;
-    this.promptTokens = flow.request().prompt().map(PromptTerms::inputTokens).orElse(0L);
+    this.promptTokens = flow.request().prompt().map(Attempt::unsharedTokens).orElse(0L);
     this.started = parts.clock().instant();
     this.lastHeard = started;
   }
 
+  /** The beginning is taken to be cached: requests are placed where it is. */
+  private static long unsharedTokens(PromptTerms prompt) {
+    return prompt.inputTokens() - prompt.sharedTokens();
+  }
+
   void start(Handover handover) {
     server.started(promptTokens);
     HttpCall sent = parts.backends().send(parts.dialect().forward(flow.request(), handover), this);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/AttemptEnd.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/AttemptEnd.java
@@ -8,6 +8,8 @@
   NOT_RUN,
   /** Another incarnation has the address. */
   OTHER_SERVER,
+  /** The server ran an idempotent request and answered with an error of its own. */
+  SERVER_ERROR,
   /** The request may have run. */
   MAY_HAVE_RUN
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
@@ -1,12 +1,15 @@
 package org.teaseldeal.gateway.flow;
 
 import java.time.InstantSource;
+import java.util.Map;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
+import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.account.AccountBook;
 import org.teaseldeal.gateway.event.EventSink;
+import org.teaseldeal.gateway.peer.OthersLoad;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.server.ServerDirectory;
 
@@ -14,6 +17,7 @@
  * What the flow of requests works with.
  *
  * @param plan the plan in force; null until one is known
+ * @param othersLoad what other instances have outstanding at the servers
  * @param instances how many instances there are, this one included
  */
 public record GatewayParts(
@@ -22,6 +26,7 @@
     AccountBook accounts,
     Dialect dialect,
     BackendPort backends,
+    Supplier<Map<BackendServerId, OthersLoad>> othersLoad,
     IntSupplier instances,
     GatewayLimits limits,
     EventSink events,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptTerms.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptTerms.java
@@ -22,6 +22,15 @@
     return inputTokens + maxOutputTokens;
   }
 
+  /** Tokens of all parts but the last. */
+  public long sharedTokens() {
+    long shared = 0;
+    for (int i = 0; i < parts.size() - 1; i++) {
+      shared += parts.get(i).tokens();
+    }
+    return Math.min(shared, inputTokens);
+  }
+
   /** Names the longest beginning that other prompts may share; empty if there is none. */
   public String sharedBeginning() {
     return parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -31,7 +31,7 @@
 
   /**
    * A server that sends nothing for this many times the aim of its route counts as silent. Answers
-   * under load take up to three times the aim; at four most of those still to come never will.
+   * under load take up to twice the aim; at three most of those still to come never will.
    */
   private static final int SILENT_AIMS = 3;
 
@@ -56,7 +56,7 @@
   /** Creates a desk. */
   public RequestDesk(GatewayParts parts) {
     this.parts = parts;
-    this.choice = new ServerChoice(parts.servers(), parts.random());
+    this.choice = new ServerChoice(parts.servers(), parts.othersLoad(), parts.random());
   }
 
   /** How many requests have no final answer yet. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -10,6 +10,7 @@
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
+import org.teaseldeal.decisions.PromptPlacement;
 import org.teaseldeal.gateway.account.Reservation;
 import org.teaseldeal.gateway.account.ReservationListener;
 import org.teaseldeal.gateway.event.GatewayEvent;
@@ -35,6 +36,8 @@
     ENDED
   }
 
+  private static final int FIRST_SERVER_ERROR = 500;
+
   /** A server that can't be reached is left out for about the time that a crashed one is away. */
   private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
 
@@ -114,7 +117,9 @@
   void begin() {
     exchange.onCallerGone(this::callerGone);
     if (customer.isPresent() && request.prompt().isPresent()) {
-      parts.accounts().reserve(customer.get().name(), request.prompt().get().atMost(), this);
+      parts
+          .accounts()
+          .reserve(customer.get().name(), request.prompt().get().atMost(), deadline, this);
     } else {
       onReserved(Reservation.NONE);
     }
@@ -150,12 +155,7 @@
 
   private void send() {
     Optional<ServerChoice.Chosen> chosen =
-        desk.choice()
-            .choose(
-                service,
-                request.prompt().map(PromptTerms::sharedBeginning).orElse(""),
-                tried,
-                now());
+        desk.choice().choose(service, placedPrompt(), tried, now());
     if (chosen.isEmpty()) {
       waitOrGiveUp();
       return;
@@ -186,6 +186,19 @@
             lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId)));
   }
 
+  private PromptPlacement.Prompt placedPrompt() {
+    return request
+        .prompt()
+        .map(
+            prompt ->
+                new PromptPlacement.Prompt(
+                    prompt.sharedBeginning(),
+                    prompt.sharedTokens(),
+                    prompt.inputTokens(),
+                    route.aim()))
+        .orElse(new PromptPlacement.Prompt("", 0, 0, route.aim()));
+  }
+
   private int rank() {
     return customer.isPresent() && customer.get().rank().isPresent()
         ? customer.get().rank().getAsInt()
@@ -254,6 +267,13 @@
       breakStream("a resumed stream was answered with status " + status);
       return;
     }
+    if (status >= FIRST_SERVER_ERROR && route.repeatable() && mayRepeat()) {
+      Attempt failed = attempt;
+      if (failed != null) {
+        onAttemptFailed(failed, AttemptEnd.SERVER_ERROR, "status " + status);
+        return;
+      }
+    }
     answered();
     exchange.respond(status, headers, body);
     end("answered", status, "");
@@ -295,6 +315,10 @@
         server.avoidUntil(now().plus(FULL_PAUSE));
         sendAgainIf(mayRepeat(), ErrorKind.OVERLOADED, detail);
       }
+      case SERVER_ERROR -> {
+        mayHaveRun = true;
+        sendAgainIf(true, ErrorKind.BACKEND_FAILED, detail);
+      }
       case MAY_HAVE_RUN -> {
         mayHaveRun = true;
         desk.choice().onFailed(server);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -4,12 +4,15 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.decisions.PromptPlacement;
 import org.teaseldeal.decisions.ServerHealth;
+import org.teaseldeal.gateway.peer.OthersLoad;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerDirectory;
 
@@ -25,12 +28,17 @@
   record Chosen(BackendServer server, int candidates) {}
 
   private final ServerDirectory servers;
+  private final Supplier<Map<BackendServerId, OthersLoad>> load;
   private final RandomGenerator random;
   private final ServerHealth health = new ServerHealth(FIRST_EJECTION, LONGEST_EJECTION, RAMP);
   private long seenChanges = -1;
 
-  ServerChoice(ServerDirectory servers, RandomGenerator random) {
+  ServerChoice(
+      ServerDirectory servers,
+      Supplier<Map<BackendServerId, OthersLoad>> load,
+      RandomGenerator random) {
     this.servers = servers;
+    this.load = load;
     this.random = random;
   }
 
@@ -48,11 +56,11 @@
   /**
    * Chooses a server of {@code service}.
    *
-   * @param beginning names what the prompt shares with others; empty if nothing
+   * @param prompt of no tokens for a plain service
    * @param tried servers that failed this request before
    */
   Optional<Chosen> choose(
-      String service, String beginning, Set<BackendServerId> tried, Instant now) {
+      String service, PromptPlacement.Prompt prompt, Set<BackendServerId> tried, Instant now) {
     List<BackendServer> ready = servers.ready(service);
     List<BackendServer> untried =
         ready.stream().filter(server -> !tried.contains(server.id())).toList();
@@ -61,18 +69,24 @@
             .filter(server -> !server.avoided(now) && health.isIn(server.id(), now))
             .toList();
     List<BackendServer> candidates = fit.isEmpty() ? untried : fit;
+    Map<BackendServerId, OthersLoad> others = load.get();
     List<PromptPlacement.Candidate> views =
         candidates.stream()
-            .map(
-                server ->
-                    new PromptPlacement.Candidate(
-                        server.id(), server.running(), health.slowness(server.id())))
+            .map(server -> view(server, others.getOrDefault(server.id(), OthersLoad.NONE)))
             .toList();
-    return PromptPlacement.choose(views, beginning, random)
+    return PromptPlacement.choose(views, prompt, random)
         .flatMap(servers::find)
         .map(server -> new Chosen(server, candidates.size()));
   }
 
+  private PromptPlacement.Candidate view(BackendServer server, OthersLoad others) {
+    return new PromptPlacement.Candidate(
+        server.id(),
+        server.running() + others.running(),
+        Math.max(0, server.promptTokensAhead()) + others.promptTokensAhead(),
+        health.slowness(server.id()));
+  }
+
   /** Counts a whole answer. */
   void onAnswered(BackendServer server, Duration took) {
     health.onAnswered(server.id(), took, 1);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
@@ -22,7 +22,7 @@
  * order.
  *
  * <p>Reads follow own appends; otherwise there is one each {@link #IDLE_READ}, so a fleet at rest
- * costs one call a second for each instance.
+ * costs three calls a second for each instance.
  */
 public final class FleetLog {
   private static final Logger LOG = LoggerFactory.getLogger(FleetLog.class);
@@ -33,7 +33,7 @@
   /**
    * How stale what is known of others may be without own writes; they act on shortage within it.
    */
-  private static final Duration IDLE_READ = Duration.ofSeconds(1);
+  private static final Duration IDLE_READ = Duration.ofMillis(300);
 
   /** First and longest pause after a failure: half an answer of a slow log, and half a second. */
   private static final Duration FIRST_PAUSE = Duration.ofMillis(40);
@@ -71,6 +71,7 @@
   private Instant pauseUntil = Instant.MIN;
   private Duration pause = FIRST_PAUSE;
   private Instant nextRead = Instant.MIN;
+  private boolean reloadDue;
   private @Nullable String trouble;
 
   /** Creates the log of {@code instance}; {@code epoch} is above that of any earlier process. */
@@ -169,6 +170,10 @@
   }
 
   private void follow(Instant now) {
+    if (reloadDue) {
+      reloadOnceWritten(now);
+      return;
+    }
     if (!calling && readAtLeastTo <= position) {
       appendWhatIsDue(now);
     }
@@ -179,6 +184,23 @@
     }
   }
 
+  /**
+   * Reads the newest notes once no own batch is under way. A wish must not be decided before its
+   * note is on the log: the others would not count it yet.
+   */
+  private void reloadOnceWritten(Instant now) {
+    if (calling) {
+      return;
+    }
+    if (!batch.isEmpty()) {
+      appendWhatIsDue(now);
+      return;
+    }
+    reloadDue = false;
+    state = State.LOADING;
+    load();
+  }
+
   private void appendWhatIsDue(Instant now) {
     if (batch.isEmpty()) {
       batch =
@@ -227,8 +249,7 @@
       }
       case SharedLog.ReadOutcome.Expired expired -> {
         LOG.info("notes from offset {} on are not kept any more; reading the newest", position);
-        state = State.LOADING;
-        load();
+        reloadDue = true;
       }
       case SharedLog.ReadOutcome.Failed failure -> failed(failure.detail());
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -32,9 +32,11 @@
               key(ACCOUNT, account.instance(), account.customer()),
               out -> {
                 out.writeLong(account.spent());
+                out.writeLong(account.lost());
                 out.writeLong(account.held());
                 out.writeLong(account.idle());
                 out.writeLong(account.asked());
+                out.writeLong(account.wanted());
               });
       case SharedNote.Crash crash ->
           record(
@@ -74,7 +76,14 @@
     return switch (kind) {
       case ACCOUNT ->
           new SharedNote.Account(
-              instance, subject, in.readLong(), in.readLong(), in.readLong(), in.readLong());
+              instance,
+              subject,
+              in.readLong(),
+              in.readLong(),
+              in.readLong(),
+              in.readLong(),
+              in.readLong(),
+              in.readLong());
       case CRASH -> new SharedNote.Crash(instance, subject, in.readInt());
       case PRESENCE -> new SharedNote.Presence(instance, in.readUTF());
       default ->
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -11,22 +11,34 @@
    * An instance's part of a customer's prepaid total.
    *
    * @param spent tokens used by this instance, and by those before it on the same machine
+   * @param lost tokens that those before it held when they ended
    * @param held tokens that it may still use, those of running requests among them
    * @param idle the part of {@code held} that no request has
    * @param asked tokens that it wants besides; they count as held until its next note
+   * @param wanted tokens that its waiting requests lack, also where the total can't give them now
    */
-  record Account(String instance, String customer, long spent, long held, long idle, long asked)
+  record Account(
+      String instance,
+      String customer,
+      long spent,
+      long lost,
+      long held,
+      long idle,
+      long asked,
+      long wanted)
       implements SharedNote {
     public Account {
       Preconditions.requireNotNegative(spent, "spent");
       Preconditions.requireNotNegative(held, "held");
       Preconditions.requireNotNegative(idle, "idle");
+      Preconditions.requireNotNegative(lost, "lost");
       Preconditions.requireNotNegative(asked, "asked");
+      Preconditions.requireNotNegative(wanted, "wanted");
     }
 
     /** What of the total can't be given to another instance. */
     public long taken() {
-      return spent + held + asked;
+      return spent + lost + held + asked;
     }
   }
 
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadNews.java
@@ -0,0 +1,73 @@
+package org.teaseldeal.gateway.peer;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * What an instance has outstanding at each backend server.
+ *
+ * @param instance the sender
+ * @param sequence rises with each message, so that one that was overtaken is dropped
+ */
+record LoadNews(String instance, long sequence, List<ServerLoad> loads) {
+  /**
+   * One server's part.
+   *
+   * @param server a hash of the server's id, which is too long to send so often
+   */
+  record ServerLoad(long server, int running, int promptTokensAhead) {}
+
+  private static final byte LAYOUT = 1;
+
+  LoadNews {
+    loads = List.copyOf(loads);
+  }
+
+  byte[] encode() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      out.writeByte(LAYOUT);
+      out.writeUTF(instance);
+      out.writeLong(sequence);
+      out.writeShort(loads.size());
+      for (ServerLoad load : loads) {
+        out.writeLong(load.server());
+        out.writeShort(Math.min(load.running(), Short.MAX_VALUE));
+        out.writeInt(load.promptTokensAhead());
+      }
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Reads a message.
+   *
+   * @throws IllegalArgumentException if it is none of this layout
+   */
+  static LoadNews decode(byte[] message) {
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(message))) {
+      byte layout = in.readByte();
+      if (layout != LAYOUT) {
+        throw new IllegalArgumentException("layout was %d, expected %d".formatted(layout, LAYOUT));
+      }
+      String instance = in.readUTF();
+      long sequence = in.readLong();
+      int count = in.readUnsignedShort();
+      List<ServerLoad> loads = new ArrayList<>();
+      for (int i = 0; i < count; i++) {
+        loads.add(new ServerLoad(in.readLong(), in.readUnsignedShort(), in.readInt()));
+      }
+      return new LoadNews(instance, sequence, loads);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("the message is too short", e);
+    }
+  }
+}
