Give leases back when a process ends or was killed; judge patience by when callers leave

Change: notes carry the machine's clocks, idle tokens are used no faster than told, a successor gets the rest back; a stopping process returns its tokens first.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/OutagePatience.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/OutagePatience.java
@@ -27,15 +27,16 @@
    * When to come back; empty if the request should wait.
    *
    * @param outage how long it has lasted
-   * @param patience how long the caller still waits
+   * @param patience how long the caller still waits for its answer to begin
+   * @param deadline how long until the caller has no use for an answer
    */
-  public static Optional<Duration> comeBack(Duration outage, Duration patience) {
+  public static Optional<Duration> comeBack(Duration outage, Duration patience, Duration deadline) {
     Duration rest = USUAL_OUTAGE.minus(outage);
     Duration expected = rest.compareTo(SHORTEST_REST) < 0 ? SHORTEST_REST : rest;
     if (patience.compareTo(expected) > 0) {
       return Optional.empty();
     }
-    Duration heeded = patience.dividedBy(HEEDED_PART);
+    Duration heeded = deadline.dividedBy(HEEDED_PART);
     return Optional.of(expected.compareTo(heeded) < 0 ? expected : heeded);
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.IntSupplier;
+import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
@@ -54,6 +55,8 @@
   private final IntSupplier instances;
   private final EventSink events;
   private final InstantSource clock;
+  private final Supplier<ClockReading> machineClock;
+  private final ClockReading started;
   private final Map<String, CustomerAccount> accounts = new TreeMap<>();
   private Instant nextRefill = Instant.MIN;
   private Instant nextRate = Instant.MIN;
@@ -66,27 +69,36 @@
    *
    * @param prepaid gives a customer's total in force; none for a customer without a bound
    * @param instances how many there are, this one included
+   * @param machineClock reads the machine's clocks
    */
   public AccountBook(
       String instance,
       Function<String, OptionalLong> prepaid,
       IntSupplier instances,
       EventSink events,
-      InstantSource clock) {
+      InstantSource clock,
+      Supplier<ClockReading> machineClock) {
     this.instance = instance;
     this.prepaid = prepaid;
     this.instances = instances;
     this.events = events;
     this.clock = clock;
+    this.machineClock = machineClock;
+    this.started = machineClock.get();
   }
 
   /**
    * Sets aside {@code tokens} of a customer's total, now or as soon as they are granted.
    *
-   * @param deadline until when the request can use them
+   * @param leaves when the caller gives up waiting for its answer to begin
+   * @param deadline when an answer is of no use any more
    */
   public void reserve(
-      String customer, long tokens, Instant deadline, ReservationListener listener) {
+      String customer,
+      long tokens,
+      Instant leaves,
+      Instant deadline,
+      ReservationListener listener) {
     OptionalLong total = prepaid.apply(customer);
     if (total.isEmpty()) {
       listener.onReserved(Reservation.NONE);
@@ -94,8 +106,11 @@
     }
     CustomerAccount account = account(customer);
     account.demand(tokens);
-    WaitingRequest request = new WaitingRequest(tokens, clock.instant(), deadline, listener);
-    if (loaded && account.waiting().isEmpty() && account.take(request, total.getAsLong())) {
+    WaitingRequest request =
+        new WaitingRequest(tokens, clock.instant(), leaves, deadline, listener);
+    if (loaded
+        && account.waiting().isEmpty()
+        && account.take(request, total.getAsLong(), clock.instant())) {
       return;
     }
     account.waiting().add(request);
@@ -114,7 +129,7 @@
     }
     CustomerAccount account = account(reservation.customer());
     account.settle(reservation.tokens(), Math.min(used, reservation.tokens()));
-    account.serveWaiting(total(account));
+    account.serveWaiting(total(account), clock.instant());
   }
 
   /** Tells whether the log can be reached, which decides who may wait for it. */
@@ -126,6 +141,19 @@
     }
   }
 
+  /**
+   * Gives back all that no request has, from now on; the process is about to end. At once and not
+   * at the end: the log may be away by then, and what is held at the end is lost to the customer.
+   */
+  public void close() {
+    accounts.values().forEach(CustomerAccount::close);
+  }
+
+  /** Whether the log says of every account that nothing is held here. */
+  public boolean allReturned() {
+    return accounts.values().stream().allMatch(CustomerAccount::returned);
+  }
+
   /** Refuses what has waited too long, and follows the rates of spending. */
   public void tick() {
     Instant now = clock.instant();
@@ -133,7 +161,10 @@
       nextRate = now.plus(RATE_PERIOD);
       accounts.values().forEach(CustomerAccount::followDemand);
     }
-    accounts.values().forEach(account -> refuseHopeless(account, total(account)));
+    for (CustomerAccount account : accounts.values()) {
+      account.serveWaiting(total(account), now);
+      refuseHopeless(account, total(account));
+    }
     if (!now.isBefore(nextReport)) {
       nextReport = now.plus(REPORT_PERIOD);
       accounts.values().forEach(this::report);
@@ -162,12 +193,13 @@
         if (!heard.instance().equals(instance)) {
           account.hear(heard);
         } else if (first) {
-          account.takeOver(heard);
+          account.takeOver(heard, started);
         }
       }
     }
     loaded = true;
-    accounts.values().forEach(account -> account.decideWish(total(account)));
+    Instant now = clock.instant();
+    accounts.values().forEach(account -> account.decideWish(total(account), now));
   }
 
   @Override
@@ -177,7 +209,7 @@
     }
     CustomerAccount account = account(heard.customer());
     if (own) {
-      account.decideWish(total(account));
+      account.decideWish(total(account), clock.instant());
     } else {
       account.hear(heard);
     }
@@ -191,10 +223,11 @@
   @Override
   public List<SharedNote> notesToWrite(Instant now) {
     boolean refill = !now.isBefore(nextRefill);
+    ClockReading reading = machineClock.get();
     List<SharedNote> notes = new ArrayList<>();
     for (CustomerAccount account : accounts.values()) {
       account
-          .nextNote(instance, total(account), instances.getAsInt(), refill)
+          .nextNote(instance, total(account), instances.getAsInt(), refill, reading, now)
           .ifPresent(notes::add);
     }
     if (!notes.isEmpty()) {
@@ -242,7 +275,10 @@
   private Optional<Problem> refusalInOutage(
       CustomerAccount account, WaitingRequest request, Instant now) {
     Duration outage = outageSince == null ? Duration.ZERO : Duration.between(outageSince, now);
-    return OutagePatience.comeBack(outage, Duration.between(now, request.deadline()))
+    return OutagePatience.comeBack(
+            outage,
+            Duration.between(now, request.leaves()),
+            Duration.between(now, request.deadline()))
         .map(comeBack -> notAtHand(account, request, comeBack));
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -1,10 +1,13 @@
 package org.teaseldeal.gateway.account;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.teaseldeal.decisions.LeaseRelease;
 import org.teaseldeal.decisions.PrepaidLease;
 import org.teaseldeal.gateway.log.SharedNote;
 
@@ -16,6 +19,9 @@
  * sum was written does anyone count on it.
  */
 final class CustomerAccount {
+  /** How old a note may be once tokens were taken; what a kill loses grows with it. */
+  private static final Duration NOTE_AGE = Duration.ofMillis(800);
+
   /** Followed over about this many periods: a light customer sends a request every few. */
   private static final int DEMAND_PERIODS = 8;
 
@@ -32,6 +38,17 @@
   private long idle;
   private long asked;
   private boolean noteDue;
+  private boolean closing;
+
+  /** What the newest note on the log says, and what was taken since it was composed. */
+  private Promise noted = Promise.NONE;
+
+  private long takenSinceNoted;
+
+  /** The same of the note that is being written. */
+  private Promise drafted = Promise.NONE;
+
+  private long takenSinceDrafted;
 
   /** Whether the newest own note says that requests wait here. */
   private boolean wantTold;
@@ -99,10 +116,18 @@
     others.put(note.instance(), note);
   }
 
-  /** Takes over from an earlier process on this machine. */
-  void takeOver(SharedNote.Account note) {
+  /**
+   * Takes over from an earlier process on this machine.
+   *
+   * @param started when this process began, so that the other had ended
+   */
+  void takeOver(SharedNote.Account note, ClockReading started) {
     spent += note.spent();
-    lost += note.lost() + note.held() + note.asked();
+    long sealed = note.idle() + note.asked() - note.promised();
+    ClockReading written = new ClockReading(note.steadyNanos(), note.wallMillis());
+    long used =
+        started.since(written).map(since -> LeaseRelease.released(sealed, since)).orElse(sealed);
+    lost += note.lost() + note.held() - note.idle() + note.promised() + used;
     noteDue = true;
   }
 
@@ -124,7 +149,9 @@
   }
 
   /** Called when the own note was read back: all that came before it is known. */
-  void decideWish(long total) {
+  void decideWish(long total, Instant now) {
+    noted = drafted;
+    takenSinceNoted = takenSinceDrafted;
     long wish = asked;
     asked = 0;
     if (wish > 0) {
@@ -134,22 +161,25 @@
         noteDue = true;
       }
     }
-    serveWaiting(total);
+    serveWaiting(total, now);
   }
 
-  void serveWaiting(long total) {
+  void serveWaiting(long total, Instant now) {
     for (WaitingRequest request : List.copyOf(waiting)) {
-      if (take(request, total)) {
+      if (take(request, total, now)) {
         waiting.remove(request);
       }
     }
   }
 
   /** Gives a request its tokens if they are at hand. */
-  boolean take(WaitingRequest request, long total) {
-    if (request.tokens() > usable(total)) {
+  boolean take(WaitingRequest request, long total, Instant now) {
+    boolean released = takenSinceNoted + request.tokens() <= noted.released(now);
+    if (request.tokens() > usable(total) || !released) {
       return false;
     }
+    takenSinceNoted += request.tokens();
+    takenSinceDrafted += request.tokens();
     idle -= request.tokens();
     reserved += request.tokens();
     request.listener().onReserved(new Reservation(customer, request.tokens()));
@@ -167,32 +197,72 @@
     idle += tokens - used;
   }
 
-  /** The note to write now, if one is due. */
-  Optional<SharedNote> nextNote(String instance, long total, int instances, boolean refill) {
+  /** The note to write now, if one is due; {@code refill} allows those that could wait. */
+  Optional<SharedNote> nextNote(
+      String instance,
+      long total,
+      int instances,
+      boolean refill,
+      ClockReading reading,
+      Instant now) {
     long remaining = Math.max(0, total - takenByAll());
-    long target =
-        new PrepaidLease(total, remaining + idleOfAll(), instances)
-            .target(tokensPerSecond, largest);
+    long target = closing ? 0 : target(total, remaining, instances);
     long wish = waitingThatFits(remaining);
-    boolean urgent = wish > 0;
-    boolean low = idle < target / 2 && !othersWant();
-    if (low && (urgent || refill)) {
+    boolean urgent = wish > 0 || waits(now);
+    if (idle < target / 2 && !othersWant() && (urgent || refill)) {
       wish = Math.max(wish, Math.min(target - idle, remaining));
     }
-    long surplus = waiting.isEmpty() && othersWant() ? idle - target / 2 : 0;
-    boolean returns = refill && surplus > 0;
-    boolean lacks = wanted() > 0 != wantTold;
-    if (wish <= 0 && !returns && !(refill && (noteDue || lacks))) {
+    long surplus = surplus(target);
+    boolean optional = noteDue || surplus > 0 || wanted() > 0 != wantTold || stale(now);
+    if (wish <= 0 && !urgent && !(refill && optional)) {
       return Optional.empty();
     }
-    if (returns) {
-      idle -= surplus;
-    }
+    idle -= surplus;
+    asked = wish;
+    return Optional.of(compose(instance, reading, now));
+  }
+
+  private long target(long total, long remaining, int instances) {
+    return new PrepaidLease(total, remaining + idleOfAll(), instances)
+        .target(tokensPerSecond, largest);
+  }
+
+  /** Whether a request waits only because its tokens haven't been promised on the log. */
+  private boolean waits(Instant now) {
+    return !waiting.isEmpty()
+        && waiting.getFirst().tokens() <= idle
+        && takenSinceNoted + waiting.getFirst().tokens() > noted.released(now);
+  }
+
+  /** Idle tokens that others need more. */
+  private long surplus(long target) {
+    boolean gives = closing || othersWant();
+    return gives && waiting.isEmpty() ? Math.max(0, idle - target / 2) : 0;
+  }
+
+  private boolean stale(Instant now) {
+    boolean changed = takenSinceNoted > 0 || (closing && noted.held() != held());
+    return changed && now.isAfter(noted.at().plus(NOTE_AGE));
+  }
+
+  private SharedNote compose(String instance, ClockReading reading, Instant now) {
     noteDue = false;
-    asked = Math.max(0, wish);
     wantTold = wanted() > 0;
-    return Optional.of(
-        new SharedNote.Account(instance, customer, spent, lost, held(), idle, asked, wanted()));
+    long promised = Math.min(idle + asked, wantedInAll());
+    drafted = new Promise(now, held(), idle + asked - promised, promised);
+    takenSinceDrafted = 0;
+    return new SharedNote.Account(
+        instance,
+        customer,
+        spent,
+        lost,
+        held(),
+        idle,
+        asked,
+        wanted(),
+        promised,
+        reading.steadyNanos(),
+        reading.wallMillis());
   }
 
   private long idleOfAll() {
@@ -206,8 +276,21 @@
 
   /** What the waiting requests lack. */
   private long wanted() {
-    long all = waiting.stream().mapToLong(WaitingRequest::tokens).sum();
-    return Math.max(0, all - idle);
+    return Math.max(0, wantedInAll() - idle);
+  }
+
+  private long wantedInAll() {
+    return waiting.stream().mapToLong(WaitingRequest::tokens).sum();
+  }
+
+  /** Keeps nothing idle from now on. */
+  void close() {
+    closing = true;
+  }
+
+  /** Whether nothing is held here, and the log says so. */
+  boolean returned() {
+    return held() == 0 && noted.held() == 0;
   }
 
   /** What to ask for so that as many as fit can go, the oldest first. */
@@ -220,4 +303,20 @@
     }
     return Math.max(0, fits - idle);
   }
+
+  /**
+   * What a note has told of idle tokens.
+   *
+   * @param at when it was composed
+   * @param held with those of running requests
+   * @param sealed idle and asked for, to be used no faster than {@link LeaseRelease} says
+   * @param promised to requests that wait, at once
+   */
+  private record Promise(Instant at, long held, long sealed, long promised) {
+    static final Promise NONE = new Promise(Instant.EPOCH, 0, 0, 0);
+
+    long released(Instant now) {
+      return promised + LeaseRelease.released(sealed, Duration.between(at, now));
+    }
+  }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -17,7 +17,10 @@
   private final RequestFlow flow;
   private final GatewayParts parts;
   private final BackendServer server;
+
+  /** Tokens to read there; the beginning is taken to be cached, as requests go where it is. */
   private final long promptTokens;
+
   private final boolean streamed;
   private final Instant started;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
@@ -36,16 +39,11 @@
     this.parts = parts;
     this.server = server;
     this.streamed = streamed;
-    this.promptTokens = flow.request().prompt().map(Attempt::unsharedTokens).orElse(0L);
+    this.promptTokens = flow.request().prompt().map(PromptTerms::unsharedTokens).orElse(0L);
     this.started = parts.clock().instant();
     this.lastHeard = started;
   }
 
-  /** The beginning is taken to be cached: requests are placed where it is. */
-  private static long unsharedTokens(PromptTerms prompt) {
-    return prompt.inputTokens() - prompt.sharedTokens();
-  }
-
   void start(Handover handover) {
     server.started(promptTokens);
     HttpCall sent = parts.backends().send(parts.dialect().forward(flow.request(), handover), this);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptTerms.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptTerms.java
@@ -31,6 +31,11 @@
     return Math.min(shared, inputTokens);
   }
 
+  /** Tokens of the last part, which no other request has brought. */
+  public long unsharedTokens() {
+    return inputTokens - sharedTokens();
+  }
+
   /** Names the longest beginning that other prompts may share; empty if there is none. */
   public String sharedBeginning() {
     return parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -36,6 +36,11 @@
     ENDED
   }
 
+  /** Rates of an engine with a few requests, from the sheets of those in use. */
+  private static final double MILLIS_PER_PROMPT_TOKEN = 1 / 60.0;
+
+  private static final double MILLIS_PER_OUTPUT_TOKEN = 5;
+
   private static final int FIRST_SERVER_ERROR = 500;
 
   /** A server that can't be reached is left out for about the time that a crashed one is away. */
@@ -119,7 +124,12 @@
     if (customer.isPresent() && request.prompt().isPresent()) {
       parts
           .accounts()
-          .reserve(customer.get().name(), request.prompt().get().atMost(), deadline, this);
+          .reserve(
+              customer.get().name(),
+              request.prompt().get().atMost(),
+              arrived.plus(route.silenceBorne(Duration.between(arrived, deadline))),
+              deadline,
+              this);
     } else {
       onReserved(Reservation.NONE);
     }
@@ -283,10 +293,17 @@
     mayHaveRun = true;
     Attempt whole = attempt;
     if (whole != null) {
-      desk.choice().onAnswered(whole.server(), whole.age());
+      desk.choice().onAnswered(whole.server(), whole.age(), expectedMillis());
     }
   }
 
+  /** What the answer would take at an idle server, roughly; 1 for a plain service. */
+  private double expectedMillis() {
+    return 1
+        + request.prompt().map(PromptTerms::unsharedTokens).orElse(0L) * MILLIS_PER_PROMPT_TOKEN
+        + eventsSent * tokensPerEvent * MILLIS_PER_OUTPUT_TOKEN;
+  }
+
   void onAttemptFailed(Attempt failed, AttemptEnd end, String detail) {
     if (stage == Stage.ENDED) {
       return;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -30,7 +31,7 @@
   private final ServerDirectory servers;
   private final Supplier<Map<BackendServerId, OthersLoad>> load;
   private final RandomGenerator random;
-  private final ServerHealth health = new ServerHealth(FIRST_EJECTION, LONGEST_EJECTION, RAMP);
+  private final Map<String, ServerHealth> healthByService = new HashMap<>();
   private long seenChanges = -1;
 
   ServerChoice(
@@ -45,12 +46,20 @@
   /** Follows the list and leaves out servers that have become unfit. */
   void tick(Instant now) {
     if (seenChanges != servers.changes()) {
-      Set<BackendServerId> listed = new HashSet<>();
-      servers.all().forEach(server -> listed.add(server.id()));
-      health.onListed(listed, now, seenChanges < 0);
+      Map<String, Set<BackendServerId>> listed = new HashMap<>();
+      for (BackendServer server : servers.all()) {
+        listed.computeIfAbsent(server.service(), name -> new HashSet<>()).add(server.id());
+      }
+      listed.forEach((service, ids) -> health(service).onListed(ids, now, seenChanges < 0));
       seenChanges = servers.changes();
     }
-    health.update(now);
+    healthByService.values().forEach(health -> health.update(now));
+  }
+
+  /** Servers are compared with those of their own service only. */
+  private ServerHealth health(String service) {
+    return healthByService.computeIfAbsent(
+        service, name -> new ServerHealth(FIRST_EJECTION, LONGEST_EJECTION, RAMP));
   }
 
   /**
@@ -61,6 +70,7 @@
    */
   Optional<Chosen> choose(
       String service, PromptPlacement.Prompt prompt, Set<BackendServerId> tried, Instant now) {
+    ServerHealth health = health(service);
     List<BackendServer> ready = servers.ready(service);
     List<BackendServer> untried =
         ready.stream().filter(server -> !tried.contains(server.id())).toList();
@@ -84,18 +94,22 @@
         server.id(),
         server.running() + others.running(),
         Math.max(0, server.promptTokensAhead()) + others.promptTokensAhead(),
-        health.slowness(server.id()));
+        health(server.service()).slowness(server.id()));
   }
 
-  /** Counts a whole answer. */
-  void onAnswered(BackendServer server, Duration took) {
-    health.onAnswered(server.id(), took, 1);
+  /**
+   * Counts a whole answer.
+   *
+   * @param work the time that it should take, in any unit; the kinds of request differ by far
+   */
+  void onAnswered(BackendServer server, Duration took, double work) {
+    health(server.service()).onAnswered(server.id(), took, work);
   }
 
   /** Counts a failure that is the server's. */
   void onFailed(BackendServer server) {
     if (servers.find(server.id()).isPresent()) {
-      health.onFailed(server.id());
+      health(server.service()).onFailed(server.id());
     }
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -37,6 +37,9 @@
                 out.writeLong(account.idle());
                 out.writeLong(account.asked());
                 out.writeLong(account.wanted());
+                out.writeLong(account.promised());
+                out.writeLong(account.steadyNanos());
+                out.writeLong(account.wallMillis());
               });
       case SharedNote.Crash crash ->
           record(
@@ -83,6 +86,9 @@
               in.readLong(),
               in.readLong(),
               in.readLong(),
+              in.readLong(),
+              in.readLong(),
+              in.readLong(),
               in.readLong());
       case CRASH -> new SharedNote.Crash(instance, subject, in.readInt());
       case PRESENCE -> new SharedNote.Presence(instance, in.readUTF());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -16,6 +16,9 @@
    * @param idle the part of {@code held} that no request has
    * @param asked tokens that it wants besides; they count as held until its next note
    * @param wanted tokens that its waiting requests lack, also where the total can't give them now
+   * @param promised part of {@code idle} and {@code asked} that waiting requests get at once
+   * @param steadyNanos the machine's steady clock when it was written
+   * @param wallMillis the time of day when it was written
    */
   record Account(
       String instance,
@@ -25,7 +28,10 @@
       long held,
       long idle,
       long asked,
-      long wanted)
+      long wanted,
+      long promised,
+      long steadyNanos,
+      long wallMillis)
       implements SharedNote {
     public Account {
       Preconditions.requireNotNegative(spent, "spent");
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/Route.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/Route.java
@@ -12,6 +12,7 @@
  * @param keyless whether callers need no key
  * @param timeout the longest that a caller is kept waiting for its whole answer
  * @param aim until when the first part of an answer is on time
+ * @param pauseAim the longest pause between parts of a stream that is on time
  * @param rank 0 is the most urgent
  * @param maxAttempts how many backend servers one attempt of a caller may be sent to
  */
@@ -24,9 +25,16 @@
     boolean keyless,
     Duration timeout,
     Duration aim,
+    Duration pauseAim,
     int rank,
     int maxAttempts,
     List<WeightedService> services) {
+  /** Callers leave a stream after the longest of these, as they have said. */
+  private static final Duration SHORTEST_SILENCE_BORNE = Duration.ofSeconds(2);
+
+  private static final int AIMS_BORNE = 4;
+  private static final int PAUSES_BORNE = 8;
+
   public Route {
     Preconditions.requireText(name, "route name");
     Preconditions.require(
@@ -49,6 +57,23 @@
     };
   }
 
+  /**
+   * How long a caller waits for the next part of its answer before it leaves.
+   *
+   * @param patience until when it wants the whole answer
+   */
+  public Duration silenceBorne(Duration patience) {
+    if (!kind.streamed()) {
+      return patience;
+    }
+    Duration longest = SHORTEST_SILENCE_BORNE;
+    for (Duration each :
+        List.of(aim.multipliedBy(AIMS_BORNE), pauseAim.multipliedBy(PAUSES_BORNE))) {
+      longest = each.compareTo(longest) > 0 ? each : longest;
+    }
+    return longest.compareTo(patience) < 0 ? longest : patience;
+  }
+
   /** Draws a service in proportion to the weights. */
   public String drawService(RandomGenerator random) {
     if (services.size() == 1) {
