--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -108,9 +108,8 @@
     account.demand(tokens);
     WaitingRequest request =
         new WaitingRequest(tokens, clock.instant(), leaves, deadline, listener);
-    if (loaded
-        && account.waiting().isEmpty()
-        && account.take(request, total.getAsLong(), clock.instant())) {
+    // One that waits for more than is at hand must not keep those from going that need less.
+    if (loaded && account.take(request, total.getAsLong(), clock.instant())) {
       return;
     }
     account.waiting().add(request);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -146,7 +146,11 @@
 
   @Override
   public void onRefused(Problem problem) {
-    refuse(problem);
+    refuse(
+        problem.retryAfter().isEmpty()
+            ? problem
+            : Problem.retryable(
+                problem.kind(), problem.detail(), desk.spread(problem.retryAfter().get())));
   }
 
   /** Ends what takes too long, and sends what waited for a server. */
