--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LeaseRelease.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LeaseRelease.java
@@ -7,25 +7,30 @@
  *
  * <p>Load pattern: all instances are killed at once and start again. What each held idle can't be
  * given back unless its successor knows how much of it was used; without that, a kill loses half of
- * what is left of a total. So an instance uses its idle tokens no faster than this after its last
- * note, and a successor that knows how long ago that note was written gets the rest back.
+ * what is left of a total. So an instance that has just written a note uses only a part of its idle
+ * tokens until the next one. A successor that starts soon after the last note gets the rest back.
  *
- * <p>A first part may go at once, so that a large request needs no note; the rest is released
- * evenly over the cut that the lease is meant to outlast, when no note can be written. A kill with
- * a restart within two seconds of the last note thus loses a third of what was idle instead of all.
+ * <p>Load pattern: all instances are cut off from the log for seconds. No note can be written, and
+ * callers must be served all the same. After a while without a note everything is therefore free to
+ * use; a successor that starts later than that gets nothing back.
  */
 public final class LeaseRelease {
-  /** Released at once: one in eight. A lease is seldom smaller than eight usual requests. */
-  private static final double AT_ONCE = 1.0 / 8;
+  /** Enough for the requests of one note's time; what a kill loses of the idle tokens at most. */
+  private static final double AT_ONCE = 0.3;
 
-  /** All is released after seven eighths of this time, that of the longest usual cut. */
-  private static final Duration HORIZON = Duration.ofSeconds(9);
+  /** A process is killed, and its successor starts, within two seconds of the last note. */
+  private static final Duration ALL_AFTER = Duration.ofMillis(2500);
 
   private LeaseRelease() {}
 
   /** Of {@code idle} tokens, how many may have been used {@code since} the last note. */
   public static long released(long idle, Duration since) {
-    double part = AT_ONCE + (double) since.toNanos() / HORIZON.toNanos();
-    return part >= 1 ? idle : (long) (idle * part);
+    return since.compareTo(ALL_AFTER) >= 0 ? idle : (long) (idle * AT_ONCE);
+  }
+
+  /** How long until all may be used, if no note is written. */
+  public static Duration untilAll(Duration since) {
+    Duration left = ALL_AFTER.minus(since);
+    return left.isNegative() ? Duration.ZERO : left;
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -240,20 +240,23 @@
       return;
     }
     Instant now = clock.instant();
+    long ahead = 0;
     for (WaitingRequest request : List.copyOf(account.waiting())) {
-      refusal(account, request, total, now)
-          .ifPresent(
-              problem -> {
-                account.waiting().remove(request);
-                request.listener().onRefused(problem);
-              });
+      Optional<Problem> problem = refusal(account, request, ahead, total, now);
+      if (problem.isPresent()) {
+        account.waiting().remove(request);
+        request.listener().onRefused(problem.get());
+      } else {
+        ahead += request.tokens();
+      }
     }
   }
 
+  /** {@code ahead} are the tokens of those that wait before it. */
   private Optional<Problem> refusal(
-      CustomerAccount account, WaitingRequest request, long total, Instant now) {
+      CustomerAccount account, WaitingRequest request, long ahead, long total, Instant now) {
     if (!loaded || outageSince != null) {
-      return refusalInOutage(account, request, now);
+      return refusalInOutage(account, request, ahead, now);
     }
     if (!account.wishDecided()) {
       return Optional.empty();
@@ -272,7 +275,11 @@
   }
 
   private Optional<Problem> refusalInOutage(
-      CustomerAccount account, WaitingRequest request, Instant now) {
+      CustomerAccount account, WaitingRequest request, long ahead, Instant now) {
+    Duration untilReleased = account.untilReleased(ahead + request.tokens(), total(account), now);
+    if (now.plus(untilReleased).isBefore(request.leaves())) {
+      return Optional.empty();
+    }
     Duration outage = outageSince == null ? Duration.ZERO : Duration.between(outageSince, now);
     return OutagePatience.comeBack(
             outage,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -19,6 +19,8 @@
  * sum was written does anyone count on it.
  */
 final class CustomerAccount {
+  private static final Duration NEVER = Duration.ofDays(1);
+
   /** How old a note may be once tokens were taken; what a kill loses grows with it. */
   private static final Duration NOTE_AGE = Duration.ofMillis(800);
 
@@ -191,6 +193,13 @@
     return idle - Math.max(0, takenByAll() - total);
   }
 
+  /** When {@code tokens} can be taken without the log, at the latest; very long if never. */
+  Duration untilReleased(long tokens, long total, Instant now) {
+    return tokens <= usable(total)
+        ? LeaseRelease.untilAll(Duration.between(noted.at(), now))
+        : NEVER;
+  }
+
   void settle(long tokens, long used) {
     reserved -= tokens;
     spent += used;
@@ -212,7 +221,7 @@
     if (idle < target / 2 && !othersWant() && (urgent || refill)) {
       wish = Math.max(wish, Math.min(target - idle, remaining));
     }
-    long surplus = surplus(target);
+    long surplus = surplus();
     boolean optional = noteDue || surplus > 0 || wanted() > 0 != wantTold || stale(now);
     if (wish <= 0 && !urgent && !(refill && optional)) {
       return Optional.empty();
@@ -234,10 +243,10 @@
         && takenSinceNoted + waiting.getFirst().tokens() > noted.released(now);
   }
 
-  /** Idle tokens that others need more. */
-  private long surplus(long target) {
+  /** Idle tokens to give back: all, as requests that wait elsewhere need them now. */
+  private long surplus() {
     boolean gives = closing || othersWant();
-    return gives && waiting.isEmpty() ? Math.max(0, idle - target / 2) : 0;
+    return gives && waiting.isEmpty() ? idle : 0;
   }
 
   private boolean stale(Instant now) {
@@ -316,7 +325,11 @@
     static final Promise NONE = new Promise(Instant.EPOCH, 0, 0, 0);
 
     long released(Instant now) {
-      return promised + LeaseRelease.released(sealed, Duration.between(at, now));
+      Duration since = Duration.between(at, now);
+      // What requests gave back since may be used too, once a successor gets nothing back anyway.
+      return LeaseRelease.untilAll(since).isZero()
+          ? Long.MAX_VALUE
+          : promised + LeaseRelease.released(sealed, since);
     }
   }
 }
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -0,0 +1,143 @@
+package org.teaseldeal.gateway.account;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.OptionalLong;
+import org.teaseldeal.api.Problem;
+import org.teaseldeal.gateway.fake.FakeSharedLog;
+import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.log.FleetLog;
+
+/** Instances that draw on one customer's total through a log in memory, in virtual time. */
+final class AccountFleet {
+  static final String CUSTOMER = "trawler";
+
+  private static final Duration STEP = Duration.ofMillis(10);
+  private static final Duration CALLER_LEAVES = Duration.ofMillis(3200);
+  private static final Duration DEADLINE = Duration.ofSeconds(15);
+
+  final ManualClock clock = new ManualClock();
+  final FakeSharedLog log = new FakeSharedLog();
+  final List<Instance> instances = new ArrayList<>();
+  long total;
+  private long bootedAt;
+  private long epochs;
+
+  AccountFleet(int size, long total) {
+    this.total = total;
+    for (int i = 0; i < size; i++) {
+      instances.add(new Instance("instance-" + i));
+    }
+    run(Duration.ofSeconds(2));
+  }
+
+  Instance instance(int index) {
+    return instances.get(index);
+  }
+
+  void run(Duration time) {
+    for (long passed = 0; passed < time.toMillis(); passed += STEP.toMillis()) {
+      clock.advance(STEP);
+      instances.forEach(Instance::step);
+    }
+  }
+
+  void lines(FakeSharedLog.Line line) {
+    instances.forEach(instance -> instance.port.line(line));
+  }
+
+  /** All machines lose power and come back; their steady clocks begin anew. */
+  void powerLoss(Duration down) {
+    bootedAt += 1_000_000_000_000L;
+    kill(down);
+  }
+
+  /** All processes are killed and start again after {@code down}. */
+  void kill(Duration down) {
+    for (int i = 0; i < instances.size(); i++) {
+      instances.get(i).alive = false;
+    }
+    run(down);
+    for (int i = 0; i < instances.size(); i++) {
+      instances.set(i, new Instance(instances.get(i).name));
+    }
+    run(Duration.ofSeconds(2));
+  }
+
+  /** Tokens that requests were given and used or may still use. */
+  long given() {
+    return given;
+  }
+
+  private long given;
+
+  private ClockReading machineClock() {
+    return new ClockReading(
+        clock.instant().toEpochMilli() * 1_000_000 + bootedAt, clock.instant().toEpochMilli());
+  }
+
+  /** One instance. */
+  final class Instance {
+    final String name;
+    final FakeSharedLog.Port port;
+    final AccountBook book;
+    final FleetLog fleetLog;
+    final List<Reservation> reserved = new ArrayList<>();
+    int granted;
+    final List<Problem> refused = new ArrayList<>();
+    boolean alive = true;
+
+    Instance(String name) {
+      this.name = name;
+      this.port = log.port(name);
+      this.book =
+          new AccountBook(
+              name,
+              customer -> OptionalLong.of(total),
+              () -> instances.size(),
+              event -> {},
+              clock,
+              AccountFleet.this::machineClock);
+      this.fleetLog = new FleetLog(port, name, ++epochs, clock, List.of(book));
+    }
+
+    void request(long tokens) {
+      book.reserve(
+          CUSTOMER,
+          tokens,
+          clock.instant().plus(CALLER_LEAVES),
+          clock.instant().plus(DEADLINE),
+          new ReservationListener() {
+            @Override
+            public void onReserved(Reservation reservation) {
+              granted++;
+              reserved.add(reservation);
+              given += reservation.tokens();
+            }
+
+            @Override
+            public void onRefused(Problem problem) {
+              refused.add(problem);
+            }
+          });
+    }
+
+    /** Ends the oldest request, of which {@code used} tokens were used. */
+    void settle(long used) {
+      Reservation oldest = reserved.removeFirst();
+      given -= oldest.tokens() - used;
+      book.settle(oldest, used);
+    }
+
+    void step() {
+      if (!alive) {
+        return;
+      }
+      port.answer();
+      fleetLog.tick();
+      book.logReachable(!fleetLog.troubled());
+      book.tick();
+    }
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.account;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeSharedLog.java
@@ -0,0 +1,135 @@
+package org.teaseldeal.gateway.fake;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.teaseldeal.gateway.log.KeyedRecord;
+import org.teaseldeal.gateway.log.PositionedRecord;
+import org.teaseldeal.gateway.log.SharedLog;
+
+/** A log in memory that keeps the newest record of each key; calls answer when told to. */
+public final class FakeSharedLog {
+  /** What becomes of a writer's calls. */
+  public enum Line {
+    OPEN,
+    /** Calls don't reach the log and fail. */
+    CUT,
+    /** Appends are done, and their answers lost. */
+    ANSWERS_LOST
+  }
+
+  private static final class Writer {
+    private long epoch = -1;
+    private long sequence = -1;
+    private long lastOffset;
+  }
+
+  private final List<PositionedRecord> records = new ArrayList<>();
+  private final Map<String, Writer> writers = new HashMap<>();
+  private long firstKept;
+  private int appends;
+
+  /** Drops all history but the newest record of each key. */
+  public void forgetHistory() {
+    firstKept = records.size();
+  }
+
+  /** Appends that were done. */
+  public int appends() {
+    return appends;
+  }
+
+  /** The log as one writer sees it. */
+  public final class Port implements SharedLog {
+    private final String producer;
+    private final List<Runnable> answers = new ArrayList<>();
+    private Line line = Line.OPEN;
+
+    Port(String producer) {
+      this.producer = producer;
+    }
+
+    /** Sets what becomes of calls from now on. */
+    public void line(Line line) {
+      this.line = line;
+    }
+
+    /** Gives the answers of the calls made so far. */
+    public void answer() {
+      List<Runnable> due = List.copyOf(answers);
+      answers.clear();
+      due.forEach(Runnable::run);
+    }
+
+    @Override
+    public void append(
+        long epoch, long sequence, List<KeyedRecord> batch, Consumer<AppendOutcome> outcome) {
+      AppendOutcome result =
+          line == Line.CUT
+              ? new AppendOutcome.Unknown("cut off")
+              : appendNow(producer, epoch, sequence, batch);
+      AppendOutcome told =
+          line == Line.ANSWERS_LOST ? new AppendOutcome.Unknown("answer lost") : result;
+      answers.add(() -> outcome.accept(told));
+    }
+
+    @Override
+    public void read(long offset, Consumer<ReadOutcome> outcome) {
+      ReadOutcome result = line == Line.OPEN ? readNow(offset) : failed();
+      answers.add(() -> outcome.accept(result));
+    }
+
+    @Override
+    public void readNewest(Consumer<ReadOutcome> outcome) {
+      ReadOutcome result = line == Line.OPEN ? newest() : failed();
+      answers.add(() -> outcome.accept(result));
+    }
+
+    private static ReadOutcome failed() {
+      return new ReadOutcome.Failed("cut off");
+    }
+  }
+
+  /** A port for {@code producer}. */
+  public Port port(String producer) {
+    return new Port(producer);
+  }
+
+  private SharedLog.AppendOutcome appendNow(
+      String producer, long epoch, long sequence, List<KeyedRecord> batch) {
+    Writer writer = writers.computeIfAbsent(producer, name -> new Writer());
+    if (epoch < writer.epoch) {
+      return new SharedLog.AppendOutcome.Superseded();
+    }
+    if (epoch == writer.epoch && sequence == writer.sequence) {
+      return new SharedLog.AppendOutcome.Appended(writer.lastOffset);
+    }
+    writer.epoch = epoch;
+    writer.sequence = sequence;
+    writer.lastOffset = records.size();
+    for (KeyedRecord record : batch) {
+      records.add(new PositionedRecord(records.size(), record));
+    }
+    appends += batch.isEmpty() ? 0 : 1;
+    return new SharedLog.AppendOutcome.Appended(writer.lastOffset);
+  }
+
+  private SharedLog.ReadOutcome readNow(long offset) {
+    if (offset < firstKept) {
+      return new SharedLog.ReadOutcome.Expired();
+    }
+    return new SharedLog.ReadOutcome.Records(
+        records.subList((int) offset, records.size()), records.size());
+  }
+
+  private SharedLog.ReadOutcome newest() {
+    Map<String, PositionedRecord> byKey = new LinkedHashMap<>();
+    for (PositionedRecord record : records) {
+      byKey.put(record.record().key(), record);
+    }
+    return new SharedLog.ReadOutcome.Records(List.copyOf(byKey.values()), records.size());
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.log;
+
+import org.jspecify.annotations.NullMarked;
