--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PrepaidLease.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PrepaidLease.java
@@ -27,10 +27,10 @@
   private static final double MARGIN = 1.3;
 
   /**
-   * The part of the pool that all instances together keep. At a half, a kill of all leaves the
-   * other half to go on with, and a cut finds at hand what half of the day's rest would need.
+   * The part of the pool that all instances together keep at most. A kill of all loses three tenths
+   * of it, see {@link LeaseRelease}; the last fifth stays for the instance that needs it first.
    */
-  private static final double KEPT_SHARE = 0.5;
+  private static final double KEPT_SHARE = 0.8;
 
   /** What an instance keeps without demand: one request of a light customer. */
   private static final double FLOOR_SHARE = 0.02;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -19,6 +19,9 @@
  * sum was written does anyone count on it.
  */
 final class CustomerAccount {
+  /** The part of its target below which a lease is worth a note of its own. */
+  private static final double REFILL_BELOW = 0.6;
+
   private static final Duration NEVER = Duration.ofDays(1);
 
   /** How old a note may be once tokens were taken; what a kill loses grows with it. */
@@ -218,14 +221,15 @@
     long target = closing ? 0 : target(total, remaining, instances);
     long wish = waitingThatFits(remaining);
     boolean urgent = wish > 0 || waits(now);
-    if (idle < target / 2 && !othersWant() && (urgent || refill)) {
-      wish = Math.max(wish, Math.min(target - idle, remaining));
-    }
     long surplus = surplus();
-    boolean optional = noteDue || surplus > 0 || wanted() > 0 != wantTold || stale(now);
-    if (wish <= 0 && !urgent && !(refill && optional)) {
+    boolean low = remaining > 0 && idle < target * REFILL_BELOW && !othersWant();
+    boolean optional = noteDue || low || surplus > 0 || wanted() > 0 != wantTold || stale(now);
+    if (!urgent && !(refill && optional)) {
       return Optional.empty();
     }
+    if (!othersWant()) {
+      wish = Math.max(wish, Math.min(target - idle, remaining));
+    }
     idle -= surplus;
     asked = wish;
     return Optional.of(compose(instance, reading, now));
