Refuse at once what only tokens lost with a killed process could cover

Cause: after a power loss of all 1,799 requests waited 1.5 s in vain for tokens that no instance holds. Change: refused at once, with a later time to come back.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PrepaidLease.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PrepaidLease.java
@@ -28,9 +28,9 @@
 
   /**
    * The part of the pool that all instances together keep at most. A kill of all loses three tenths
-   * of it, see {@link LeaseRelease}; the last fifth stays for the instance that needs it first.
+   * of it, see {@link LeaseRelease}; the last third stays for the instance that needs it first.
    */
-  private static final double KEPT_SHARE = 0.8;
+  private static final double KEPT_SHARE = 0.65;
 
   /** What an instance keeps without demand: one request of a light customer. */
   private static final double FLOOR_SHARE = 0.02;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -47,6 +47,9 @@
   /** When to come back after waiting in vain for others' idle tokens. */
   private static final Duration COME_BACK = Duration.ofMillis(500);
 
+  /** When to come back if only a higher total helps: the operator may raise it at any time. */
+  private static final Duration COME_BACK_LOST = Duration.ofSeconds(4);
+
   private static final Duration RATE_PERIOD = Duration.ofSeconds(1);
   private static final Duration REPORT_PERIOD = Duration.ofSeconds(5);
 
@@ -267,6 +270,9 @@
               ErrorKind.BUDGET_EXHAUSTED,
               "%d tokens are needed, less remain of %d".formatted(request.tokens(), total)));
     }
+    if (!account.couldBeGranted(request.tokens(), total)) {
+      return Optional.of(notAtHand(account, request, COME_BACK_LOST));
+    }
     Duration waited = Duration.between(request.since(), now);
     if (waited.compareTo(LONGEST_WAIT) <= 0) {
       return Optional.empty();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -153,6 +153,12 @@
     return tokens <= total - gone;
   }
 
+  /** Whether instances hold so little between them that the request could be granted. */
+  boolean couldBeGranted(long tokens, long total) {
+    long lostOfAll = lost + others.values().stream().mapToLong(SharedNote.Account::lost).sum();
+    return mayCover(tokens + lostOfAll, total);
+  }
+
   /** Called when the own note was read back: all that came before it is known. */
   void decideWish(long total, Instant now) {
     noted = drafted;
