Refuse to run an instance on several event loops; test decisions, records, headers and accounts under faults

Cause: PlatformInstanceTests once showed two attempts of one request in one answer: the tick and the caller's connection ran on different loops and both started it. Ruled out: the instance itself, which sets one loop before any is made. Change: the instance refuses several loops.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
@@ -68,10 +68,11 @@
   private static final double MILLIS_PER_RUNNING = 0.5;
 
   /**
-   * The part of the aim that the first token may be expected after at a home. Half leaves the other
-   * half for prompts that other instances have sent there since the last word of them.
+   * The part of the aim that the first token may be expected after at a home. The whole of it: a
+   * beginning that is read again elsewhere costs its engine as much time as the wait saves, and
+   * with half of it the engines read a third more of what others had cached.
    */
-  private static final double HOME_PATIENCE = 0.5;
+  private static final double HOME_PATIENCE = 1.0;
 
   /** Homes of a beginning that are tried in turn before any engine will do. */
   private static final int HOMES = 3;
--- /dev/null
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/RetryWindowTests.java
@@ -0,0 +1,41 @@
+package org.teaseldeal.decisions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.Test;
+
+class RetryWindowTests {
+  private static final Instant START = Instant.EPOCH.plusSeconds(1000);
+
+  private final RetryWindow window = new RetryWindow(0.2, 54, Duration.ofSeconds(10));
+
+  @Test
+  void givesAnInstanceItsPartOfTheReserve() {
+    assertEquals(6, repeats(START, 7));
+  }
+
+  @Test
+  void addsAShareOfTheRequestsOfTheWindow() {
+    for (int i = 0; i < 100; i++) {
+      window.onFirst(START);
+    }
+    assertEquals(24, repeats(START, 7));
+  }
+
+  @Test
+  void forgetsWhatTheWindowHasLeft() {
+    int first = repeats(START, 7);
+    assertEquals(0, repeats(START.plusSeconds(5), 7));
+    assertEquals(first, repeats(START.plusSeconds(12), 7));
+  }
+
+  private int repeats(Instant now, int instances) {
+    int granted = 0;
+    while (window.tryRepeat(now, instances)) {
+      granted++;
+    }
+    return granted;
+  }
+}
--- /dev/null
+++ b/teaseldeal-dist/src/test/java/org/teaseldeal/dist/PlatformWordsTests.java
@@ -0,0 +1,46 @@
+package org.teaseldeal.dist;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The platform's names stay in its folder: everything else speaks the product's own words. */
+class PlatformWordsTests {
+  private static final Pattern WORDS =
+      Pattern.compile(
+          "(?i)log-append|log-read|log-newest|log-join|prefix-hash|token-count|reply-seal"
+              + "|expect-instance|weight-versions|urgency-class|keyed\\.(op|servers|status)"
+              + "|teaseldeal_settings|\"not-run\"\\s*,\\s*\"1\"");
+
+  @Test
+  void standInThePlatformFolderOnly() throws IOException {
+    Path root = Path.of("..").toRealPath();
+    try (Stream<Path> files = Files.walk(root)) {
+      List<String> found =
+          files
+              .filter(file -> file.toString().endsWith(".java"))
+              .filter(file -> !file.startsWith(root.resolve("platform")))
+              .filter(file -> !file.endsWith("PlatformWordsTests.java"))
+              .filter(file -> !file.toString().contains("/target/"))
+              .filter(PlatformWordsTests::hasWord)
+              .map(file -> root.relativize(file).toString())
+              .toList();
+      assertEquals(List.of(), found);
+    }
+  }
+
+  private static boolean hasWord(Path file) {
+    try {
+      return WORDS.matcher(Files.readString(file)).find();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -68,4 +68,90 @@
     assertEquals(1, fleet.instance(1).granted);
     assertEquals(ErrorKind.BUDGET_EXHAUSTED, fleet.instance(2).refused.getFirst().kind());
   }
+
+  /**
+   * What callers are given never exceeds the total, whatever is lost. Instances are cut off from
+   * the log, lose the answers of their appends, are killed or lose power and start again on the
+   * same machine, and the log drops its history, in any order and together.
+   */
+  @Test
+  void neverGivesMoreThanTheTotal() {
+    for (int seed = 0; seed < 60; seed++) {
+      Random random = new Random(seed);
+      AccountFleet fleet = new AccountFleet(4, 400_000);
+      for (int step = 0; step < 120; step++) {
+        disturb(fleet, random);
+        AccountFleet.Instance instance = fleet.instance(random.nextInt(4));
+        instance.request(1 + random.nextInt(9_000));
+        if (random.nextBoolean() && !instance.reserved.isEmpty()) {
+          instance.settle(random.nextInt((int) instance.reserved.getFirst().tokens()));
+        }
+        fleet.run(Duration.ofMillis(20L * random.nextInt(20)));
+        assertTrue(
+            fleet.given() <= fleet.total,
+            "seed %d step %d: %d tokens were given, expected at most %d"
+                .formatted(seed, step, fleet.given(), fleet.total));
+      }
+    }
+  }
+
+  private static void disturb(AccountFleet fleet, Random random) {
+    AccountFleet.Instance instance = fleet.instance(random.nextInt(4));
+    switch (random.nextInt(30)) {
+      case 0 -> fleet.kill(Duration.ofMillis(random.nextInt(3_000)));
+      case 1 -> fleet.powerLoss(Duration.ofMillis(random.nextInt(3_000)));
+      case 2 -> fleet.log.forgetHistory();
+      case 3, 4 -> instance.port.line(Line.CUT);
+      case 5 -> instance.port.line(Line.ANSWERS_LOST);
+      case 6 -> instance.port.line(Line.DONE_LATE);
+      case 7, 8, 9, 10 -> instance.port.line(Line.OPEN);
+      case 11 -> fleet.lines(Line.CUT);
+      case 12, 13 -> fleet.lines(Line.OPEN);
+      case 14 -> fleet.total += 20_000;
+      case 15, 16, 17 -> fleet.lines(Line.SLOW_APPENDS);
+      case 18, 19 -> fleet.log.forgetHistory();
+      default -> {}
+    }
+  }
+
+  /**
+   * Callers find most of the total again after a kill. All processes are killed a moment after they
+   * wrote their notes and start again within two seconds; what was idle comes back, but for the
+   * part that may have been used since.
+   */
+  @Test
+  void findsIdleTokensAgainAfterAKill() {
+    AccountFleet fleet = new AccountFleet(4, 1_000_000);
+    drawFor(fleet, Duration.ofSeconds(6));
+    long before = fleet.total - fleet.given();
+    fleet.kill(Duration.ofMillis(1_200));
+    fleet.instance(0).request(before / 2);
+    fleet.run(Duration.ofSeconds(3));
+    assertEquals(1, fleet.instance(0).granted);
+  }
+
+  /** A process that stops leaves nothing behind: its idle tokens serve callers elsewhere. */
+  @Test
+  void returnsIdleTokensWhenItStops() {
+    AccountFleet fleet = new AccountFleet(2, 100_000);
+    drawFor(fleet, Duration.ofSeconds(1));
+    AccountFleet.Instance stopping = fleet.instance(0);
+    while (!stopping.reserved.isEmpty()) {
+      stopping.settle(1);
+    }
+    stopping.book.close();
+    fleet.run(Duration.ofSeconds(2));
+    assertTrue(stopping.book.allReturned(), "tokens are still held at the end");
+  }
+
+  /** Nobody waits for what can't come: with all instances cut off, the caller is told at once. */
+  @Test
+  void refusesAtOnceInAnOutageWhatIsNotAtHand() {
+    AccountFleet fleet = new AccountFleet(2, 100_000);
+    fleet.lines(Line.CUT);
+    fleet.run(Duration.ofSeconds(1));
+    fleet.instance(0).request(90_000);
+    assertEquals(ErrorKind.NO_LEASE, fleet.instance(0).refused.getFirst().kind());
+    assertTrue(fleet.instance(0).refused.getFirst().retryAfter().isPresent());
+  }
 }
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ClockReadingTests.java
@@ -0,0 +1,32 @@
+package org.teaseldeal.gateway.account;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+class ClockReadingTests {
+  private final ClockReading written = new ClockReading(5_000_000_000L, 1_000_000);
+
+  @Test
+  void tellsTheTimeWithinOneRunOfTheMachine() {
+    ClockReading started = new ClockReading(6_300_000_000L, 1_001_290);
+    assertEquals(Optional.of(Duration.ofMillis(1_300)), started.since(written));
+  }
+
+  /**
+   * A successor takes back what its predecessor had not used, if it knows how long ago the last
+   * note was written. After a loss of power the steady clock begins anew, at any value.
+   */
+  @Test
+  void knowsNothingAfterALossOfPower() {
+    assertEquals(Optional.empty(), new ClockReading(9_000_000_000L, 1_002_600).since(written));
+    assertEquals(Optional.empty(), new ClockReading(1_000_000_000L, 1_002_600).since(written));
+  }
+
+  @Test
+  void knowsNothingAfterAStepOfTheTimeOfDay() {
+    assertEquals(Optional.empty(), new ClockReading(6_300_000_000L, 999_300).since(written));
+  }
+}
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeSharedLog.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeSharedLog.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.teaseldeal.gateway.log.KeyedRecord;
 import org.teaseldeal.gateway.log.PositionedRecord;
 import org.teaseldeal.gateway.log.SharedLog;
@@ -18,7 +19,11 @@
     /** Calls don't reach the log and fail. */
     CUT,
     /** Appends are done, and their answers lost. */
-    ANSWERS_LOST
+    ANSWERS_LOST,
+    /** Appends are done only when their answers are given; reads overtake them. */
+    SLOW_APPENDS,
+    /** Appends fail, and are done all the same some time later. */
+    DONE_LATE
   }
 
   private static final class Writer {
@@ -27,6 +32,9 @@
     private long lastOffset;
   }
 
+  private static final int ROUNDS_SLOW = 3;
+  private static final int ROUNDS_LATE = 50;
+
   private final List<PositionedRecord> records = new ArrayList<>();
   private final Map<String, Writer> writers = new HashMap<>();
   private long firstKept;
@@ -46,6 +54,8 @@
   public final class Port implements SharedLog {
     private final String producer;
     private final List<Runnable> answers = new ArrayList<>();
+    private final List<Supplier<AppendOutcome>> late = new ArrayList<>();
+    private int rounds;
     private Line line = Line.OPEN;
 
     Port(String producer) {
@@ -57,8 +67,14 @@
       this.line = line;
     }
 
-    /** Gives the answers of the calls made so far. */
+    /** Gives the answers of the calls made so far, and carries out what is late once in a while. */
     public void answer() {
+      if (++rounds % ROUNDS_LATE == 0) {
+        for (Supplier<AppendOutcome> append : late) {
+          AppendOutcome unheard = append.get();
+        }
+        late.clear();
+      }
       List<Runnable> due = List.copyOf(answers);
       answers.clear();
       due.forEach(Runnable::run);
@@ -67,27 +83,47 @@
     @Override
     public void append(
         long epoch, long sequence, List<KeyedRecord> batch, Consumer<AppendOutcome> outcome) {
-      AppendOutcome result =
-          line == Line.CUT
-              ? new AppendOutcome.Unknown("cut off")
-              : appendNow(producer, epoch, sequence, batch);
-      AppendOutcome told =
-          line == Line.ANSWERS_LOST ? new AppendOutcome.Unknown("answer lost") : result;
-      answers.add(() -> outcome.accept(told));
+      Supplier<AppendOutcome> append = () -> appendNow(producer, epoch, sequence, batch);
+      AppendOutcome unknown = new AppendOutcome.Unknown(line.name());
+      switch (line) {
+        case OPEN -> {
+          AppendOutcome done = append.get();
+          answers.add(() -> outcome.accept(done));
+        }
+        case CUT -> answers.add(() -> outcome.accept(unknown));
+        case ANSWERS_LOST -> {
+          AppendOutcome lost = append.get();
+          answers.add(
+              () -> outcome.accept(lost instanceof AppendOutcome.Appended ? unknown : lost));
+        }
+        case SLOW_APPENDS -> answerAfter(ROUNDS_SLOW, () -> outcome.accept(append.get()));
+        case DONE_LATE -> {
+          answers.add(() -> outcome.accept(unknown));
+          late.add(append);
+        }
+      }
     }
 
     @Override
     public void read(long offset, Consumer<ReadOutcome> outcome) {
-      ReadOutcome result = line == Line.OPEN ? readNow(offset) : failed();
+      ReadOutcome result = reads() ? readNow(offset) : failed();
       answers.add(() -> outcome.accept(result));
     }
 
     @Override
     public void readNewest(Consumer<ReadOutcome> outcome) {
-      ReadOutcome result = line == Line.OPEN ? newest() : failed();
+      ReadOutcome result = reads() ? newest() : failed();
       answers.add(() -> outcome.accept(result));
     }
 
+    private void answerAfter(int further, Runnable answer) {
+      answers.add(further == 0 ? answer : () -> answerAfter(further - 1, answer));
+    }
+
+    private boolean reads() {
+      return line == Line.OPEN || line == Line.SLOW_APPENDS;
+    }
+
     private static ReadOutcome failed() {
       return new ReadOutcome.Failed("cut off");
     }
@@ -104,7 +140,7 @@
     if (epoch < writer.epoch) {
       return new SharedLog.AppendOutcome.Superseded();
     }
-    if (epoch == writer.epoch && sequence == writer.sequence) {
+    if (epoch == writer.epoch && sequence <= writer.sequence) {
       return new SharedLog.AppendOutcome.Appended(writer.lastOffset);
     }
     writer.epoch = epoch;
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.flow;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -0,0 +1,68 @@
+package org.teaseldeal.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerListing;
+
+class LoadExchangeTests {
+  private static final BackendServerId ENGINE = new BackendServerId("i-1");
+
+  private final ManualClock clock = new ManualClock();
+  private final List<byte[]> sent = new ArrayList<>();
+  private final ServerDirectory teller = directory();
+  private final LoadExchange telling =
+      new LoadExchange(
+          "a", teller, () -> List.of("10.0.0.2:7"), (to, message) -> sent.add(message), clock);
+  private final LoadExchange hearing =
+      new LoadExchange("b", directory(), List::of, (to, message) -> {}, clock);
+
+  @Test
+  void addsUpWhatOthersHaveOutstanding() {
+    teller.find(ENGINE).orElseThrow().started(700);
+    telling.tick();
+    hearing.receive(sent.getFirst());
+    assertEquals(Map.of(ENGINE, new OthersLoad(1, 700)), hearing.others());
+  }
+
+  @Test
+  void forgetsOldNews() {
+    teller.find(ENGINE).orElseThrow().started(700);
+    telling.tick();
+    hearing.receive(sent.getFirst());
+    clock.advance(Duration.ofSeconds(2));
+    assertEquals(Map.of(), hearing.others());
+  }
+
+  @Test
+  void dropsAMessageThatWasOvertaken() {
+    teller.find(ENGINE).orElseThrow().started(700);
+    telling.tick();
+    teller.find(ENGINE).orElseThrow().started(300);
+    clock.advance(Duration.ofMillis(200));
+    telling.tick();
+    hearing.receive(sent.get(1));
+    hearing.receive(sent.get(0));
+    assertEquals(Map.of(ENGINE, new OthersLoad(2, 1000)), hearing.others());
+  }
+
+  @Test
+  void ignoresWhatIsNoMessage() {
+    hearing.receive(new byte[] {9, 9, 9});
+    hearing.receive(new byte[0]);
+    assertEquals(Map.of(), hearing.others());
+  }
+
+  private static ServerDirectory directory() {
+    ServerDirectory servers = new ServerDirectory();
+    servers.put(new ServerListing(ENGINE, "models", "10.0.0.9:80", "hall-a", 64, false));
+    return servers;
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/plan/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.plan;
+
+import org.jspecify.annotations.NullMarked;
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/NetRuntime.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/NetRuntime.java
@@ -42,6 +42,20 @@
     loop.execute(() -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
   }
 
+  /**
+   * The only event loop, for programs whose parts trust that one thread runs them all. With more,
+   * two of them could start the same request, and its caller would get two answers in one.
+   *
+   * @throws IllegalStateException if there are several; see {@link #THREADS_PROPERTY}
+   */
+  public static EventLoop onlyLoop() {
+    if (threads() != 1) {
+      throw new IllegalStateException(
+          "the event loops were %d, expected one: set %s".formatted(threads(), THREADS_PROPERTY));
+    }
+    return group().next();
+  }
+
   /** The shared event loops. */
   public static EventLoopGroup group() {
     return Holder.GROUP;
--- a/teaseldeal-router/src/test/java/org/teaseldeal/router/fake/FakeExchange.java
+++ b/teaseldeal-router/src/test/java/org/teaseldeal/router/fake/FakeExchange.java
@@ -10,16 +10,16 @@
 
 /** A request to be read; it takes no answer. */
 public record FakeExchange(
-    String method, String path, Map<String, String> headers, String text, Duration sinceHead)
+    String method, String path, Map<String, String> named, String text, Duration sinceHead)
     implements HttpExchange {
   @Override
   public List<Map.Entry<String, String>> headers() {
-    return List.copyOf(headers.entrySet());
+    return List.copyOf(named.entrySet());
   }
 
   @Override
   public Optional<String> header(String name) {
-    return Optional.ofNullable(headers.get(name));
+    return Optional.ofNullable(named.get(name));
   }
 
   @Override
