Count the wait for others' tokens from when the log is back

Cause: an incident's log shows requests that waited out an outage refused in the moment the log came back, since their whole wait counted. Ruled out: a total used up (7.4 million tokens remained). Change: the wait counts from then. servesWhatWaitedOutAnOutage shows the behaviour; it did not fail before the change, so the incident's order of events is not reproduced by it.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -66,6 +66,7 @@
   private Instant nextReport = Instant.MIN;
   private boolean loaded;
   private @Nullable Instant outageSince;
+  private Instant reachableSince = Instant.MIN;
 
   /**
    * Creates the book of {@code instance}.
@@ -137,6 +138,7 @@
   /** Tells whether the log can be reached, which decides who may wait for it. */
   public void logReachable(boolean reachable) {
     if (reachable) {
+      reachableSince = outageSince == null ? reachableSince : clock.instant();
       outageSince = null;
     } else if (outageSince == null) {
       outageSince = clock.instant();
@@ -273,7 +275,9 @@
     if (!account.couldBeGranted(request.tokens(), total)) {
       return Optional.of(notAtHand(account, request, COME_BACK_LOST));
     }
-    Duration waited = Duration.between(request.since(), now);
+    // What waited out an outage has had no chance yet: its time counts from when the log was back.
+    Instant since = request.since().isAfter(reachableSince) ? request.since() : reachableSince;
+    Duration waited = Duration.between(since, now);
     if (waited.compareTo(LONGEST_WAIT) <= 0) {
       return Optional.empty();
     }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Random;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.ErrorKind;
@@ -154,4 +155,25 @@
     assertEquals(ErrorKind.NO_LEASE, fleet.instance(0).refused.getFirst().kind());
     assertTrue(fleet.instance(0).refused.getFirst().retryAfter().isPresent());
   }
+
+  /**
+   * A caller that waited out an outage is served late, not refused. All instances are cut off; near
+   * the end of the usual time a request comes that no lease covers, so it waits; then the log is
+   * back and grants its tokens.
+   */
+  @Test
+  void servesWhatWaitedOutAnOutage() {
+    AccountFleet fleet = new AccountFleet(2, 1_000_000);
+    fleet.instance(0).request(1_000);
+    fleet.run(Duration.ofSeconds(1));
+    fleet.lines(Line.CUT);
+    fleet.instance(0).request(1_000);
+    fleet.run(Duration.ofMillis(7_500));
+    fleet.instance(0).request(400_000);
+    fleet.run(Duration.ofMillis(1_800));
+    fleet.lines(Line.OPEN);
+    fleet.run(Duration.ofSeconds(1));
+    assertEquals(List.of(), fleet.instance(0).refused);
+    assertEquals(3, fleet.instance(0).granted);
+  }
 }
