Say what a successor gets back; drop a method that nobody calls

Cause: AccountBook's comment still said that all tokens of a killed process are lost, which was so before leases were released in steps; PlannedService.engines had no caller. Change: comment and dead method only; behaviour is the same.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -33,9 +33,10 @@
  * frozen or killed. The newest note of each instance is all that is needed, so a log that keeps
  * only the newest record of a key loses nothing.
  *
- * <p>A process takes over the note of the one before it on the same machine, whose tokens are all
- * lost to the customer: nobody can tell which of them were spent. Time never frees tokens; a holder
- * that is silent may only be paused.
+ * <p>A process takes over the note of the one before it on the same machine. It gets back what that
+ * one can't have used since the note, if the machine's clocks prove how long ago it was written;
+ * the rest is lost to the customer, as nobody can tell whether it was spent. Nobody else's tokens
+ * are ever freed by time: a holder that is silent may only be paused.
  */
 public final class AccountBook implements LogParticipant {
   /** Between notes that only refill or return idle tokens; a request that waits goes at once. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/PlannedService.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/PlannedService.java
@@ -14,9 +14,4 @@
     Preconditions.requirePositive(maxConnections, "max connections of service " + name);
     Preconditions.requireNotNegative(tokensPerEvent, "tokens per event of service " + name);
   }
-
-  /** Whether its backend servers are model engines. */
-  public boolean engines() {
-    return tokensPerEvent > 0;
-  }
 }
