Stop requests that crash each backend server that runs them, on all instances

Cause: the note for such crashes existed, nothing wrote it, so a request that ended its server was sent to the next one for as long as its caller came back. Change: RequestQuarantine counts a broken connection once its server refuses connections or is gone from the list, tells the others, and holds the request after three.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -91,6 +91,14 @@
       long ratePerSecond)
       implements GatewayEvent {}
 
+  /**
+   * A request crashed so many backend servers that no instance sends it any more.
+   *
+   * @param fingerprint of its caller, path and body
+   * @param server that it crashed last
+   */
+  record RequestQuarantined(String fingerprint, String server) implements GatewayEvent {}
+
   /** Lines did not fit into the log's buffer. */
   record LinesDropped(long count) implements GatewayEvent {}
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
@@ -11,6 +11,7 @@
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.peer.OthersLoad;
 import org.teaseldeal.gateway.plan.GatewayPlan;
+import org.teaseldeal.gateway.quarantine.RequestQuarantine;
 import org.teaseldeal.gateway.server.ServerDirectory;
 
 /**
@@ -24,6 +25,7 @@
     Supplier<@Nullable GatewayPlan> plan,
     ServerDirectory servers,
     AccountBook accounts,
+    RequestQuarantine quarantine,
     Dialect dialect,
     BackendPort backends,
     Supplier<Map<BackendServerId, OthersLoad>> othersLoad,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -76,6 +76,7 @@
   /** Ends what takes too long and starts what waited. */
   public void tick() {
     choice.tick(parts.clock().instant());
+    parts.quarantine().tick();
     new ArrayList<>(flows).forEach(RequestFlow::tick);
   }
 
@@ -108,6 +109,10 @@
       return Result.err(
           Problem.of(ErrorKind.UNAUTHENTICATED, "key unknown in version " + plan.version()));
     }
+    if (parts.quarantine().active() && parts.quarantine().holds(request.fingerprint())) {
+      return Result.err(
+          Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers"));
+    }
     String service = route.get().drawService(parts.random());
     int tokensPerEvent = plan.service(service).map(PlannedService::tokensPerEvent).orElse(0);
     return Result.ok(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -295,6 +295,9 @@
 
   private void answered() {
     mayHaveRun = true;
+    if (parts.quarantine().active()) {
+      parts.quarantine().onAnswered(request.fingerprint());
+    }
     Attempt whole = attempt;
     if (whole != null) {
       desk.choice().onAnswered(whole.server(), whole.age(), expectedMillis());
@@ -325,6 +328,7 @@
       case NOT_SENT -> {
         sends--;
         unreachable++;
+        parts.quarantine().onUnreachable(server.id());
         server.avoidUntil(now().plus(UNREACHABLE_PAUSE));
         sendAgainIf(unreachable < MAX_UNREACHABLE, ErrorKind.NO_BACKEND_SERVER, detail);
       }
@@ -343,6 +347,7 @@
       case MAY_HAVE_RUN -> {
         mayHaveRun = true;
         desk.choice().onFailed(server);
+        parts.quarantine().onBrokenOff(request.fingerprint(), server.id());
         sendAgainIf(route.repeatable() && mayRepeat(), ErrorKind.BACKEND_FAILED, detail);
       }
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RoutedRequest.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RoutedRequest.java
@@ -1,6 +1,9 @@
 package org.teaseldeal.gateway.flow;
 
+import com.dynatrace.hash4j.hashing.HashStream64;
+import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Duration;
+import java.util.HexFormat;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,4 +31,12 @@
   public RoutedRequest {
     headers = List.copyOf(headers);
   }
+
+  /** The same for each try of the same caller with the same method, path and body. */
+  public String fingerprint() {
+    HashStream64 hash = Hashing.komihash5_0().hashStream();
+    hash.putString(method).putString(host).putString(target).putString(key.orElse(""));
+    hash.putByteArray(body);
+    return HexFormat.of().toHexDigits(hash.getAsLong());
+  }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -42,9 +42,11 @@
                 out.writeLong(account.wallMillis());
               });
       case SharedNote.Crash crash ->
-          record(
-              key(CRASH, crash.instance(), crash.fingerprint()),
-              out -> out.writeInt(crash.count()));
+          crash.count() == 0
+              ? withdrawal(key(CRASH, crash.instance(), crash.fingerprint()))
+              : record(
+                  key(CRASH, crash.instance(), crash.fingerprint()),
+                  out -> out.writeInt(crash.count()));
       case SharedNote.Presence presence ->
           record(
               key(PRESENCE, presence.instance(), ""), out -> out.writeUTF(presence.peerAddress()));
@@ -62,6 +64,9 @@
       throw new IllegalArgumentException(
           "key was '%s', expected kind|instance|subject".formatted(record.key()));
     }
+    if (record.value().length == 0 && key[0].equals(CRASH)) {
+      return new SharedNote.Crash(key[1], key[2], 0);
+    }
     try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(record.value()))) {
       byte layout = in.readByte();
       if (layout != LAYOUT) {
@@ -102,6 +107,11 @@
     return kind + "|" + instance + "|" + subject;
   }
 
+  /** A record without a value: the log drops its key, so that what is over takes no room. */
+  private static KeyedRecord withdrawal(String key) {
+    return new KeyedRecord(key, new byte[0]);
+  }
+
   private static KeyedRecord record(String key, Body body) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try (DataOutputStream out = new DataOutputStream(bytes)) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -48,7 +48,12 @@
     }
   }
 
-  /** How often this instance has seen a request's backend server break off without an answer. */
+  /**
+   * How many backend servers this instance has seen a request crash.
+   *
+   * @param fingerprint of the request's caller, path and body
+   * @param count 0 takes the note back
+   */
   record Crash(String instance, String fingerprint, int count) implements SharedNote {}
 
   /** Where an instance can be reached by the others. */
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/quarantine/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.quarantine;
+
+import org.jspecify.annotations.NullMarked;
