Take back idle tokens after a loss of power; give back only what others lack

Nothing proved how long before the loss a note was written: the steady clock begins anew. Ruled out: proving it by the time of day alone (it may be set back), by heartbeats alone (none come while the store is away). Change: notes carry the count of servers' heartbeats; a successor takes back what was idle if the time of day says how long ago and the heartbeats bear it out.

Found by servesFromLeasesWhileAllAreCutOffFromTheLog, which failed as notes came more often: whenever a request waited anywhere, all others gave back all that was idle, also where the total covered it. A cut in that moment found leases empty (116 of 138 refused). Now only what others lack and can't be granted is given back.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -51,6 +51,9 @@
   /** When to come back if only a higher total helps: the operator may raise it at any time. */
   private static final Duration COME_BACK_LOST = Duration.ofSeconds(4);
 
+  /** How long a time of day that was set is not gone by: it may be set back within seconds. */
+  private static final Duration CLOCK_DOUBT = Duration.ofSeconds(20);
+
   private static final Duration RATE_PERIOD = Duration.ofSeconds(1);
   private static final Duration REPORT_PERIOD = Duration.ofSeconds(5);
 
@@ -60,8 +63,12 @@
   private final EventSink events;
   private final InstantSource clock;
   private final Supplier<ClockReading> machineClock;
+  private final Supplier<Optional<HeartbeatCount>> heartbeats;
   private final ClockReading started;
   private final Map<String, CustomerAccount> accounts = new TreeMap<>();
+  private ClockReading lastReading;
+  private Instant clockSetAt = Instant.EPOCH;
+  private boolean recovered;
   private Instant nextRefill = Instant.MIN;
   private Instant nextRate = Instant.MIN;
   private Instant nextReport = Instant.MIN;
@@ -75,6 +82,7 @@
    * @param prepaid gives a customer's total in force; none for a customer without a bound
    * @param instances how many there are, this one included
    * @param machineClock reads the machine's clocks
+   * @param heartbeats of backend servers so far; empty while none are known
    */
   public AccountBook(
       String instance,
@@ -82,14 +90,17 @@
       IntSupplier instances,
       EventSink events,
       InstantSource clock,
-      Supplier<ClockReading> machineClock) {
+      Supplier<ClockReading> machineClock,
+      Supplier<Optional<HeartbeatCount>> heartbeats) {
     this.instance = instance;
     this.prepaid = prepaid;
     this.instances = instances;
     this.events = events;
     this.clock = clock;
     this.machineClock = machineClock;
+    this.heartbeats = heartbeats;
     this.started = machineClock.get();
+    this.lastReading = started;
   }
 
   /**
@@ -162,6 +173,8 @@
   /** Refuses what has waited too long, and follows the rates of spending. */
   public void tick() {
     Instant now = clock.instant();
+    watchClocks(now);
+    recoverOnce();
     if (!now.isBefore(nextRate)) {
       nextRate = now.plus(RATE_PERIOD);
       accounts.values().forEach(CustomerAccount::followDemand);
@@ -176,6 +189,32 @@
     }
   }
 
+  /** Notices when the time of day was set, or the machine suspended. */
+  private void watchClocks(Instant now) {
+    ClockReading reading = machineClock.get();
+    if (reading.since(lastReading).isEmpty()) {
+      clockSetAt = now;
+    }
+    lastReading = reading;
+  }
+
+  /** Takes back what earlier processes can't have used, once the heartbeats are known. */
+  private void recoverOnce() {
+    Optional<HeartbeatCount> counted = heartbeats.get();
+    if (recovered || !loaded || counted.isEmpty()) {
+      return;
+    }
+    recovered = true;
+    accounts.values().forEach(each -> each.recover(started, lastReading, counted.get()));
+  }
+
+  /** What a note says of heartbeats; nothing if the time of day beside it can't be trusted. */
+  private long heartbeatsToNote(Instant now) {
+    return clockSetAt.plus(CLOCK_DOUBT).isAfter(now)
+        ? SharedNote.Account.UNCOUNTED
+        : heartbeats.get().map(HeartbeatCount::count).orElse(SharedNote.Account.UNCOUNTED);
+  }
+
   private void report(CustomerAccount account) {
     events.accept(
         new GatewayEvent.AccountLevel(
@@ -229,14 +268,19 @@
   public List<SharedNote> notesToWrite(Instant now) {
     boolean refill = !now.isBefore(nextRefill);
     ClockReading reading = machineClock.get();
+    long counted = heartbeatsToNote(now);
     List<SharedNote> notes = new ArrayList<>();
     for (CustomerAccount account : accounts.values()) {
       account
-          .nextNote(instance, total(account), instances.getAsInt(), refill, reading, now)
+          .nextNote(instance, total(account), instances.getAsInt(), refill, reading, counted, now)
           .ifPresent(notes::add);
     }
-    if (!notes.isEmpty()) {
-      nextRefill = now.plus(REFILL_PAUSE);
+    if (notes.isEmpty()) {
+      return notes;
+    }
+    nextRefill = now.plus(REFILL_PAUSE);
+    for (CustomerAccount account : accounts.values()) {
+      account.renewal(instance, reading, counted, now).ifPresent(notes::add);
     }
     return notes;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/ClockReading.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/ClockReading.java
@@ -18,6 +18,12 @@
   /** Readings of the two clocks are taken one after the other, and a slow machine may pause. */
   private static final Duration SAME = Duration.ofMillis(100);
 
+  /**
+   * How far the heartbeats may seem to have gone on beyond the time of day: servers start, and a
+   * list that is read again shows some at once.
+   */
+  private static final Duration HEARTBEAT_TOLERANCE = Duration.ofMillis(500);
+
   /**
    * The time from {@code earlier} to this reading, if both were taken in one run of the machine.
    */
@@ -27,4 +33,28 @@
     boolean sameRun = steady.minus(wall).abs().compareTo(SAME) <= 0 && !steady.isNegative();
     return sameRun ? Optional.of(steady) : Optional.empty();
   }
+
+  /**
+   * The time from {@code earlier} to this reading as the time of day says, if the heartbeats of
+   * others bear it out; for a machine that lost power between the two.
+   *
+   * <p>A time of day that was set back meanwhile would make the time look shorter, and a successor
+   * would take back tokens that were spent. The heartbeats show it: they go on with time.
+   *
+   * @param heartbeatsEarlier the count at {@code earlier}
+   * @param heartbeats the count at {@code counted}, which is at or after this reading
+   */
+  Optional<Duration> sinceByTimeOfDay(
+      ClockReading earlier,
+      long heartbeatsEarlier,
+      ClockReading counted,
+      HeartbeatCount heartbeats) {
+    Duration untilCounted = Duration.ofMillis(counted.wallMillis - earlier.wallMillis);
+    Duration byHeartbeats = heartbeats.since(heartbeatsEarlier);
+    boolean borneOut =
+        !byHeartbeats.isNegative()
+            && byHeartbeats.compareTo(untilCounted.plus(HEARTBEAT_TOLERANCE)) <= 0;
+    Duration since = Duration.ofMillis(wallMillis - earlier.wallMillis);
+    return borneOut && !since.isNegative() ? Optional.of(since) : Optional.empty();
+  }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.jspecify.annotations.Nullable;
 import org.teaseldeal.decisions.LeaseRelease;
 import org.teaseldeal.decisions.PrepaidLease;
 import org.teaseldeal.gateway.log.SharedNote;
@@ -25,7 +26,7 @@
   private static final Duration NEVER = Duration.ofDays(1);
 
   /** How old a note may be once tokens were taken; what a kill loses grows with it. */
-  private static final Duration NOTE_AGE = Duration.ofMillis(800);
+  private static final Duration NOTE_AGE = Duration.ofMillis(500);
 
   /** Followed over about this many periods: a light customer sends a request every few. */
   private static final int DEMAND_PERIODS = 8;
@@ -39,6 +40,9 @@
   /** Held by an earlier process on this machine when it ended. */
   private long lost;
 
+  /** Part of {@link #lost} of which it isn't settled whether it was used. */
+  private @Nullable Unproved unproved;
+
   private long reserved;
   private long idle;
   private long asked;
@@ -130,9 +134,35 @@
     spent += note.spent();
     long sealed = note.idle() + note.asked() - note.promised();
     ClockReading written = new ClockReading(note.steadyNanos(), note.wallMillis());
-    long used =
-        started.since(written).map(since -> LeaseRelease.released(sealed, since)).orElse(sealed);
+    Optional<Duration> since = started.since(written);
+    long used = since.map(known -> LeaseRelease.released(sealed, known)).orElse(sealed);
     lost += note.lost() + note.held() - note.idle() + note.promised() + used;
+    if (since.isEmpty() && note.heartbeats() != SharedNote.Account.UNCOUNTED) {
+      unproved = new Unproved(written, note.heartbeats(), sealed);
+    }
+    noteDue = true;
+  }
+
+  /**
+   * Takes back what an earlier process had idle when the machine lost power, if the time of day and
+   * the heartbeats of others agree on how long ago its last note was written.
+   *
+   * <p>Failure: all machines lose power, and whatever was idle anywhere, half of what is left of a
+   * total, counts as spent. Symptom: customers are refused for the rest of the day with most of
+   * their total unused.
+   *
+   * @param started when this process began
+   * @param counted when {@code heartbeats} were counted
+   */
+  void recover(ClockReading started, ClockReading counted, HeartbeatCount heartbeats) {
+    Unproved open = unproved;
+    if (open == null) {
+      return;
+    }
+    unproved = null;
+    started
+        .sinceByTimeOfDay(open.written(), open.heartbeats(), counted, heartbeats)
+        .ifPresent(since -> lost -= open.sealed() - LeaseRelease.released(open.sealed(), since));
     noteDue = true;
   }
 
@@ -204,9 +234,7 @@
 
   /** When {@code tokens} can be taken without the log, at the latest; very long if never. */
   Duration untilReleased(long tokens, long total, Instant now) {
-    return tokens <= usable(total)
-        ? LeaseRelease.untilAll(Duration.between(noted.at(), now))
-        : NEVER;
+    return tokens <= usable(total) ? noted.untilReleased(takenSinceNoted + tokens, now) : NEVER;
   }
 
   void settle(long tokens, long used) {
@@ -222,23 +250,38 @@
       int instances,
       boolean refill,
       ClockReading reading,
+      long heartbeats,
       Instant now) {
     long remaining = Math.max(0, total - takenByAll());
     long target = closing ? 0 : target(total, remaining, instances);
     long wish = waitingThatFits(remaining);
     boolean urgent = wish > 0 || waits(now);
-    long surplus = surplus();
-    boolean low = remaining > 0 && idle < target * REFILL_BELOW && !othersWant();
+    boolean scarce = othersLack(remaining) > 0;
+    long surplus = surplus(remaining);
+    boolean low = remaining > 0 && idle < target * REFILL_BELOW && !scarce;
     boolean optional = noteDue || low || surplus > 0 || wanted() > 0 != wantTold || stale(now);
     if (!urgent && !(refill && optional)) {
       return Optional.empty();
     }
-    if (!othersWant()) {
+    if (!scarce) {
       wish = Math.max(wish, Math.min(target - idle, remaining));
     }
     idle -= surplus;
     asked = wish;
-    return Optional.of(compose(instance, reading, now));
+    return Optional.of(compose(instance, reading, heartbeats, now));
+  }
+
+  /**
+   * A note that only renews what the last one said, to go along with others; empty if the last one
+   * is fresh, or nothing is idle. An idle token of an old note may have been used as far as a
+   * successor knows, so without it a kill would lose the leases of customers who send little.
+   */
+  Optional<SharedNote> renewal(
+      String instance, ClockReading reading, long heartbeats, Instant now) {
+    boolean fresh = !now.isAfter(drafted.at().plus(NOTE_AGE));
+    return idle == 0 || fresh
+        ? Optional.empty()
+        : Optional.of(compose(instance, reading, heartbeats, now));
   }
 
   private long target(long total, long remaining, int instances) {
@@ -253,10 +296,12 @@
         && takenSinceNoted + waiting.getFirst().tokens() > noted.released(now);
   }
 
-  /** Idle tokens to give back: all, as requests that wait elsewhere need them now. */
-  private long surplus() {
-    boolean gives = closing || othersWant();
-    return gives && waiting.isEmpty() ? idle : 0;
+  /** Idle tokens to give back: what requests that wait elsewhere lack, or all at the end. */
+  private long surplus(long remaining) {
+    if (!waiting.isEmpty()) {
+      return 0;
+    }
+    return closing ? idle : Math.min(idle, othersLack(remaining));
   }
 
   private boolean stale(Instant now) {
@@ -264,7 +309,7 @@
     return changed && now.isAfter(noted.at().plus(NOTE_AGE));
   }
 
-  private SharedNote compose(String instance, ClockReading reading, Instant now) {
+  private SharedNote compose(String instance, ClockReading reading, long heartbeats, Instant now) {
     noteDue = false;
     wantTold = wanted() > 0;
     long promised = Math.min(idle + asked, wantedInAll());
@@ -281,16 +326,27 @@
         wanted(),
         promised,
         reading.steadyNanos(),
-        reading.wallMillis());
+        reading.wallMillis(),
+        heartbeats);
   }
 
   private long idleOfAll() {
     return idle + others.values().stream().mapToLong(SharedNote.Account::idle).sum();
   }
 
-  /** Whether requests wait at another instance. */
-  private boolean othersWant() {
-    return others.values().stream().anyMatch(note -> note.wanted() > 0);
+  /**
+   * What requests that wait at other instances lack and nobody can be granted.
+   *
+   * <p>Failure: an instance gave back all that it had idle whenever a request waited anywhere, also
+   * one that was about to be granted its tokens out of what remained. Symptom: a cut in that moment
+   * found all leases empty, and nine in ten callers were refused until it ended.
+   */
+  private long othersLack(long remaining) {
+    long lacking = 0;
+    for (SharedNote.Account note : others.values()) {
+      lacking += Math.max(0, note.wanted() - note.asked());
+    }
+    return Math.max(0, lacking - remaining);
   }
 
   /** What the waiting requests lack. */
@@ -334,6 +390,11 @@
   private record Promise(Instant at, long held, long sealed, long promised) {
     static final Promise NONE = new Promise(Instant.EPOCH, 0, 0, 0);
 
+    /** How long until {@code tokens} may have been taken, if no other note is written. */
+    Duration untilReleased(long tokens, Instant now) {
+      return LeaseRelease.untilReleased(sealed, tokens - promised, Duration.between(at, now));
+    }
+
     long released(Instant now) {
       Duration since = Duration.between(at, now);
       // What requests gave back since may be used too, once a successor gets nothing back anyway.
@@ -342,4 +403,11 @@
           : promised + LeaseRelease.released(sealed, since);
     }
   }
+
+  /**
+   * Idle tokens of an earlier process that the machine's steady clock says nothing of.
+   *
+   * @param heartbeats counted when they were noted
+   */
+  private record Unproved(ClockReading written, long heartbeats, long sealed) {}
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -16,7 +16,10 @@
   private static final String ACCOUNT = "account";
   private static final String CRASH = "crash";
   private static final String PRESENCE = "presence";
-  private static final byte LAYOUT = 1;
+  private static final byte LAYOUT = 2;
+
+  /** Without the count of heartbeats. */
+  private static final byte FIRST_LAYOUT = 1;
 
   private NoteCodec() {}
 
@@ -40,6 +43,7 @@
                 out.writeLong(account.promised());
                 out.writeLong(account.steadyNanos());
                 out.writeLong(account.wallMillis());
+                out.writeLong(account.heartbeats());
               });
       case SharedNote.Crash crash ->
           crash.count() == 0
@@ -69,18 +73,22 @@
     }
     try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(record.value()))) {
       byte layout = in.readByte();
-      if (layout != LAYOUT) {
+      if (layout != LAYOUT && layout != FIRST_LAYOUT) {
         throw new IllegalArgumentException(
-            "layout of %s was %d, expected %d".formatted(record.key(), layout, LAYOUT));
+            "layout of %s was %d, expected %d or %d"
+                .formatted(record.key(), layout, FIRST_LAYOUT, LAYOUT));
       }
-      return decode(key[0], key[1], key[2], in);
+      return decode(layout, key, in);
     } catch (IOException e) {
       throw new IllegalArgumentException("value of %s is too short".formatted(record.key()), e);
     }
   }
 
-  private static SharedNote decode(String kind, String instance, String subject, DataInputStream in)
+  private static SharedNote decode(byte layout, String[] key, DataInputStream in)
       throws IOException {
+    String kind = key[0];
+    String instance = key[1];
+    String subject = key[2];
     return switch (kind) {
       case ACCOUNT ->
           new SharedNote.Account(
@@ -94,7 +102,8 @@
               in.readLong(),
               in.readLong(),
               in.readLong(),
-              in.readLong());
+              in.readLong(),
+              layout == FIRST_LAYOUT ? SharedNote.Account.UNCOUNTED : in.readLong());
       case CRASH -> new SharedNote.Crash(instance, subject, in.readInt());
       case PRESENCE -> new SharedNote.Presence(instance, in.readUTF());
       default ->
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -19,6 +19,8 @@
    * @param promised part of {@code idle} and {@code asked} that waiting requests get at once
    * @param steadyNanos the machine's steady clock when it was written
    * @param wallMillis the time of day when it was written
+   * @param heartbeats of backend servers counted by then; {@link #UNCOUNTED} if not known, or if
+   *     the time of day was set shortly before
    */
   record Account(
       String instance,
@@ -31,8 +33,12 @@
       long wanted,
       long promised,
       long steadyNanos,
-      long wallMillis)
+      long wallMillis,
+      long heartbeats)
       implements SharedNote {
+    /** No count of heartbeats. */
+    public static final long UNCOUNTED = -1;
+
     public Account {
       Preconditions.requireNotNegative(spent, "spent");
       Preconditions.requireNotNegative(held, "held");
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -111,6 +111,7 @@
       case 14 -> fleet.total += 20_000;
       case 15, 16, 17 -> fleet.lines(Line.SLOW_APPENDS);
       case 18, 19 -> fleet.log.forgetHistory();
+      case 20 -> fleet.setTimeOfDay(Duration.ofMillis(random.nextInt(4_000) - 2_000));
       default -> {}
     }
   }
@@ -131,6 +132,48 @@
     assertEquals(1, fleet.instance(0).granted);
   }
 
+  /**
+   * Callers find half of the total again after a loss of power. All machines lose power a moment
+   * after they wrote their notes and are back within two seconds; the steady clocks begin anew, but
+   * the time of day and the servers' heartbeats say how long it took.
+   */
+  @Test
+  void findsIdleTokensAgainAfterALossOfPower() {
+    AccountFleet fleet = new AccountFleet(4, 1_000_000);
+    drawFor(fleet, Duration.ofSeconds(6));
+    long before = fleet.total - fleet.given();
+    fleet.powerLoss(Duration.ofMillis(1_500));
+    fleet.instance(0).request(before / 2);
+    fleet.run(Duration.ofSeconds(3));
+    assertEquals(1, fleet.instance(0).granted);
+  }
+
+  /**
+   * No caller is given what others have used. All are cut off from the log and use up their leases;
+   * then all lose power, and the time of day is set back by as much as that took, so that the last
+   * notes look fresh. The heartbeats went on meanwhile and show the time that is missing.
+   */
+  @Test
+  void takesNothingBackWhereTheTimeOfDayWasSetBack() {
+    AccountFleet fleet = new AccountFleet(4, 1_000_000);
+    drawFor(fleet, Duration.ofSeconds(2));
+    fleet.lines(Line.CUT);
+    for (int step = 0; step < 500; step++) {
+      fleet.instances.forEach(instance -> instance.request(5_000));
+      fleet.run(Duration.ofMillis(10));
+    }
+    fleet.setTimeOfDay(Duration.ofSeconds(-5));
+    fleet.powerLoss(Duration.ofMillis(1_500));
+    fleet.lines(Line.OPEN);
+    for (int step = 0; step < 300; step++) {
+      fleet.instances.forEach(instance -> instance.request(5_000));
+      fleet.run(Duration.ofMillis(10));
+    }
+    assertTrue(
+        fleet.given() <= fleet.total,
+        "%d tokens were given, expected at most %d".formatted(fleet.given(), fleet.total));
+  }
+
   /** A process that stops leaves nothing behind: its idle tokens serve callers elsewhere. */
   @Test
   void returnsIdleTokensWhenItStops() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.gateway.fake.FakeSharedLog;
@@ -22,6 +23,7 @@
   final List<Instance> instances = new ArrayList<>();
   long total;
   private long bootedAt;
+  private long timeOfDaySetBy;
   private long epochs;
 
   AccountFleet(int size, long total) {
@@ -74,7 +76,18 @@
 
   private ClockReading machineClock() {
     return new ClockReading(
-        clock.instant().toEpochMilli() * 1_000_000 + bootedAt, clock.instant().toEpochMilli());
+        clock.instant().toEpochMilli() * 1_000_000 + bootedAt,
+        clock.instant().toEpochMilli() + timeOfDaySetBy);
+  }
+
+  /** Twenty servers with a heartbeat a second each. */
+  private HeartbeatCount heartbeats() {
+    return new HeartbeatCount(clock.instant().toEpochMilli() / 50, 20);
+  }
+
+  /** Sets the time of day of all machines on by {@code step}, or back. */
+  void setTimeOfDay(Duration step) {
+    timeOfDaySetBy += step.toMillis();
   }
 
   /** One instance. */
@@ -98,7 +111,8 @@
               () -> instances.size(),
               event -> {},
               clock,
-              AccountFleet.this::machineClock);
+              AccountFleet.this::machineClock,
+              () -> Optional.of(heartbeats()));
       this.fleetLog = new FleetLog(port, name, ++epochs, clock, List.of(book));
     }
 
