Count what instances decide and show it on their metrics address; log who waits for tokens

Cause: nothing told how often something happened, since lines of served requests are sampled; an earlier incident's log did not say when a request began to wait. The way by relays moves into the gateway, where decisions belong.

--- a/teaseldeal-dist/src/test/java/org/teaseldeal/dist/ModuleOrderTests.java
+++ b/teaseldeal-dist/src/test/java/org/teaseldeal/dist/ModuleOrderTests.java
@@ -29,6 +29,8 @@
           .definedBy("org.teaseldeal.core..")
           .layer("net")
           .definedBy("org.teaseldeal.net..")
+          .layer("metrics")
+          .definedBy("org.teaseldeal.metrics..")
           .layer("gateway")
           .definedBy("org.teaseldeal.gateway..")
           .layer("platform")
@@ -62,6 +64,8 @@
           .whereLayer("net")
           .mayOnlyBeAccessedByLayers(
               "gateway", "platform", "router", "operator", "standin", "bench")
+          .whereLayer("metrics")
+          .mayOnlyBeAccessedByLayers("platform", "router")
           .whereLayer("cli")
           .mayOnlyBeAccessedByLayers("router", "operator", "standin", "bench")
           .whereLayer("ledger")
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -132,6 +132,16 @@
     refuseHopeless(account, total.getAsLong());
   }
 
+  /** Tokens of a customer that this instance has at hand. */
+  public long idle(String customer) {
+    return account(customer).idle();
+  }
+
+  /** Whether more tokens can be asked for now. */
+  public boolean asksForMore() {
+    return loaded && outageSince == null;
+  }
+
   /** Forgets a wish whose request is gone. */
   public void withdraw(String customer, ReservationListener listener) {
     account(customer).waiting().removeIf(waiting -> waiting.listener() == listener);
@@ -305,7 +315,7 @@
   /** {@code ahead} are the tokens of those that wait before it. */
   private Optional<Problem> refusal(
       CustomerAccount account, WaitingRequest request, long ahead, long total, Instant now) {
-    if (!loaded || outageSince != null) {
+    if (!asksForMore()) {
       return refusalInOutage(account, request, ahead, now);
     }
     if (!account.wishDecided()) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
@@ -69,6 +69,11 @@
     }
   }
 
+  /** Lines that wait to be written. */
+  public int waiting() {
+    return lines.size();
+  }
+
   /** Lines that were dropped and not yet reported. */
   public long dropped() {
     return dropped.get();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -9,6 +9,17 @@
     return getClass().getSimpleName();
   }
 
+  /**
+   * A request can't have its tokens at once.
+   *
+   * @param tokens that it needs at its largest
+   * @param idleHere of its customer, that this instance has at hand
+   * @param logReachable whether more can be asked for now
+   */
+  record WaitsForTokens(
+      String request, String customer, long tokens, long idleHere, boolean logReachable)
+      implements GatewayEvent {}
+
   /**
    * A request was sent to a backend server.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -11,6 +11,7 @@
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.decisions.PromptPlacement;
+import org.teaseldeal.gateway.account.AccountBook;
 import org.teaseldeal.gateway.account.Reservation;
 import org.teaseldeal.gateway.account.ReservationListener;
 import org.teaseldeal.gateway.event.GatewayEvent;
@@ -122,19 +123,25 @@
   void begin() {
     exchange.onCallerGone(this::callerGone);
     if (customer.isPresent() && request.prompt().isPresent()) {
-      parts
-          .accounts()
-          .reserve(
-              customer.get().name(),
-              request.prompt().get().atMost(),
-              arrived.plus(route.silenceBorne(Duration.between(arrived, deadline))),
-              deadline,
-              this);
+      reserve(customer.get().name(), request.prompt().get().atMost());
     } else {
       onReserved(Reservation.NONE);
     }
   }
 
+  private void reserve(String name, long tokens) {
+    AccountBook accounts = parts.accounts();
+    Instant leaves = arrived.plus(route.silenceBorne(Duration.between(arrived, deadline)));
+    accounts.reserve(name, tokens, leaves, deadline, this);
+    if (stage == Stage.TOKENS) {
+      parts
+          .events()
+          .accept(
+              new GatewayEvent.WaitsForTokens(
+                  request.id(), name, tokens, accounts.idle(name), accounts.asksForMore()));
+    }
+  }
+
   @Override
   public void onReserved(Reservation granted) {
     reservation = granted;
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -0,0 +1,115 @@
+package org.teaseldeal.gateway.metrics;
+
+import com.codahale.metrics.Gauge;
+import com.codahale.metrics.Histogram;
+import com.codahale.metrics.LockFreeExponentiallyDecayingReservoir;
+import com.codahale.metrics.MetricRegistry;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.ToLongFunction;
+import org.teaseldeal.gateway.event.EventSink;
+import org.teaseldeal.gateway.event.GatewayEvent;
+
+/**
+ * Counts events, all of them, also those whose lines are sampled out of the log.
+ *
+ * <p>Names end in their unit: {@code _us} microseconds, {@code _tokens}; without one they count.
+ */
+public final class GatewayMetrics implements EventSink {
+  private final MetricRegistry registry;
+  private final Histogram duration;
+  private final Histogram tokenWait;
+  private final Histogram loopDelay;
+  private final AtomicLong planVersion = new AtomicLong();
+  private final Map<String, Boolean> reachable = new ConcurrentHashMap<>();
+  private final Map<String, GatewayEvent.AccountLevel> accounts = new ConcurrentHashMap<>();
+  private final Map<String, String> counterNames = new HashMap<>();
+
+  /** Creates metrics that are kept in {@code registry}. */
+  public GatewayMetrics(MetricRegistry registry) {
+    this.registry = registry;
+    duration = histogram("request_duration_us");
+    tokenWait = histogram("request_token_wait_us");
+    loopDelay = histogram("loop_delay_us");
+    registry.gauge("plan_version", () -> planVersion::get);
+    accountGauge("account_total_tokens", GatewayEvent.AccountLevel::total);
+    accountGauge("account_taken_by_all_tokens", GatewayEvent.AccountLevel::taken);
+    accountGauge("account_spent_here_tokens", GatewayEvent.AccountLevel::spentHere);
+    accountGauge("account_lost_here_tokens", GatewayEvent.AccountLevel::lostHere);
+    accountGauge("account_held_here_tokens", GatewayEvent.AccountLevel::heldHere);
+    accountGauge("account_idle_here_tokens", GatewayEvent.AccountLevel::idleHere);
+  }
+
+  @Override
+  public void accept(GatewayEvent event) {
+    switch (event) {
+      case GatewayEvent.Placed placed -> count(placed.attempt() == 1 ? "sends" : "repeats");
+      case GatewayEvent.AttemptFailed failed -> count("attempts_failed_", failed.failure());
+      case GatewayEvent.RequestEnded ended -> onEnded(ended);
+      case GatewayEvent.WaitsForTokens waiting -> count("requests_that_waited_for_tokens");
+      case GatewayEvent.PlanInForce plan -> planVersion.set(plan.version());
+      case GatewayEvent.PlanUnreadable unreadable -> count("plans_unreadable");
+      case GatewayEvent.ServerListed listed -> count("servers_listed_as_", listed.state());
+      case GatewayEvent.InstanceState state -> count("instance_states");
+      case GatewayEvent.Dependency dependency -> onDependency(dependency);
+      case GatewayEvent.AccountLevel level -> accounts.put(level.customer(), level);
+      case GatewayEvent.RequestQuarantined quarantined -> count("requests_quarantined");
+      case GatewayEvent.LinesDropped dropped ->
+          registry.counter("log_lines_dropped").inc(dropped.count());
+    }
+  }
+
+  /** Counts a call of the platform's store. */
+  public void onStoreCall(String call, boolean succeeded) {
+    count("store_" + call, succeeded ? "_done" : "_failed");
+  }
+
+  /** Counts how late a tick of the event loop came. */
+  public void onTick(Duration late) {
+    loopDelay.update(late.toNanos() / 1_000);
+  }
+
+  /** Shows a value that is looked up when somebody asks. */
+  public void gauge(String name, Gauge<Long> value) {
+    registry.gauge(name, () -> value);
+  }
+
+  private void onEnded(GatewayEvent.RequestEnded ended) {
+    count("requests_ended_", ended.outcome());
+    duration.update(ended.took().toNanos() / 1_000);
+    tokenWait.update(ended.waited().toNanos() / 1_000);
+  }
+
+  private void onDependency(GatewayEvent.Dependency dependency) {
+    if (reachable.put(dependency.name(), dependency.reachable()) == null) {
+      String name = "reachable_" + plain(dependency.name());
+      gauge(name, () -> reachable.getOrDefault(dependency.name(), true) ? 1L : 0L);
+    }
+    count(dependency.reachable() ? "dependencies_regained" : "dependencies_lost");
+  }
+
+  private Histogram histogram(String name) {
+    return registry.histogram(
+        name, () -> new Histogram(LockFreeExponentiallyDecayingReservoir.builder().build()));
+  }
+
+  private void accountGauge(String name, ToLongFunction<GatewayEvent.AccountLevel> part) {
+    gauge(name, () -> accounts.values().stream().mapToLong(part).sum());
+  }
+
+  private void count(String name) {
+    registry.counter(name).inc();
+  }
+
+  private void count(String name, String part) {
+    registry.counter(counterNames.computeIfAbsent(name + part, GatewayMetrics::plain)).inc();
+  }
+
+  private static String plain(String name) {
+    return name.toLowerCase(Locale.ROOT).replaceAll("[^a-z0-9]+", "_");
+  }
+}
--- a/platform/src/main/java/org/teaseldeal/platform/store/RelayedTransport.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/RelayedCalls.java
@@ -1,4 +1,4 @@
-package org.teaseldeal.platform.store;
+package org.teaseldeal.gateway.peer;
 
 import java.time.InstantSource;
 import java.util.List;
@@ -13,43 +13,53 @@
 import org.teaseldeal.net.HttpCallRequest;
 
 /**
- * Calls the store, by another instance where it turns this one away.
+ * Makes calls to a service, by another instance where it turns this one away.
  *
- * <p>Any call may go either way: reads change nothing, and appends carry the writer's sequence
- * number, so that one which went both ways counts once.
+ * <p>For calls that may be repeated only, as one may go both ways.
  */
-public final class RelayedTransport implements StoreTransport {
-  /** Statuses with which the store turns an instance away. */
+public final class RelayedCalls {
+  /** Makes a call; the future completes on the instance's own thread. */
+  @FunctionalInterface
+  public interface Caller {
+    /** Sends {@code request} and gathers its whole answer. */
+    CompletableFuture<HttpAnswer> call(HttpCallRequest request);
+  }
+
+  /** Statuses with which a service turns an instance away. */
   private static final int TOO_MANY_CALLS = 429;
 
   private static final int UNAVAILABLE = 503;
 
-  private final StoreTransport direct;
+  private final String service;
+  private final Caller direct;
   private final Supplier<List<String>> relays;
   private final RelayChoice choice;
   private final EventSink events;
   private final InstantSource clock;
 
-  /** Creates a transport; {@code relays} gives the addresses of the other instances. */
-  public RelayedTransport(
-      StoreTransport direct,
+  /**
+   * Creates calls.
+   *
+   * @param service its name in logs
+   * @param instance decides which relay comes first, so that not all take the same
+   * @param relays gives the addresses of the other instances
+   */
+  public RelayedCalls(
+      String service,
+      Caller direct,
       Supplier<List<String>> relays,
-      RelayChoice choice,
+      String instance,
       EventSink events,
       InstantSource clock) {
+    this.service = service;
     this.direct = direct;
     this.relays = relays;
-    this.choice = choice;
+    this.choice = new RelayChoice(instance.hashCode());
     this.events = events;
     this.clock = clock;
   }
 
-  @Override
-  public String address() {
-    return direct.address();
-  }
-
-  @Override
+  /** Sends {@code request} to its address, or to a relay. */
   public CompletableFuture<HttpAnswer> call(HttpCallRequest request) {
     Optional<String> relay = choice.next(relays.get(), clock.instant());
     if (relay.isEmpty()) {
@@ -66,7 +76,7 @@
     choice.onDirect(reached(answer, failure), clock.instant());
     if (before != choice.relaying()) {
       events.accept(
-          new GatewayEvent.Dependency("store, directly", before, reason(answer, failure)));
+          new GatewayEvent.Dependency(service + ", directly", before, reason(answer, failure)));
     }
   }
 
