Share what is left of a total by demand among instances

Ruled out: a larger even part (quiet instances would hold more, busy ones hardly more). Change: notes tell each instance's rate of demand; 0.75 of what is left is kept by demand and 0.1 evenly.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PrepaidLease.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PrepaidLease.java
@@ -12,9 +12,13 @@
  * instance keeps what it is likely to need over the longest usual cut, and two of its largest
  * requests besides: a light customer's next request is larger than its mean demand.
  *
- * <p>What is at hand when an instance is killed is lost, as nobody can tell whether it was spent.
- * So all instances together keep at most a part of what is left, and one that has had no request of
- * a customer keeps little of it.
+ * <p>Load pattern: a balancer that gives instances uneven shares, and customers who keep to a few
+ * of them. With even parts, some instances refuse in a cut while others hold tokens that nobody
+ * asks them for. So what is left is shared by demand, as the instances tell it each other.
+ *
+ * <p>A part of what is at hand when an instance is killed is lost, as nobody can tell whether it
+ * was spent. So some of what is left stays with nobody, for those that need it first, and one that
+ * has had no request of a customer keeps little of it.
  *
  * @param pool tokens that are neither spent nor given to requests, as far as is known
  * @param instances that share the pool, this one included
@@ -27,10 +31,12 @@
   private static final double MARGIN = 1.3;
 
   /**
-   * The part of the pool that all instances together keep at most. A kill of all loses three tenths
-   * of it, see {@link LeaseRelease}; the last third stays for the instance that needs it first.
+   * The parts of the pool that instances keep at most, by their demand and evenly. A kill of all
+   * loses three tenths of them, see {@link LeaseRelease}.
    */
-  private static final double KEPT_SHARE = 0.65;
+  private static final double KEPT_BY_DEMAND = 0.75;
+
+  private static final double KEPT_EVENLY = 0.1;
 
   /** What an instance keeps without demand: one request of a light customer. */
   private static final double FLOOR_SHARE = 0.02;
@@ -44,11 +50,14 @@
    * The idle tokens to keep.
    *
    * @param tokensPerSecond that this instance's requests set aside
+   * @param ofAll the same of all instances together, this one included
    * @param largest of its recent requests
    */
-  public long target(double tokensPerSecond, long largest) {
+  public long target(double tokensPerSecond, double ofAll, long largest) {
     double demand = tokensPerSecond * HORIZON.toSeconds() * MARGIN + 2.0 * largest;
     double wanted = Math.max(demand, total * FLOOR_SHARE);
-    return (long) Math.min(wanted, pool * KEPT_SHARE / instances);
+    double share = ofAll > 0 ? Math.min(1, tokensPerSecond / ofAll) : 1.0 / instances;
+    double most = pool * (KEPT_BY_DEMAND * share + KEPT_EVENLY / instances);
+    return (long) Math.min(wanted, most);
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -286,7 +286,7 @@
 
   private long target(long total, long remaining, int instances) {
     return new PrepaidLease(total, remaining + idleOfAll(), instances)
-        .target(tokensPerSecond, largest);
+        .target(tokensPerSecond, tokensPerSecond + rateOfOthers(), largest);
   }
 
   /** Whether a request waits only because its tokens haven't been promised on the log. */
@@ -325,11 +325,16 @@
         asked,
         wanted(),
         promised,
+        tokensPerSecond(),
         reading.steadyNanos(),
         reading.wallMillis(),
         heartbeats);
   }
 
+  private double rateOfOthers() {
+    return others.values().stream().mapToLong(SharedNote.Account::tokensPerSecond).sum();
+  }
+
   private long idleOfAll() {
     return idle + others.values().stream().mapToLong(SharedNote.Account::idle).sum();
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -18,7 +18,7 @@
   private static final String PRESENCE = "presence";
   private static final byte LAYOUT = 2;
 
-  /** Without the count of heartbeats. */
+  /** Without the count of heartbeats and the rate. */
   private static final byte FIRST_LAYOUT = 1;
 
   private NoteCodec() {}
@@ -44,6 +44,7 @@
                 out.writeLong(account.steadyNanos());
                 out.writeLong(account.wallMillis());
                 out.writeLong(account.heartbeats());
+                out.writeLong(account.tokensPerSecond());
               });
       case SharedNote.Crash crash ->
           crash.count() == 0
@@ -90,20 +91,7 @@
     String instance = key[1];
     String subject = key[2];
     return switch (kind) {
-      case ACCOUNT ->
-          new SharedNote.Account(
-              instance,
-              subject,
-              in.readLong(),
-              in.readLong(),
-              in.readLong(),
-              in.readLong(),
-              in.readLong(),
-              in.readLong(),
-              in.readLong(),
-              in.readLong(),
-              in.readLong(),
-              layout == FIRST_LAYOUT ? SharedNote.Account.UNCOUNTED : in.readLong());
+      case ACCOUNT -> account(layout, instance, subject, in);
       case CRASH -> new SharedNote.Crash(instance, subject, in.readInt());
       case PRESENCE -> new SharedNote.Presence(instance, in.readUTF());
       default ->
@@ -112,6 +100,36 @@
     };
   }
 
+  private static SharedNote.Account account(
+      byte layout, String instance, String customer, DataInputStream in) throws IOException {
+    long spent = in.readLong();
+    long lost = in.readLong();
+    long held = in.readLong();
+    long idle = in.readLong();
+    long asked = in.readLong();
+    long wanted = in.readLong();
+    long promised = in.readLong();
+    long steadyNanos = in.readLong();
+    long wallMillis = in.readLong();
+    boolean first = layout == FIRST_LAYOUT;
+    long heartbeats = first ? SharedNote.Account.UNCOUNTED : in.readLong();
+    long tokensPerSecond = first ? 0 : in.readLong();
+    return new SharedNote.Account(
+        instance,
+        customer,
+        spent,
+        lost,
+        held,
+        idle,
+        asked,
+        wanted,
+        promised,
+        tokensPerSecond,
+        steadyNanos,
+        wallMillis,
+        heartbeats);
+  }
+
   private static String key(String kind, String instance, String subject) {
     return kind + "|" + instance + "|" + subject;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -17,6 +17,7 @@
    * @param asked tokens that it wants besides; they count as held until its next note
    * @param wanted tokens that its waiting requests lack, also where the total can't give them now
    * @param promised part of {@code idle} and {@code asked} that waiting requests get at once
+   * @param tokensPerSecond that its requests set aside
    * @param steadyNanos the machine's steady clock when it was written
    * @param wallMillis the time of day when it was written
    * @param heartbeats of backend servers counted by then; {@link #UNCOUNTED} if not known, or if
@@ -32,6 +33,7 @@
       long asked,
       long wanted,
       long promised,
+      long tokensPerSecond,
       long steadyNanos,
       long wallMillis,
       long heartbeats)
