--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/CommandLine.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/CommandLine.java
@@ -19,6 +19,7 @@
 import org.teaseldeal.operator.command.Command;
 import org.teaseldeal.operator.command.Drain;
 import org.teaseldeal.operator.command.Dump;
+import org.teaseldeal.operator.command.Explain;
 import org.teaseldeal.operator.command.Instances;
 import org.teaseldeal.operator.command.LeaseRelease;
 import org.teaseldeal.operator.command.LeaseShow;
@@ -71,6 +72,7 @@
     commands.put("instances", new Instances());
     commands.put("dump", new Dump());
     commands.put("drain", new Drain());
+    commands.put("explain", new Explain());
   }
 
   Asked parse(String... arguments) {
--- a/teaseldeal-operator/src/test/java/org/teaseldeal/operator/CommandLineTests.java
+++ b/teaseldeal-operator/src/test/java/org/teaseldeal/operator/CommandLineTests.java
@@ -44,7 +44,8 @@
           "lease release",
           "instances",
           "dump",
-          "drain"
+          "drain",
+          "explain"
         }) {
       transcript.run((command + " --help").split(" "));
     }
