--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/event/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.event;
+
+import org.jspecify.annotations.NullMarked;
