Keep backend servers whose lines lapsed in an outage of the list for a moment

Cause, by reading: while the store is down no server can renew its line; when it is back all lines are gone for up to two seconds, the directory was empty and every request was refused after 400 ms. Ruled out: keeping lines always (a server that left would get requests after the bound).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.server;
 
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -13,12 +14,14 @@
 /** The backend servers that are listed, by service. */
 public final class ServerDirectory {
   private final Map<BackendServerId, BackendServer> servers = new HashMap<>();
+  private final Map<BackendServerId, Instant> lapsed = new HashMap<>();
   private final Map<String, Map<BackendServerId, BackendServer>> byService = new HashMap<>();
   private long changes;
 
   /** Takes in a new or changed line of the list. */
   public void put(ServerListing listing) {
     changes++;
+    lapsed.remove(listing.id());
     BackendServer known = servers.get(listing.id());
     if (known == null) {
       BackendServer added = new BackendServer(listing);
@@ -33,6 +36,7 @@
 
   /** Takes a line out of the list: the server left, or was silent for too long. */
   public void remove(BackendServerId id) {
+    lapsed.remove(id);
     BackendServer removed = servers.remove(id);
     if (removed == null) {
       return;
@@ -45,11 +49,50 @@
     }
   }
 
+  /**
+   * Keeps a server whose line is missing for a little longer; for the time just after an outage of
+   * the list.
+   *
+   * <p>Failure: while the list can't be written, servers can't renew their lines and all of them
+   * expire. Symptom: when it is back the list is empty for some seconds, and every request is
+   * refused although all servers are well. A server that is gone for good fails fast, and one that
+   * left serves on for as long, so keeping both until {@code until} costs a second attempt at most.
+   */
+  public void lapse(BackendServerId id, Instant until) {
+    BackendServer server = servers.get(id);
+    if (server == null || !server.listedAsReady()) {
+      remove(id);
+    } else {
+      lapsed.putIfAbsent(id, until);
+    }
+  }
+
+  /** Removes what has not come back in time. */
+  public void tick(Instant now) {
+    if (lapsed.isEmpty()) {
+      return;
+    }
+    for (Map.Entry<BackendServerId, Instant> entry : List.copyOf(lapsed.entrySet())) {
+      if (!now.isBefore(entry.getValue())) {
+        remove(entry.getKey());
+      }
+    }
+  }
+
   /** Removes all that are not among {@code listed}, after the list was read anew. */
   public void retain(Set<BackendServerId> listed) {
+    missing(listed).forEach(this::remove);
+  }
+
+  /** Lets all lapse that are not among {@code listed}. */
+  public void lapseOthers(Set<BackendServerId> listed, Instant until) {
+    missing(listed).forEach(id -> lapse(id, until));
+  }
+
+  private List<BackendServerId> missing(Set<BackendServerId> listed) {
     List<BackendServerId> gone = new ArrayList<>(servers.keySet());
     gone.removeAll(listed);
-    gone.forEach(this::remove);
+    return gone;
   }
 
   /** The servers of a service that are listed as ready. */
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.server;
+
+import org.jspecify.annotations.NullMarked;
