Release a quarter of a lease at once, and more only 2.6 s after a note

Change: a quarter at once, growing from 2.6 s on; the time of the start is read before anything else is done.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LeaseRelease.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LeaseRelease.java
@@ -17,19 +17,19 @@
  */
 public final class LeaseRelease {
   /** Enough for the requests of one note's time; what a kill loses of the idle tokens at least. */
-  private static final double AT_ONCE = 0.3;
+  private static final double AT_ONCE = 0.25;
 
   /**
-   * A machine that lost power for a second and a half is back, with its process started, about this
-   * long after the last note.
+   * A machine that lost power for a second and a half is back, with its process started, 1.9 to 2.5
+   * seconds after the last note.
    */
-  private static final Duration GROWS_AFTER = Duration.ofMillis(2200);
+  private static final Duration GROWS_AFTER = Duration.ofMillis(2600);
 
   /**
-   * Leases last for nine seconds without a note, so callers need four tenths of them by then. Twice
-   * as fast leaves room for a customer whose requests come unevenly.
+   * Leases last for nine seconds and three tenths more, see {@link PrepaidLease}, so callers need
+   * four tenths of them by then. Twice as fast leaves room for uneven requests.
    */
-  private static final Duration ALL_AFTER = Duration.ofMillis(4200);
+  private static final Duration ALL_AFTER = Duration.ofMillis(4600);
 
   private LeaseRelease() {}
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -81,7 +81,8 @@
    *
    * @param prepaid gives a customer's total in force; none for a customer without a bound
    * @param instances how many there are, this one included
-   * @param machineClock reads the machine's clocks
+   * @param started the machine's clocks when this process began
+   * @param machineClock reads them now
    * @param heartbeats of backend servers so far; empty while none are known
    */
   public AccountBook(
@@ -90,6 +91,7 @@
       IntSupplier instances,
       EventSink events,
       InstantSource clock,
+      ClockReading started,
       Supplier<ClockReading> machineClock,
       Supplier<Optional<HeartbeatCount>> heartbeats) {
     this.instance = instance;
@@ -99,8 +101,8 @@
     this.clock = clock;
     this.machineClock = machineClock;
     this.heartbeats = heartbeats;
-    this.started = machineClock.get();
-    this.lastReading = started;
+    this.started = started;
+    this.lastReading = machineClock.get();
   }
 
   /**
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -111,6 +111,7 @@
               () -> instances.size(),
               event -> {},
               clock,
+              machineClock(),
               AccountFleet.this::machineClock,
               () -> Optional.of(heartbeats()));
       this.fleetLog = new FleetLog(port, name, ++epochs, clock, List.of(book));
