Split a customer's account and a request's answer out of files that had grown; sum others' notes once

CustomerAccount had 418 lines and summed all others' notes for each request and tick; OthersNotes sums when a note comes, Promise and Demand hold what was three fields each. RequestFlow loses the state of the caller's stream to CallerAnswer. A successor that goes by the time of day adds 0.2 s, as a clock that is being corrected may lose that unnoticed. No behaviour changes besides; tests of accounts and of the whole path pass.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -123,7 +123,7 @@
       return;
     }
     CustomerAccount account = account(customer);
-    account.demand(tokens);
+    account.demand().add(tokens);
     WaitingRequest request =
         new WaitingRequest(tokens, clock.instant(), leaves, deadline, listener);
     // One that waits for more than is at hand must not keep those from going that need less.
@@ -189,7 +189,7 @@
     recoverOnce();
     if (!now.isBefore(nextRate)) {
       nextRate = now.plus(RATE_PERIOD);
-      accounts.values().forEach(CustomerAccount::followDemand);
+      accounts.values().forEach(account -> account.demand().follow());
     }
     for (CustomerAccount account : accounts.values()) {
       account.serveWaiting(total(account), now);
@@ -242,12 +242,12 @@
 
   @Override
   public void onLoaded(List<SharedNote> notes, boolean first) {
-    accounts.values().forEach(CustomerAccount::forgetOthers);
+    accounts.values().forEach(account -> account.others().forget());
     for (SharedNote note : notes) {
       if (note instanceof SharedNote.Account heard) {
         CustomerAccount account = account(heard.customer());
         if (!heard.instance().equals(instance)) {
-          account.hear(heard);
+          account.others().hear(heard);
         } else if (first) {
           account.takeOver(heard, started);
         }
@@ -267,7 +267,7 @@
     if (own) {
       account.decideWish(total(account), clock.instant());
     } else {
-      account.hear(heard);
+      account.others().hear(heard);
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/ClockReading.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/ClockReading.java
@@ -24,6 +24,9 @@
    */
   private static final Duration HEARTBEAT_TOLERANCE = Duration.ofMillis(500);
 
+  /** How much a time of day that is being corrected may gain or lose unnoticed in a few seconds. */
+  private static final Duration SLEWED = Duration.ofMillis(200);
+
   /**
    * The time from {@code earlier} to this reading, if both were taken in one run of the machine.
    */
@@ -35,8 +38,8 @@
   }
 
   /**
-   * The time from {@code earlier} to this reading as the time of day says, if the heartbeats of
-   * others bear it out; for a machine that lost power between the two.
+   * The time from {@code earlier} to this reading at most, as the time of day says, if the
+   * heartbeats of others bear it out; for a machine that lost power between the two.
    *
    * <p>A time of day that was set back meanwhile would make the time look shorter, and a successor
    * would take back tokens that were spent. The heartbeats show it: they go on with time.
@@ -54,7 +57,7 @@
     boolean borneOut =
         !byHeartbeats.isNegative()
             && byHeartbeats.compareTo(untilCounted.plus(HEARTBEAT_TOLERANCE)) <= 0;
-    Duration since = Duration.ofMillis(wallMillis - earlier.wallMillis);
+    Duration since = Duration.ofMillis(wallMillis - earlier.wallMillis).plus(SLEWED);
     return borneOut && !since.isNegative() ? Optional.of(since) : Optional.empty();
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -3,9 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.decisions.LeaseRelease;
@@ -28,11 +26,9 @@
   /** How old a note may be once tokens were taken; what a kill loses grows with it. */
   private static final Duration NOTE_AGE = Duration.ofMillis(500);
 
-  /** Followed over about this many periods: a light customer sends a request every few. */
-  private static final int DEMAND_PERIODS = 8;
-
   private final String customer;
-  private final Map<String, SharedNote.Account> others = new HashMap<>();
+  private final OthersNotes others = new OthersNotes();
+  private final Demand demand = new Demand();
   private final List<WaitingRequest> waiting = new ArrayList<>();
 
   private long spent;
@@ -62,11 +58,6 @@
   /** Whether the newest own note says that requests wait here. */
   private boolean wantTold;
 
-  private long demanded;
-  private long largest;
-  private int periods;
-  private double tokensPerSecond;
-
   CustomerAccount(String customer) {
     this.customer = customer;
   }
@@ -96,7 +87,7 @@
   }
 
   long tokensPerSecond() {
-    return Math.round(tokensPerSecond);
+    return Math.round(demand.tokensPerSecond());
   }
 
   /** Whether no wish is under way whose outcome may serve those who wait. */
@@ -104,25 +95,12 @@
     return asked == 0;
   }
 
-  void demand(long tokens) {
-    demanded += tokens;
-    largest = Math.max(tokens, largest);
-  }
-
-  /** Called once a second. */
-  void followDemand() {
-    periods = Math.min(periods + 1, DEMAND_PERIODS);
-    tokensPerSecond += (demanded - tokensPerSecond) / periods;
-    demanded = 0;
-    largest -= largest / DEMAND_PERIODS;
-  }
-
-  void forgetOthers() {
-    others.clear();
+  OthersNotes others() {
+    return others;
   }
 
-  void hear(SharedNote.Account note) {
-    others.put(note.instance(), note);
+  Demand demand() {
+    return demand;
   }
 
   /**
@@ -167,26 +145,17 @@
   }
 
   long takenByAll() {
-    return takenByOthers() + spent + lost + held();
-  }
-
-  private long takenByOthers() {
-    return others.values().stream().mapToLong(SharedNote.Account::taken).sum();
+    return others.taken() + spent + lost + held();
   }
 
   /** Whether the total may cover a request, counting as free what is idle or lost anywhere. */
   boolean mayCover(long tokens, long total) {
-    long gone = spent + reserved;
-    for (SharedNote.Account note : others.values()) {
-      gone += note.spent() + note.held() - note.idle();
-    }
-    return tokens <= total - gone;
+    return tokens <= total - spent - reserved - others.inUse();
   }
 
   /** Whether instances hold so little between them that the request could be granted. */
   boolean couldBeGranted(long tokens, long total) {
-    long lostOfAll = lost + others.values().stream().mapToLong(SharedNote.Account::lost).sum();
-    return mayCover(tokens + lostOfAll, total);
+    return mayCover(tokens + lost + others.lost(), total);
   }
 
   /** Called when the own note was read back: all that came before it is known. */
@@ -285,8 +254,11 @@
   }
 
   private long target(long total, long remaining, int instances) {
-    return new PrepaidLease(total, remaining + idleOfAll(), instances)
-        .target(tokensPerSecond, tokensPerSecond + rateOfOthers(), largest);
+    return new PrepaidLease(total, remaining + idle + others.idle(), instances)
+        .target(
+            demand.tokensPerSecond(),
+            demand.tokensPerSecond() + others.tokensPerSecond(),
+            demand.largest());
   }
 
   /** Whether a request waits only because its tokens haven't been promised on the log. */
@@ -331,14 +303,6 @@
         heartbeats);
   }
 
-  private double rateOfOthers() {
-    return others.values().stream().mapToLong(SharedNote.Account::tokensPerSecond).sum();
-  }
-
-  private long idleOfAll() {
-    return idle + others.values().stream().mapToLong(SharedNote.Account::idle).sum();
-  }
-
   /**
    * What requests that wait at other instances lack and nobody can be granted.
    *
@@ -347,11 +311,7 @@
    * found all leases empty, and nine in ten callers were refused until it ended.
    */
   private long othersLack(long remaining) {
-    long lacking = 0;
-    for (SharedNote.Account note : others.values()) {
-      lacking += Math.max(0, note.wanted() - note.asked());
-    }
-    return Math.max(0, lacking - remaining);
+    return Math.max(0, others.lacking() - remaining);
   }
 
   /** What the waiting requests lack. */
@@ -384,31 +344,6 @@
     return Math.max(0, fits - idle);
   }
 
-  /**
-   * What a note has told of idle tokens.
-   *
-   * @param at when it was composed
-   * @param held with those of running requests
-   * @param sealed idle and asked for, to be used no faster than {@link LeaseRelease} says
-   * @param promised to requests that wait, at once
-   */
-  private record Promise(Instant at, long held, long sealed, long promised) {
-    static final Promise NONE = new Promise(Instant.EPOCH, 0, 0, 0);
-
-    /** How long until {@code tokens} may have been taken, if no other note is written. */
-    Duration untilReleased(long tokens, Instant now) {
-      return LeaseRelease.untilReleased(sealed, tokens - promised, Duration.between(at, now));
-    }
-
-    long released(Instant now) {
-      Duration since = Duration.between(at, now);
-      // What requests gave back since may be used too, once a successor gets nothing back anyway.
-      return LeaseRelease.untilAll(since).isZero()
-          ? Long.MAX_VALUE
-          : promised + LeaseRelease.released(sealed, since);
-    }
-  }
-
   /**
    * Idle tokens of an earlier process that the machine's steady clock says nothing of.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -20,7 +20,6 @@
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpExchange;
-import org.teaseldeal.net.ResponseStream;
 
 /**
  * One request from its admission to its final answer.
@@ -65,6 +64,7 @@
   private final GatewayParts parts;
   private final RequestDesk desk;
   private final HttpExchange exchange;
+  private final CallerAnswer answer;
   private final RoutedRequest request;
   private final Route route;
   private final Optional<PrepaidCustomer> customer;
@@ -83,15 +83,13 @@
   private boolean mayHaveRun;
   private @Nullable Attempt attempt;
   private Instant waitingForServerSince = Instant.MAX;
-  private @Nullable ResponseStream stream;
-  private long eventsSent;
-  private String lastEventId = "";
 
   RequestFlow(
       GatewayParts parts, RequestDesk desk, HttpExchange exchange, RequestDesk.Admitted admitted) {
     this.parts = parts;
     this.desk = desk;
     this.exchange = exchange;
+    this.answer = new CallerAnswer(exchange);
     this.request = admitted.request();
     this.route = admitted.route();
     this.customer = admitted.customer();
@@ -194,7 +192,7 @@
                 sends,
                 server.running(),
                 chosen.get().candidates(),
-                lastEventId));
+                answer.lastEventId()));
     Attempt next = new Attempt(this, parts, server, route.kind().streamed());
     attempt = next;
     next.start(
@@ -204,7 +202,7 @@
             customer.map(PrepaidCustomer::name),
             Duration.between(now(), deadline),
             rank(),
-            lastEventId.isEmpty() ? Optional.empty() : Optional.of(lastEventId)));
+            answer.lastEventId().isEmpty() ? Optional.empty() : Optional.of(answer.lastEventId())));
   }
 
   private PromptPlacement.Prompt placedPrompt() {
@@ -254,16 +252,7 @@
     if (stage == Stage.ENDED) {
       return;
     }
-    ResponseStream open = stream;
-    if (open == null) {
-      open = exchange.startStream(status, headers);
-      stream = open;
-    }
-    eventsSent++;
-    if (!event.id().isEmpty()) {
-      lastEventId = event.id();
-    }
-    open.write(event.bytes());
+    answer.event(status, headers, event);
   }
 
   void onStreamEnd(int status, Map<String, String> headers, byte[] rest) {
@@ -271,12 +260,7 @@
       return;
     }
     answered();
-    if (stream == null) {
-      exchange.respond(status, headers, rest);
-    } else {
-      stream.write(rest);
-      stream.finish();
-    }
+    answer.finish(status, headers, rest);
     end("answered", status, "");
   }
 
@@ -284,7 +268,7 @@
     if (stage == Stage.ENDED) {
       return;
     }
-    if (stream != null) {
+    if (answer.begun()) {
       breakStream("a resumed stream was answered with status " + status);
       return;
     }
@@ -296,7 +280,7 @@
       }
     }
     answered();
-    exchange.respond(status, headers, body);
+    answer.whole(new HttpAnswer(status, headers, body));
     end("answered", status, "");
   }
 
@@ -315,7 +299,7 @@
   private double expectedMillis() {
     return 1
         + request.prompt().map(PromptTerms::unsharedTokens).orElse(0L) * MILLIS_PER_PROMPT_TOKEN
-        + eventsSent * tokensPerEvent * MILLIS_PER_OUTPUT_TOKEN;
+        + answer.eventsSent() * tokensPerEvent * MILLIS_PER_OUTPUT_TOKEN;
   }
 
   void onAttemptFailed(Attempt failed, AttemptEnd end, String detail) {
@@ -398,7 +382,7 @@
   }
 
   private void fail(Problem problem) {
-    if (stream != null) {
+    if (answer.begun()) {
       breakStream(problem.detail());
     } else {
       refuse(problem);
@@ -406,16 +390,14 @@
   }
 
   private void refuse(Problem problem) {
-    HttpAnswer answer = parts.dialect().refuse(problem);
-    exchange.respond(answer.status(), answer.headers(), answer.body());
-    end(problem.kind().label(), answer.status(), problem.detail());
+    HttpAnswer refusal = parts.dialect().refuse(problem);
+    answer.whole(refusal);
+    end(problem.kind().label(), refusal.status(), problem.detail());
   }
 
   /** The caller must see that the answer is not whole. */
   private void breakStream(String detail) {
-    if (stream != null) {
-      stream.abort();
-    }
+    answer.breakOff();
     end(ErrorKind.STREAM_BROKEN.label(), 0, detail);
   }
 
@@ -460,7 +442,8 @@
       return 0;
     }
     PromptTerms prompt = request.prompt().get();
-    return prompt.inputTokens() + Math.min(prompt.maxOutputTokens(), eventsSent * tokensPerEvent);
+    return prompt.inputTokens()
+        + Math.min(prompt.maxOutputTokens(), answer.eventsSent() * tokensPerEvent);
   }
 
   private Instant now() {
