--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -8,10 +8,12 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.api.Result;
 import org.teaseldeal.decisions.ComeBackTime;
+import org.teaseldeal.decisions.DrainAdmission;
 import org.teaseldeal.decisions.RetryWindow;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.plan.GatewayPlan;
@@ -52,6 +54,7 @@
   private final ServerChoice choice;
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
   private final Map<String, RetryWindow> retries = new HashMap<>();
+  private @Nullable DrainAdmission draining;
 
   /** Creates a desk. */
   public RequestDesk(GatewayParts parts) {
@@ -64,6 +67,11 @@
     return flows.size();
   }
 
+  /** Takes from now on only what ends before {@code ends}, once callers can go elsewhere. */
+  public void drainUntil(Instant ends) {
+    draining = new DrainAdmission(parts.clock().instant(), ends);
+  }
+
   @Override
   public void handle(HttpExchange exchange) {
     Instant arrived = parts.clock().instant().minus(exchange.sinceHead());
@@ -90,7 +98,7 @@
   private Result<Admitted> admit(HttpExchange exchange, Instant arrived) {
     GatewayPlan plan = parts.plan().get();
     if (plan == null) {
-      return refusal(ErrorKind.NOT_READY, "no configuration is known yet");
+      return refusal(ErrorKind.NOT_READY, "no configuration is known yet", COME_BACK_STARTING);
     }
     return switch (parts.dialect().read(exchange)) {
       case Result.Err<RoutedRequest> malformed -> Result.err(malformed.problem());
@@ -113,6 +121,10 @@
       return Result.err(
           Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers"));
     }
+    DrainAdmission drain = draining;
+    if (drain != null && !drain.admits(arrived, arrived.plus(longest(request, route.get())))) {
+      return refusal(ErrorKind.DRAINING, "the instance stops", drain.comeBack());
+    }
     String service = route.get().drawService(parts.random());
     int tokensPerEvent = plan.service(service).map(PlannedService::tokensPerEvent).orElse(0);
     return Result.ok(
@@ -120,8 +132,8 @@
             request, route.get(), customer, service, tokensPerEvent, plan.version(), arrived));
   }
 
-  private Result<Admitted> refusal(ErrorKind kind, String detail) {
-    return Result.err(Problem.retryable(kind, detail, spread(COME_BACK_STARTING)));
+  private Result<Admitted> refusal(ErrorKind kind, String detail, Duration comeBack) {
+    return Result.err(Problem.retryable(kind, detail, spread(comeBack)));
   }
 
   private void refuse(HttpExchange exchange, Problem problem, Instant arrived) {
@@ -144,6 +156,12 @@
                 Duration.between(arrived, parts.clock().instant())));
   }
 
+  /** How long a request may take at most: as its caller waits, and its route allows. */
+  static Duration longest(RoutedRequest request, Route route) {
+    Duration patience = request.patience().orElse(route.timeout());
+    return patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
+  }
+
   ServerChoice choice() {
     return choice;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -97,9 +97,7 @@
     this.tokensPerEvent = admitted.tokensPerEvent();
     this.planVersion = admitted.planVersion();
     this.arrived = admitted.arrived();
-    Duration patience = request.patience().orElse(route.timeout());
-    Duration longest = patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
-    this.deadline = arrived.plus(longest);
+    this.deadline = arrived.plus(RequestDesk.longest(request, route));
   }
 
   RoutedRequest request() {
