Say truly in explain what was lost, and leave out what an earlier process believed

Change: AccountLevel tells what was lost by all, the first is written once the log is read, explain drops the beliefs of earlier processes.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -195,7 +195,7 @@
       account.serveWaiting(total(account), now);
       refuseHopeless(account, total(account));
     }
-    if (!now.isBefore(nextReport)) {
+    if (loaded && !now.isBefore(nextReport)) {
       nextReport = now.plus(REPORT_PERIOD);
       accounts.values().forEach(this::report);
     }
@@ -233,6 +233,7 @@
             account.customer(),
             total(account),
             account.takenByAll(),
+            account.lost() + account.others().lost(),
             account.spent(),
             account.lost(),
             account.held(),
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -84,7 +84,8 @@
    * How a customer's prepaid total is used, as this instance knows it.
    *
    * @param total what the plan in force says
-   * @param taken spent and held by all instances
+   * @param taken spent, lost and held by all instances
+   * @param lostByAll the part of it that was held by processes when they ended
    * @param spentHere by this instance and those before it on its machine
    * @param lostHere held by earlier processes on this machine when they ended
    * @param heldHere that this instance may still use
@@ -95,6 +96,7 @@
       String customer,
       long total,
       long taken,
+      long lostByAll,
       long spentHere,
       long lostHere,
       long heldHere,
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.gateway.fake.FakeSharedLog.Line;
@@ -123,13 +124,7 @@
    */
   @Test
   void findsIdleTokensAgainAfterAKill() {
-    AccountFleet fleet = new AccountFleet(4, 1_000_000);
-    drawFor(fleet, Duration.ofSeconds(6));
-    long before = fleet.total - fleet.given();
-    fleet.kill(Duration.ofMillis(1_200));
-    fleet.instance(0).request(before / 2);
-    fleet.run(Duration.ofSeconds(3));
-    assertEquals(1, fleet.instance(0).granted);
+    assertFindsHalfAgain(fleet -> fleet.kill(Duration.ofMillis(1_200)));
   }
 
   /**
@@ -139,10 +134,15 @@
    */
   @Test
   void findsIdleTokensAgainAfterALossOfPower() {
+    assertFindsHalfAgain(fleet -> fleet.powerLoss(Duration.ofMillis(1_500)));
+  }
+
+  /** One request for half of what was left before {@code fault} has to be granted after it. */
+  private static void assertFindsHalfAgain(Consumer<AccountFleet> fault) {
     AccountFleet fleet = new AccountFleet(4, 1_000_000);
     drawFor(fleet, Duration.ofSeconds(6));
     long before = fleet.total - fleet.given();
-    fleet.powerLoss(Duration.ofMillis(1_500));
+    fault.accept(fleet);
     fleet.instance(0).request(before / 2);
     fleet.run(Duration.ofSeconds(3));
     assertEquals(1, fleet.instance(0).granted);
--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/Cause.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/Cause.java
@@ -73,11 +73,11 @@
           + String.join(", ", story.lost())
           + needed;
     }
-    long lostHere = story.accountNumber("lostHere");
-    return lostHere > 0
+    long lost = story.accountNumber("lostByAll");
+    return lost > 0
         ? tokens
-            + ", and the rest of the total was taken or lost with processes that were killed"
-            + " (%d lost at this instance)".formatted(lostHere)
+            + ", and of the rest %d were lost with processes that were killed, or lost power"
+                .formatted(lost)
             + needed
         : tokens + ", and the rest of the total was held by other instances" + needed;
   }
--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/RequestStory.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/RequestStory.java
@@ -41,6 +41,10 @@
       if (line.time().isAfter(end.time()) || !line.instance().equals(end.instance())) {
         continue;
       }
+      if (line.event().equals("InstanceState") && line.text("state").equals("starting")) {
+        // What an earlier process believed, this one didn't know.
+        newest.clear();
+      }
       subject(line, end.text("customer"), servers).ifPresent(name -> newest.put(name, line));
     }
     return newest.values().stream().sorted(Comparator.comparing(EventLine::time)).toList();
--- a/teaseldeal-operator/src/test/java/org/teaseldeal/operator/ExplainCommandTests.java
+++ b/teaseldeal-operator/src/test/java/org/teaseldeal/operator/ExplainCommandTests.java
@@ -14,11 +14,15 @@
       {"time":"2026-03-01T10:00:00Z","instance":"a","event":"PlanInForce","version":7,"routes":5,"source":"t@1"}
       a warning in plain text
       {"time":"2026-03-01T10:00:01Z","instance":"a","event":"Dependency","name":"store","reachable":false,"detail":"status 503"}
-      {"time":"2026-03-01T10:00:02Z","instance":"a","event":"AccountLevel","customer":"trawler","total":900,"taken":400,"spentHere":10,"lostHere":0,"heldHere":40,"idleHere":20,"ratePerSecond":3}
+      {"time":"2026-03-01T10:00:02Z","instance":"a","event":"AccountLevel","customer":"trawler","total":900,"taken":400,"lostByAll":0,"spentHere":10,"lostHere":0,"heldHere":40,"idleHere":20,"ratePerSecond":3}
       {"time":"2026-03-01T10:00:03Z","instance":"a","event":"WaitsForTokens","request":"r1","customer":"trawler","tokens":60,"idleHere":20,"logReachable":false}
       {"time":"2026-03-01T10:00:05Z","instance":"a","event":"RequestEnded","request":"r1","route":"draft","customer":"trawler","outcome":"no-lease","status":503,"detail":"60 tokens of trawler are not at hand, 20 are","attempts":0,"plan":7,"waited_ms":0.0,"took_ms":2000.0}
       {"time":"2026-03-01T10:00:06Z","instance":"a","event":"Dependency","name":"store","reachable":true,"detail":""}
+      {"time":"2026-03-01T10:00:06.5Z","instance":"a","event":"AccountLevel","customer":"smack","total":900,"taken":880,"lostByAll":0,"spentHere":10,"lostHere":0,"heldHere":40,"idleHere":20,"ratePerSecond":3}
       {"time":"2026-03-01T10:00:07Z","instance":"a","event":"RequestEnded","request":"r3","route":"draft","customer":"trawler","outcome":"budget-exhausted","status":402,"detail":"60 tokens are needed, less remain of 900","attempts":0,"plan":7,"waited_ms":0.0,"took_ms":1.0}
+      {"time":"2026-03-01T10:00:08Z","instance":"a","event":"InstanceState","state":"starting","detail":"hall-a"}
+      {"time":"2026-03-01T10:00:08.5Z","instance":"a","event":"AccountLevel","customer":"smack","total":900,"taken":890,"lostByAll":300,"spentHere":10,"lostHere":50,"heldHere":0,"idleHere":0,"ratePerSecond":3}
+      {"time":"2026-03-01T10:00:09Z","instance":"a","event":"RequestEnded","request":"r4","route":"draft","customer":"smack","outcome":"no-lease","status":503,"detail":"60 tokens of smack are not at hand, 0 are","attempts":0,"plan":7,"waited_ms":0.0,"took_ms":1.0}
       """;
 
   private static final String SECOND_LOG =
@@ -48,7 +52,7 @@
 
   @Test
   void saysTheCauseFromTheLogsOfSeveralInstances() {
-    for (String request : new String[] {"r1", "r2", "r3"}) {
+    for (String request : new String[] {"r1", "r2", "r3", "r4"}) {
       transcript.run("explain", request, file("a.log"), file("b.log"));
     }
     transcript.run("explain", "r2", file("b.log"), "--json");
