--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/DrainAdmission.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/DrainAdmission.java
@@ -18,7 +18,7 @@
  */
 public record DrainAdmission(Instant began, Instant ends) {
   /** The balancer asks each second and goes by two answers; connections come until then. */
-  private static final Duration BALANCER_NOTICES = Duration.ofMillis(2600);
+  public static final Duration BALANCER_NOTICES = Duration.ofMillis(2600);
 
   /** When to come back: at once, to another instance. */
   private static final Duration COME_BACK = Duration.ofMillis(100);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -212,8 +212,11 @@
 
   /** Takes back what earlier processes can't have used, once the heartbeats are known. */
   private void recoverOnce() {
+    if (recovered || !loaded) {
+      return;
+    }
     Optional<HeartbeatCount> counted = heartbeats.get();
-    if (recovered || !loaded || counted.isEmpty()) {
+    if (counted.isEmpty()) {
       return;
     }
     recovered = true;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -50,6 +50,9 @@
       long planVersion,
       Instant arrived) {}
 
+  /** How long callers still come after an instance says that it is not ready. */
+  public static final Duration CALLERS_COME_FOR = DrainAdmission.BALANCER_NOTICES;
+
   private final GatewayParts parts;
   private final ServerChoice choice;
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
