Tell a router's addresses before its first outside call

Cause: the line "listening" was logged after the registration at the platform had begun, so where the platform refuses at once its failure could be logged first. Ruled out: a lost or late line of the router's own output; all lines were there, in the other order. Change: the line comes as soon as the sockets are bound, ahead of the loop and of all calls. After: nothing runs ahead of the line that could log. Conclusion: a fault of the program, not of the test, which stays as it was.

--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/Router.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/Router.java
@@ -131,17 +131,25 @@
       RandomGenerator random)
       throws IOException {
     Router router = new Router(settings, incarnation, factory, clock, random);
+    // The sockets are bound, so this is true. Told later, the line could follow the first failed
+    // call
+    // of the platform, and a reader who takes the log's first line for the addresses would miss
+    // them.
+    router.logAddresses();
     router.loop.start();
     router.listPoller.start();
     router.registration.start();
+    return router;
+  }
+
+  private void logAddresses() {
     LogLine.of("listening")
         .with("instance", settings.instance())
         .with("incarnation", incarnation)
-        .with("address", router.callerAddress())
-        .with("peer_address", router.peerAddress())
-        .with("admin_address", router.adminAddress())
+        .with("address", callerAddress())
+        .with("peer_address", peerAddress())
+        .with("admin_address", adminAddress())
         .info();
-    return router;
   }
 
   /** The one line that says where the router listens. */
