Charge no prompt that cannot have been read

Cause: a request whose connection its engine reset was charged its whole prompt. Change: PromptReading says whether an engine can have read the prompt by the time that it broke off; TokenUse keeps what a request has used over its attempts. What was answered, or broke off later, costs the prompt as before. PlatformInstanceTests.chargesNoPromptThatCannotHaveBeenRead failed before (402 instead of 200).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -5,6 +5,7 @@
 import java.time.Instant;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
+import org.teaseldeal.decisions.PromptReading;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpFailure;
@@ -56,6 +57,11 @@
     return server;
   }
 
+  /** Whether the server may have read the prompt: it answered, or had the time to. */
+  boolean mayHaveReadPrompt() {
+    return verdict == AnswerVerdict.GENUINE || PromptReading.mayBeDone(promptTokens, age());
+  }
+
   Duration age() {
     return Duration.between(started, parts.clock().instant());
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -69,7 +69,7 @@
   private final Route route;
   private final Optional<PrepaidCustomer> customer;
   private final String service;
-  private final int tokensPerEvent;
+  private final TokenUse use;
   private final long planVersion;
   private final Instant arrived;
   private final Instant deadline;
@@ -94,7 +94,7 @@
     this.route = admitted.route();
     this.customer = admitted.customer();
     this.service = admitted.service();
-    this.tokensPerEvent = admitted.tokensPerEvent();
+    this.use = new TokenUse(request.prompt(), admitted.tokensPerEvent());
     this.planVersion = admitted.planVersion();
     this.arrived = admitted.arrived();
     this.deadline = arrived.plus(RequestDesk.longest(request, route));
@@ -289,6 +289,7 @@
     }
     Attempt whole = attempt;
     if (whole != null) {
+      use.after(whole);
       desk.choice().onAnswered(whole.server(), whole.age(), expectedMillis());
     }
   }
@@ -297,7 +298,7 @@
   private double expectedMillis() {
     return 1
         + request.prompt().map(PromptTerms::unsharedTokens).orElse(0L) * MILLIS_PER_PROMPT_TOKEN
-        + answer.eventsSent() * tokensPerEvent * MILLIS_PER_OUTPUT_TOKEN;
+        + use.outputTokens(answer.eventsSent()) * MILLIS_PER_OUTPUT_TOKEN;
   }
 
   void onAttemptFailed(Attempt failed, AttemptEnd end, String detail) {
@@ -305,6 +306,10 @@
       return;
     }
     attempt = null;
+    if (end == AttemptEnd.SERVER_ERROR || end == AttemptEnd.MAY_HAVE_RUN) {
+      mayHaveRun = true;
+      use.after(failed);
+    }
     BackendServer server = failed.server();
     parts
         .events()
@@ -329,12 +334,8 @@
         server.avoidUntil(now().plus(FULL_PAUSE));
         sendAgainIf(mayRepeat(), ErrorKind.OVERLOADED, detail);
       }
-      case SERVER_ERROR -> {
-        mayHaveRun = true;
-        sendAgainIf(true, ErrorKind.BACKEND_FAILED, detail);
-      }
+      case SERVER_ERROR -> sendAgainIf(true, ErrorKind.BACKEND_FAILED, detail);
       case MAY_HAVE_RUN -> {
-        mayHaveRun = true;
         desk.choice().onFailed(server);
         parts.quarantine().onBrokenOff(request.fingerprint(), server.id());
         sendAgainIf(route.repeatable() && mayRepeat(), ErrorKind.BACKEND_FAILED, detail);
@@ -369,8 +370,7 @@
 
   private void deadlinePassed() {
     if (attempt != null) {
-      mayHaveRun = true;
-      attempt.cancel();
+      giveUpAttempt(attempt);
       fail(Problem.of(ErrorKind.DEADLINE_PASSED, "no whole answer by the deadline"));
     } else if (mayHaveRun) {
       fail(Problem.of(ErrorKind.DEADLINE_PASSED, "no server was found in time"));
@@ -404,19 +404,24 @@
       return;
     }
     if (attempt != null) {
-      mayHaveRun = true;
-      attempt.cancel();
+      giveUpAttempt(attempt);
     }
     end("caller-gone", 0, "");
   }
 
+  private void giveUpAttempt(Attempt running) {
+    mayHaveRun = true;
+    use.after(running);
+    running.cancel();
+  }
+
   private void end(String outcome, int status, String detail) {
     if (stage == Stage.TOKENS && customer.isPresent()) {
       parts.accounts().withdraw(customer.get().name(), this);
     }
     stage = Stage.ENDED;
     attempt = null;
-    parts.accounts().settle(reservation, used());
+    parts.accounts().settle(reservation, use.tokens(answer.eventsSent()));
     desk.onEnded(this);
     parts
         .events()
@@ -434,16 +439,6 @@
                 Duration.between(arrived, now())));
   }
 
-  /** Tokens used at most: the prompt if it may have been read, and what the caller was sent. */
-  private long used() {
-    if (!mayHaveRun || request.prompt().isEmpty()) {
-      return 0;
-    }
-    PromptTerms prompt = request.prompt().get();
-    return prompt.inputTokens()
-        + Math.min(prompt.maxOutputTokens(), answer.eventsSent() * tokensPerEvent);
-  }
-
   private Instant now() {
     return parts.clock().instant();
   }
