--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -28,12 +29,20 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
 /** One caller's connection: gathers requests within the limits and hands them on one by one. */
 final class ServerConnection extends ChannelInboundHandlerAdapter {
+  /**
+   * The one transfer coding that is read here. A body in another one would be passed on without the
+   * header that names it, so that the server gets bytes that the caller did not mean.
+   */
+  private static final Predicate<String> PLAIN_CHUNKS =
+      HttpHeaderValues.CHUNKED::contentEqualsIgnoreCase;
+
   private static final Logger LOG = LoggerFactory.getLogger(ServerConnection.class);
 
   /**
@@ -200,6 +209,9 @@
     if (http11 && !head.headers().contains(HttpHeaderNames.HOST)) {
       return HttpRejection.MALFORMED;
     }
+    if (!head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream().allMatch(PLAIN_CHUNKS)) {
+      return HttpRejection.MALFORMED;
+    }
     return HttpUtil.getContentLength(head, 0L) > config.maxBodyBytes()
         ? HttpRejection.BODY_TOO_LARGE
         : null;
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
@@ -9,7 +9,6 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Map;
@@ -17,7 +16,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -72,8 +70,8 @@
               socket -> {
                 ports.add(socket.getPort());
                 for (int i = 0; i < 3; i++) {
-                  readRequest(socket);
-                  write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                  ScriptedServer.readRequest(socket);
+                  ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
                 }
               })) {
         for (int i = 0; i < 3; i++) {
@@ -133,7 +131,7 @@
 
     @Test
     void ofConnectionsClosedAfterTheRequestAreNoAnswer() throws Exception {
-      try (ScriptedServer server = new ScriptedServer(HttpClientTests::readRequest)) {
+      try (ScriptedServer server = new ScriptedServer(ScriptedServer::readRequest)) {
         client.send(request(server.address(), "POST", "x"), new Recorder());
         assertEquals("NO_ANSWER", told.take());
       }
@@ -145,8 +143,8 @@
         try (ScriptedServer server =
             new ScriptedServer(
                 socket -> {
-                  readRequest(socket);
-                  write(socket, "HTTP/1.1 200 OK\r\n" + head + "\r\n\r\n4\r\nab");
+                  ScriptedServer.readRequest(socket);
+                  ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\n" + head + "\r\n\r\n4\r\nab");
                 })) {
           assertFetchFails(HttpFailure.BROKEN_ANSWER, request(server.address(), "GET", ""));
         }
@@ -158,8 +156,8 @@
       try (ScriptedServer server =
           new ScriptedServer(
               socket -> {
-                readRequest(socket);
-                write(socket, "WHAT IS THIS\r\n\r\n");
+                ScriptedServer.readRequest(socket);
+                ScriptedServer.write(socket, "WHAT IS THIS\r\n\r\n");
               })) {
         assertFetchFails(HttpFailure.BROKEN_ANSWER, request(server.address(), "GET", ""));
       }
@@ -175,8 +173,8 @@
       try (ScriptedServer server =
           new ScriptedServer(
               socket -> {
-                readRequest(socket);
-                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                ScriptedServer.readRequest(socket);
+                ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
               })) {
         for (int i = 0; i < 20; i++) {
           assertEquals("ok", client.fetch(request(server.address(), "GET", "")).get().text());
@@ -212,9 +210,9 @@
       try (ScriptedServer server =
           new ScriptedServer(
               socket -> {
-                readRequest(socket);
-                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
-                write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nanother");
+                ScriptedServer.readRequest(socket);
+                ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nanother");
                 assertEquals(-1, socket.getInputStream().read());
               })) {
         client.fetch(request(server.address(), "GET", "")).get();
@@ -251,21 +249,6 @@
     return IpAddresses.format(address);
   }
 
-  private static void readRequest(Socket socket) throws IOException {
-    StringBuilder head = new StringBuilder();
-    while (head.indexOf("\r\n\r\n") < 0) {
-      int next = socket.getInputStream().read();
-      if (next < 0) {
-        throw new IOException("ended");
-      }
-      head.append((char) next);
-    }
-  }
-
-  private static void write(Socket socket, String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
-  }
-
   private final class Recorder implements HttpListener {
     @Override
     public void onHead(int status, Map<String, String> headers) {
@@ -287,54 +270,4 @@
       told.add(failure.name());
     }
   }
-
-  private interface Script {
-    void run(Socket socket) throws Exception;
-  }
-
-  /** Runs a script on each connection, then closes it. */
-  private static final class ScriptedServer implements AutoCloseable {
-    private final ServerSocket listening =
-        new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
-    private final LinkedBlockingQueue<Integer> closed = new LinkedBlockingQueue<>();
-
-    ScriptedServer(Script script) throws IOException {
-      Thread.ofVirtual().start(() -> accept(script));
-    }
-
-    InetSocketAddress address() {
-      return (InetSocketAddress) listening.getLocalSocketAddress();
-    }
-
-    void awaitClosed(int count) throws InterruptedException {
-      assertEquals(count, closed.poll(20, TimeUnit.SECONDS));
-    }
-
-    private void accept(Script script) {
-      int count = 0;
-      while (!listening.isClosed()) {
-        try (Socket socket = listening.accept()) {
-          Thread served =
-              Thread.ofVirtual()
-                  .start(
-                      () -> {
-                        try (socket) {
-                          script.run(socket);
-                        } catch (Exception e) {
-                          // The client gave up, or the test is over.
-                        }
-                      });
-          served.join();
-          closed.add(++count);
-        } catch (IOException | InterruptedException e) {
-          return;
-        }
-      }
-    }
-
-    @Override
-    public void close() throws IOException {
-      listening.close();
-    }
-  }
 }
--- /dev/null
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/ScriptedServer.java
@@ -0,0 +1,79 @@
+package org.teaseldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+
+/** A server that runs a script of bytes on each connection, one after the other, then closes it. */
+final class ScriptedServer implements AutoCloseable {
+  /** What it does on a connection. */
+  interface Script {
+    void run(Socket socket) throws Exception;
+  }
+
+  private final ServerSocket listening =
+      new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
+  private final LinkedBlockingQueue<Integer> closed = new LinkedBlockingQueue<>();
+
+  ScriptedServer(Script script) throws IOException {
+    Thread.ofVirtual().start(() -> accept(script));
+  }
+
+  InetSocketAddress address() {
+    return (InetSocketAddress) listening.getLocalSocketAddress();
+  }
+
+  void awaitClosed(int count) throws InterruptedException {
+    assertEquals(count, closed.poll(20, TimeUnit.SECONDS));
+  }
+
+  private void accept(Script script) {
+    int count = 0;
+    while (!listening.isClosed()) {
+      try (Socket socket = listening.accept()) {
+        Thread served =
+            Thread.ofVirtual()
+                .start(
+                    () -> {
+                      try (socket) {
+                        script.run(socket);
+                      } catch (Exception e) {
+                        // The client gave up, or the test is over.
+                      }
+                    });
+        served.join();
+        closed.add(++count);
+      } catch (IOException | InterruptedException e) {
+        return;
+      }
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    listening.close();
+  }
+
+  /** Reads the head of a request. */
+  static void readRequest(Socket socket) throws IOException {
+    StringBuilder head = new StringBuilder();
+    while (head.indexOf("\r\n\r\n") < 0) {
+      int next = socket.getInputStream().read();
+      if (next < 0) {
+        throw new IOException("ended");
+      }
+      head.append((char) next);
+    }
+  }
+
+  static void write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+  }
+}
