--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LeaseRelease.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LeaseRelease.java
@@ -10,8 +10,8 @@
  * idle can be given back only as far as its successor knows that it was not used. Once more than
  * three hundredths of a customer's total are lost, its requests are refused for the rest of the day
  * although the total would cover them. So what may be used without a note is a small part of what
- * is left, enough for most requests while the log answers. Any other request is named in a note
- * first, which takes some ten milliseconds.
+ * is left. Any other request is named in a note first, which takes some ten milliseconds while the
+ * log answers.
  *
  * <p>Load pattern: all instances are cut off from the log for seconds. No note can be written, and
  * callers must be served all the same. So once a successor of a machine that lost power for a short
@@ -43,7 +43,7 @@
    */
   private static final Duration GROWS_AFTER = Duration.ofMillis(2400);
 
-  /** Requests come in clumps: half more than the mean demand covers nine in ten seconds. */
+  /** Requests come in clumps; a third of what is released is room for them. */
   private static final double PACE_OVER_DEMAND = 1.5;
 
   /** A request that is larger than the demand of two seconds gets through as the growth begins. */
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PrepaidLease.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PrepaidLease.java
@@ -31,8 +31,8 @@
   private static final double MARGIN = 1.3;
 
   /**
-   * The parts of the pool that instances keep at most, by their demand and evenly. A kill of all
-   * loses three tenths of them, see {@link LeaseRelease}.
+   * The parts of the pool that instances keep at most, by their demand and evenly. An instance that
+   * is killed after seconds without the log loses what it kept, see {@link LeaseRelease}.
    */
   private static final double KEPT_BY_DEMAND = 0.75;
 
