--- a/teaseldeal-bench/src/main/java/org/teaseldeal/bench/load/AnswerCheck.java
+++ b/teaseldeal-bench/src/main/java/org/teaseldeal/bench/load/AnswerCheck.java
@@ -3,12 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.teaseldeal.api.Sha256;
 
 /**
  * Checks that an answer is the caller's own, whole and in order.
@@ -28,7 +25,7 @@
 
   /** Creates a check of the answer to {@code prompt}. */
   public AnswerCheck(String prompt) {
-    promptDigest = sha256(prompt).substring(0, DIGITS);
+    promptDigest = Sha256.hex(prompt).substring(0, DIGITS);
   }
 
   /** Takes the JSON text of one server-sent event. */
@@ -65,7 +62,7 @@
   void onPlain(String json, String body) {
     try {
       String digest = JSON.readTree(json).path("body_sha256").asText("");
-      if (!digest.equals(sha256(body))) {
+      if (!digest.equals(Sha256.hex(body))) {
         fault = "the answer to another body";
       }
     } catch (JsonProcessingException e) {
@@ -105,13 +102,4 @@
     }
     frames++;
   }
-
-  private static String sha256(String text) {
-    try {
-      byte[] octets = text.getBytes(StandardCharsets.UTF_8);
-      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(octets));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every JDK has SHA-256", e);
-    }
-  }
 }
--- a/teaseldeal-core/src/main/java/org/teaseldeal/core/system/Digests.java
+++ b/teaseldeal-core/src/main/java/org/teaseldeal/core/system/Digests.java
@@ -1,9 +1,10 @@
 package org.teaseldeal.core.system;
 
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
+import org.teaseldeal.api.Sha256;
 
 /**
  * SHA-256 in hexadecimal digits: of octets as they are, or of several texts, each with its length
@@ -13,33 +14,16 @@
   private Digests() {}
 
   static String of(String... parts) {
-    MessageDigest digest = sha256();
+    MessageDigest digest = Sha256.begin();
     for (String part : parts) {
-      update(digest, part.getBytes(StandardCharsets.UTF_8));
+      byte[] octets = part.getBytes(StandardCharsets.UTF_8);
+      digest.update(ByteBuffer.allocate(Integer.BYTES).putInt(octets.length).flip());
+      digest.update(octets);
     }
     return HexFormat.of().formatHex(digest.digest());
   }
 
   static String of(byte[] bytes) {
-    return HexFormat.of().formatHex(sha256().digest(bytes));
-  }
-
-  private static void update(MessageDigest digest, byte[] part) {
-    digest.update(
-        new byte[] {
-          (byte) (part.length >>> 24),
-          (byte) (part.length >>> 16),
-          (byte) (part.length >>> 8),
-          (byte) part.length
-        });
-    digest.update(part);
-  }
-
-  private static MessageDigest sha256() {
-    try {
-      return MessageDigest.getInstance("SHA-256");
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("SHA-256 is part of every Java platform", e);
-    }
+    return Sha256.hex(bytes);
   }
 }
--- a/teaseldeal-core/src/test/java/org/teaseldeal/core/fake/FakeFleet.java
+++ b/teaseldeal-core/src/test/java/org/teaseldeal/core/fake/FakeFleet.java
@@ -15,6 +15,7 @@
 import org.teaseldeal.api.CustomerId;
 import org.teaseldeal.api.RequestId;
 import org.teaseldeal.api.ServiceId;
+import org.teaseldeal.api.Sha256;
 import org.teaseldeal.api.TeamId;
 import org.teaseldeal.core.command.InstanceCommand;
 import org.teaseldeal.core.event.InstanceEvent;
@@ -119,7 +120,7 @@
   public void publishTeamWithTokenOf(String name, String token) {
     TeamId team = new TeamId(name);
     CustomerSettings copy =
-        new CustomerSettings(new CustomerId(team, "copy"), sha256(token), Set.of(), 1);
+        new CustomerSettings(new CustomerId(team, "copy"), Sha256.hex(token), Set.of(), 1);
     TeamSettings subtree = new TeamSettings(team, Map.of("copy", copy), Map.of());
     log.write(
         streams.of(team),
@@ -139,7 +140,7 @@
   }
 
   private static CustomerSettings customer(String name, Set<String> services) {
-    return new CustomerSettings(new CustomerId(WOOL, name), sha256(name), services, 1);
+    return new CustomerSettings(new CustomerId(WOOL, name), Sha256.hex(name), services, 1);
   }
 
   private static ServiceSettings service(
@@ -156,16 +157,6 @@
         Duration.ofSeconds(60));
   }
 
-  private static String sha256(String text) {
-    try {
-      return HexFormat.of()
-          .formatHex(
-              java.security.MessageDigest.getInstance("SHA-256").digest(text.getBytes(UTF_8)));
-    } catch (java.security.NoSuchAlgorithmException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
   public Simulation simulation() {
     return simulation;
   }
--- a/teaseldeal-dist/src/test/java/org/teaseldeal/dist/Fleet.java
+++ b/teaseldeal-dist/src/test/java/org/teaseldeal/dist/Fleet.java
@@ -8,13 +8,10 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse.BodyHandlers;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.security.MessageDigest;
 import java.util.ArrayList;
 import java.util.Collections;
-import java.util.HexFormat;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,6 +21,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import org.teaseldeal.api.Sha256;
 import org.teaseldeal.bench.demo.LedgerAudit;
 import org.teaseldeal.bench.demo.ServerAudit;
 import org.teaseldeal.bench.demo.Web;
@@ -150,7 +148,7 @@
         [customers.mill]
         token_sha256 = "%s"
         """
-            .formatted(sha256(TOKEN)));
+            .formatted(Sha256.hex(TOKEN)));
   }
 
   private int publish(String subtree, String text) throws Exception {
@@ -297,9 +295,4 @@
   private Path errors(String name) {
     return folder.resolve(name + ".err");
   }
-
-  private static String sha256(String text) throws Exception {
-    byte[] octets = text.getBytes(StandardCharsets.UTF_8);
-    return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(octets));
-  }
 }
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/admin/AdminCredential.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/admin/AdminCredential.java
@@ -1,11 +1,10 @@
 package org.teaseldeal.router.admin;
 
-import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.Locale;
 import java.util.Optional;
+import org.teaseldeal.api.Sha256;
 import org.teaseldeal.net.HttpExchange;
 
 /** Checks the token that operators send; without a credential everyone who reaches us may pass. */
@@ -28,14 +27,7 @@
       return false;
     }
     // Compared in constant time, and by hash, so that neither reveals how much of a guess is right.
-    return MessageDigest.isEqual(expected.get(), sha256(header.substring(BEARER.length()).trim()));
-  }
-
-  private static byte[] sha256(String text) {
-    try {
-      return MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException(e);
-    }
+    return MessageDigest.isEqual(
+        expected.get(), Sha256.of(header.substring(BEARER.length()).trim()));
   }
 }
--- a/teaseldeal-router/src/test/java/org/teaseldeal/router/RouterTests.java
+++ b/teaseldeal-router/src/test/java/org/teaseldeal/router/RouterTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.teaseldeal.api.IncarnationId;
+import org.teaseldeal.api.Sha256;
 import org.teaseldeal.api.TeamId;
 import org.teaseldeal.core.InstanceConfig;
 import org.teaseldeal.core.InstanceCore;
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/engine/AnswerText.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/engine/AnswerText.java
@@ -1,9 +1,6 @@
 package org.teaseldeal.standin.engine;
 
-import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
+import org.teaseldeal.api.Sha256;
 
 /**
  * The text of an answer, which follows from request id and prompt alone.
@@ -26,12 +23,6 @@
   }
 
   static String digest(String text) {
-    try {
-      byte[] hash =
-          MessageDigest.getInstance("SHA-256").digest(text.getBytes(StandardCharsets.UTF_8));
-      return HexFormat.of().formatHex(hash).substring(0, DIGITS);
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every JDK has SHA-256", e);
-    }
+    return Sha256.hex(text).substring(0, DIGITS);
   }
 }
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/service/PlainServiceHandler.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/service/PlainServiceHandler.java
@@ -2,13 +2,11 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
-import java.security.MessageDigest;
-import java.security.NoSuchAlgorithmException;
 import java.time.Duration;
-import java.util.HexFormat;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.random.RandomGenerator;
+import org.teaseldeal.api.Sha256;
 import org.teaseldeal.net.HttpExchange;
 import org.teaseldeal.net.HttpHandler;
 import org.teaseldeal.standin.admin.History;
@@ -111,7 +109,7 @@
         .put("attempt", call.attemptId)
         .put("method", call.exchange.method())
         .put("path", call.exchange.path())
-        .put("body_sha256", sha256(body))
+        .put("body_sha256", Sha256.hex(body))
         .put("body", new String(body, StandardCharsets.UTF_8))
         .put("runs", count);
   }
@@ -127,14 +125,6 @@
                 .put("path", call.exchange.path()));
   }
 
-  private static String sha256(byte[] octets) {
-    try {
-      return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(octets));
-    } catch (NoSuchAlgorithmException e) {
-      throw new IllegalStateException("every JDK has SHA-256", e);
-    }
-  }
-
   private record Call(HttpExchange exchange, String requestId, String attemptId, String key) {
     static Call of(HttpExchange exchange) {
       return new Call(
