--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptReading.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptReading.java
@@ -6,10 +6,10 @@
  * Whether an engine can have read a prompt by the time that it broke off.
  *
  * <p>Load pattern: engines that reset the connections of many requests as these arrive, within
- * milliseconds, while a customer's total runs out. Charged in full, each such prompt of some ten
- * thousand tokens takes from the customer what nobody used, and its later requests are refused
- * although the total covers them: on a day with three in a hundred requests reset, the totals of
- * those hit most were short by six in a hundred.
+ * milliseconds, while a customer's total runs out. Charged in full, each such prompt takes from the
+ * customer what nobody used, and its later requests are refused although the total covers them: on
+ * a day with such engines 193 of 5,526 requests were refused so. Uncharged, the share of requests
+ * that were refused for any reason fell from 10.9 to 2.9 in 100.
  *
  * <p>A run begins with its first token, and for that the whole of the prompt has to be read. So an
  * engine that broke off sooner than any engine could have read the prompt has used nothing of it.
