--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerListing.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerListing.java
@@ -1,5 +1,7 @@
 package org.teaseldeal.gateway.server;
 
+import java.time.Instant;
+import java.util.Optional;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.api.Preconditions;
 
@@ -9,6 +11,7 @@
  * @param address {@code host:port} by IP number
  * @param places requests that it runs at once
  * @param leaving whether it takes no new requests
+ * @param startedAt when the server's process started, by its own clock; empty if it doesn't tell
  */
 public record ServerListing(
     BackendServerId id,
@@ -16,7 +19,8 @@
     String address,
     String dataCentre,
     int places,
-    boolean leaving) {
+    boolean leaving,
+    Optional<Instant> startedAt) {
   public ServerListing {
     Preconditions.requireText(service, "service of " + id);
     Preconditions.requireText(address, "address of " + id);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.fake.ManualClock;
@@ -62,7 +63,8 @@
 
   private static ServerDirectory directory() {
     ServerDirectory servers = new ServerDirectory();
-    servers.put(new ServerListing(ENGINE, "models", "10.0.0.9:80", "hall-a", 64, false));
+    servers.put(
+        new ServerListing(ENGINE, "models", "10.0.0.9:80", "hall-a", 64, false, Optional.empty()));
     return servers;
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -53,6 +54,6 @@
 
   private static ServerListing listing(String id, boolean leaving) {
     return new ServerListing(
-        new BackendServerId(id), "models", "10.0.0.1:80", "hall-a", 64, leaving);
+        new BackendServerId(id), "models", "10.0.0.1:80", "hall-a", 64, leaving, Optional.empty());
   }
 }
