--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -70,6 +70,11 @@
     return flows.size();
   }
 
+  /** How many backend servers get no requests, as they failed or are far slower than others. */
+  public int serversLeftOut() {
+    return choice.leftOut(parts.clock().instant());
+  }
+
   /** Takes from now on only what ends before {@code ends}, once callers can go elsewhere. */
   public void drainUntil(Instant ends) {
     draining = new DrainAdmission(parts.clock().instant(), ends);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -56,6 +56,11 @@
     healthByService.values().forEach(health -> health.update(now));
   }
 
+  /** How many servers are left out as unfit. */
+  int leftOut(Instant now) {
+    return healthByService.values().stream().mapToInt(health -> health.ejected(now).size()).sum();
+  }
+
   /** Servers are compared with those of their own service only. */
   private ServerHealth health(String service) {
     return healthByService.computeIfAbsent(
