Hold a passed deadline against a server only if it was silent for longer than the route's aim explains

Cause: a call's own timer ends some milliseconds before the tick that looks for passed deadlines, as a failure of the server; five in a row leave it out for all routes, and the caller is told that the server failed. Ruled out: never blaming (a server that lost power sends nothing either).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -61,6 +61,9 @@
   /** When to come back after a server was full: its queue moves on within a few answers. */
   private static final Duration COME_BACK_FULL = Duration.ofMillis(150);
 
+  /** A call's own timer counts whole milliseconds and starts a little after the request's. */
+  private static final Duration TIMER_GRAIN = Duration.ofMillis(2);
+
   private final GatewayParts parts;
   private final RequestDesk desk;
   private final HttpExchange exchange;
@@ -239,13 +242,17 @@
     if (silent == null || !route.repeatable() || sends >= route.maxAttempts()) {
       return;
     }
-    if (silent.silence().compareTo(desk.longestSilence(route)) <= 0) {
+    if (!overdue(silent)) {
       return;
     }
     silent.cancel();
     onAttemptFailed(silent, AttemptEnd.MAY_HAVE_RUN, "silent");
   }
 
+  private boolean overdue(Attempt waiting) {
+    return waiting.silence().compareTo(desk.longestSilence(route)) > 0;
+  }
+
   void onEvent(int status, Map<String, String> headers, EventSplitter.Event event) {
     if (stage == Stage.ENDED) {
       return;
@@ -335,11 +342,25 @@
         sendAgainIf(mayRepeat(), ErrorKind.OVERLOADED, detail);
       }
       case SERVER_ERROR -> sendAgainIf(true, ErrorKind.BACKEND_FAILED, detail);
-      case MAY_HAVE_RUN -> {
-        desk.choice().onFailed(server);
-        parts.quarantine().onBrokenOff(request.fingerprint(), server.id());
-        sendAgainIf(route.repeatable() && mayRepeat(), ErrorKind.BACKEND_FAILED, detail);
-      }
+      case MAY_HAVE_RUN -> onMayHaveRun(failed, detail);
+    }
+  }
+
+  /**
+   * Failure: a route's timeout is shorter than its requests take. Symptom: if each that ran out of
+   * time counted against its server, sound servers would be left out for all routes. So only one
+   * that was silent for longer than the route's aim explains does.
+   */
+  private void onMayHaveRun(Attempt failed, String detail) {
+    boolean outOfTime = !now().isBefore(deadline.minus(TIMER_GRAIN));
+    if (!outOfTime || overdue(failed)) {
+      desk.choice().onFailed(failed.server());
+      parts.quarantine().onBrokenOff(request.fingerprint(), failed.server().id());
+    }
+    if (outOfTime) {
+      fail(Problem.of(ErrorKind.DEADLINE_PASSED, detail));
+    } else {
+      sendAgainIf(route.repeatable() && mayRepeat(), ErrorKind.BACKEND_FAILED, detail);
     }
   }
 
