Use no server whose newest record is another writer's

Cause: a record that could not be read was skipped, so the one before it stayed in force; any state but one counted as leaving, which is final; a number of another type became one place. Ruled out: dropping the server's id, which would cut the count of what runs there and make its next good record a new server; taking such records as leaving, which is final. A service that no configuration names isn't a reason: the configuration that names it may be read after the record, and nobody asks for servers of a service that isn't routed to.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -76,6 +76,15 @@
   record ServerListed(String server, String service, String address, String state)
       implements GatewayEvent {}
 
+  /**
+   * The newest record of a backend server names no server to use; it gets no requests until a good
+   * one comes.
+   *
+   * @param reason the label of what is wrong with it
+   * @param detail what was found
+   */
+  record ServerUnusable(String server, String reason, String detail) implements GatewayEvent {}
+
   /** The instance itself started, is ready, is stopping, stopped, or read its settings again. */
   record InstanceState(String state, String detail) implements GatewayEvent {}
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -54,6 +54,7 @@
       case GatewayEvent.PlanInForce plan -> planVersion.set(plan.version());
       case GatewayEvent.PlanUnreadable unreadable -> count("plans_unreadable");
       case GatewayEvent.ServerListed listed -> count("servers_listed_as_", listed.state());
+      case GatewayEvent.ServerUnusable unusable -> count("servers_unusable_", unusable.reason());
       case GatewayEvent.InstanceState state -> count("instance_states");
       case GatewayEvent.Dependency dependency -> onDependency(dependency);
       case GatewayEvent.AccountLevel level -> accounts.put(level.customer(), level);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -16,11 +17,13 @@
   private final Map<BackendServerId, BackendServer> servers = new HashMap<>();
   private final Map<BackendServerId, Instant> lapsed = new HashMap<>();
   private final Map<String, Map<BackendServerId, BackendServer>> byService = new HashMap<>();
+  private final Set<BackendServerId> unusable = new HashSet<>();
   private long changes;
 
   /** Takes in a new or changed line of the list. */
   public void put(ServerListing listing) {
     changes++;
+    unusable.remove(listing.id());
     lapsed.remove(listing.id());
     BackendServer known = servers.get(listing.id());
     if (known == null) {
@@ -34,8 +37,19 @@
     }
   }
 
+  /**
+   * Gives a server no new requests until {@link #put} has a good line of it again: its newest line
+   * can't be used, and may be another writer's. It isn't leaving, and what runs there goes on.
+   */
+  public void unusable(BackendServerId id) {
+    if (servers.containsKey(id) && unusable.add(id)) {
+      changes++;
+    }
+  }
+
   /** Takes a line out of the list: the server left, or was silent for too long. */
   public void remove(BackendServerId id) {
+    unusable.remove(id);
     lapsed.remove(id);
     BackendServer removed = servers.remove(id);
     if (removed == null) {
@@ -95,13 +109,18 @@
     return gone;
   }
 
-  /** The servers of a service that are listed as ready. */
+  /**
+   * The servers of a service that are listed as ready. Servers of a service that no configuration
+   * names are held too: nobody asks for them until one does.
+   */
   public List<BackendServer> ready(String service) {
     Map<BackendServerId, BackendServer> all = byService.get(service);
     if (all == null) {
       return List.of();
     }
-    return all.values().stream().filter(BackendServer::listedAsReady).toList();
+    return all.values().stream()
+        .filter(server -> server.listedAsReady() && !unusable.contains(server.id()))
+        .toList();
   }
 
   /** A listed server by its id. */
