--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -9,6 +9,7 @@
 import org.teaseldeal.gateway.fake.FakeSharedLog;
 import org.teaseldeal.gateway.fake.ManualClock;
 import org.teaseldeal.gateway.log.FleetLog;
+import org.teaseldeal.gateway.log.KeyedRecord;
 
 /** Instances that draw on one customer's total through a log in memory, in virtual time. */
 final class AccountFleet {
@@ -74,6 +75,25 @@
 
   private long given;
 
+  /** Another writer puts {@code value} under the key of an instance's note. */
+  void overwriteNote(int index, byte[] value) {
+    KeyedRecord record =
+        new KeyedRecord("account|%s|%s".formatted(instance(index).name, CUSTOMER), value);
+    log.port("stranger").append(0, strangers++, List.of(record), outcome -> {});
+  }
+
+  private long strangers;
+
+  /** One process ends, as by a kill. */
+  void end(int index) {
+    instance(index).alive = false;
+  }
+
+  /** A process starts again under the same name. */
+  void startAgain(int index) {
+    instances.set(index, new Instance(instance(index).name));
+  }
+
   private ClockReading machineClock() {
     return new ClockReading(
         clock.instant().toEpochMilli() * 1_000_000 + bootedAt,
