Give out no tokens by notes that can't be read or aren't one's own

Cause: after a gap what was known of the others was forgotten before their newest notes were read, so a note that couldn't be read counted as nothing held; a process whose own note couldn't be read began anew from nothing; a wish was decided by any note under the own key, also one read before the own; large numbers added up to less than nothing; an address that is none in a presence note failed the tick that sends to all. Change: what was known of an instance holds on; at a load, a note of another that can't be read stops grants of that customer until the instance writes anew, which it does when it finds its note overwritten; a process that can't read its own past gives nothing out and writes no note; only an own note that was written and not yet read decides a wish; the decoder refuses what no instance writes; sums stay at the largest number; one log line a key. Ruled out: refusing large numbers by a bound, as a note that an instance did write must never be refused. Left: a readable note that another writer puts under an instance's key counts until that instance has written anew.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -13,6 +13,8 @@
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.decisions.OutagePatience;
@@ -57,6 +59,8 @@
   private static final Duration RATE_PERIOD = Duration.ofSeconds(1);
   private static final Duration REPORT_PERIOD = Duration.ofSeconds(5);
 
+  private static final Logger LOG = LoggerFactory.getLogger(AccountBook.class);
+
   private final String instance;
   private final Function<String, OptionalLong> prepaid;
   private final IntSupplier instances;
@@ -246,30 +250,58 @@
 
   @Override
   public void onLoaded(List<SharedNote> notes, boolean first) {
-    accounts.values().forEach(account -> account.others().forget());
-    for (SharedNote note : notes) {
-      if (note instanceof SharedNote.Account heard) {
-        CustomerAccount account = account(heard.customer());
-        if (!heard.instance().equals(instance)) {
-          account.others().hear(heard);
-        } else if (first) {
-          account.takeOver(heard, started);
-        }
-      }
-    }
+    notes.forEach(note -> load(note, first));
     loaded = true;
     Instant now = clock.instant();
-    accounts.values().forEach(account -> account.decideWish(total(account), now));
+    accounts
+        .values()
+        .forEach(
+            account -> {
+              account.allRead();
+              account.decideWish(total(account), now);
+            });
+  }
+
+  /**
+   * Takes in one of the newest notes. What was known of an instance that has none any more, or none
+   * that can be read, stays: no instance takes a note back, so it still holds what it held.
+   */
+  private void load(SharedNote note, boolean first) {
+    boolean own = note.instance().equals(instance);
+    switch (note) {
+      case SharedNote.Account heard when !own -> account(heard.customer()).others().hear(heard);
+      case SharedNote.Account heard when first ->
+          account(heard.customer()).takeOver(heard, started);
+      case SharedNote.UnreadableAccount hidden when !own ->
+          account(hidden.customer()).others().doubt(hidden.instance());
+      case SharedNote.UnreadableAccount hidden when first -> account(hidden.customer()).doubtPast();
+      case SharedNote.UnreadableAccount hidden -> account(hidden.customer()).renewNote();
+      default -> {}
+    }
   }
 
   @Override
   public void onNote(SharedNote note, boolean own) {
-    if (!(note instanceof SharedNote.Account heard)) {
-      return;
+    switch (note) {
+      case SharedNote.Account heard when own -> hearOwn(account(heard.customer()), heard);
+      case SharedNote.Account heard -> account(heard.customer()).others().hear(heard);
+      // Of another, nothing was missed: what its note before this one said still holds.
+      case SharedNote.UnreadableAccount hidden when own -> account(hidden.customer()).renewNote();
+      default -> {}
     }
-    CustomerAccount account = account(heard.customer());
-    if (!own) {
-      account.others().hear(heard);
+  }
+
+  /**
+   * Decides a wish by the note that asks for it.
+   *
+   * <p>Failure: another writer's note under the own key is read before the own one, which is still
+   * on its way. Symptom, if the wish were decided by it: the others' wishes that come between
+   * aren't counted, and both are granted.
+   */
+  private void hearOwn(CustomerAccount account, SharedNote.Account heard) {
+    if (!account.isOwn(heard)) {
+      LOG.warn("another writer's note stands for the account of {}", account.customer());
+      account.renewNote();
     } else if (heard.asked() > 0) {
       account.decideWish(total(account), clock.instant());
     }
@@ -338,6 +370,9 @@
     if (!account.wishDecided()) {
       return Optional.empty();
     }
+    if (account.pastUnknown()) {
+      return Optional.of(notAtHand(account, request, COME_BACK_LOST));
+    }
     if (!account.mayCover(request.tokens(), total)) {
       return Optional.of(
           Problem.of(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -2,9 +2,11 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Queue;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.decisions.LeaseRelease;
 import org.teaseldeal.decisions.PrepaidLease;
@@ -35,6 +37,10 @@
   private final Demand demand = new Demand();
   private final List<WaitingRequest> waiting = new ArrayList<>();
 
+  /** Notes that were written and not read back yet, in order. */
+  private final Queue<SharedNote.Account> unread = new ArrayDeque<>();
+
+  private boolean pastUnknown;
   private long spent;
 
   /** Held by an earlier process on this machine when it ended. */
@@ -151,8 +157,48 @@
     noteDue = true;
   }
 
+  /**
+   * Takes note that what earlier processes on this machine spent can't be read.
+   *
+   * <p>Failure: a process that began anew from nothing would write that nothing was spent, and all
+   * would count by it. So it gives nothing out for as long as it runs, and writes no note.
+   */
+  void doubtPast() {
+    pastUnknown = true;
+  }
+
+  boolean pastUnknown() {
+    return pastUnknown;
+  }
+
+  /** Has a note written again: another writer's stands in its place. */
+  void renewNote() {
+    noteDue = true;
+  }
+
+  /** Whether a note of this instance is one that it wrote, and not another writer's. */
+  boolean isOwn(SharedNote.Account note) {
+    if (!unread.contains(note)) {
+      return false;
+    }
+    while (!note.equals(unread.poll())) {
+      // Replaced before it was read.
+    }
+    return true;
+  }
+
+  /** Called when all notes were read anew, those written here among them. */
+  void allRead() {
+    unread.clear();
+  }
+
   long takenByAll() {
-    return others.taken() + spent + lost + held();
+    return Saturated.sum(others.taken(), spent, lost, held());
+  }
+
+  /** Tokens that nobody has, as far as it is known what everybody has. */
+  private long free(long total) {
+    return others.known() && !pastUnknown ? Math.max(0, total - takenByAll()) : 0;
   }
 
   /** Whether the total may cover a request, counting as free what is idle or lost anywhere. */
@@ -177,7 +223,7 @@
     long wish = asked;
     asked = 0;
     if (wish > 0) {
-      if (takenByAll() + wish <= total) {
+      if (wish <= free(total)) {
         idle += wish;
       } else {
         noteDue = true;
@@ -250,7 +296,10 @@
       ClockReading reading,
       long heartbeats,
       Instant now) {
-    long remaining = Math.max(0, total - takenByAll());
+    if (pastUnknown) {
+      return Optional.empty();
+    }
+    long remaining = free(total);
     long target = closing ? 0 : target(total, instances);
     long wish = waitingThatFits(remaining);
     boolean urgent = wish > 0 || waits(now);
@@ -289,7 +338,7 @@
 
   /** Tokens that are neither spent nor given to requests, as far as is known. */
   private long pool(long total) {
-    return Math.max(0, total - takenByAll()) + idle + others.idle();
+    return Saturated.sum(free(total), idle, others.idle());
   }
 
   private double rateOfAll() {
@@ -326,21 +375,24 @@
     long pace = LeaseRelease.pace(idle + asked, demand.tokensPerSecond(), demand.largest());
     drafted = new Promise(now, held(), promised, new LeaseRelease(sealed, pace));
     takenSinceDrafted = 0;
-    return new SharedNote.Account(
-        instance,
-        customer,
-        spent,
-        lost,
-        held(),
-        idle,
-        asked,
-        wanted(),
-        promised,
-        pace,
-        tokensPerSecond(),
-        reading.steadyNanos(),
-        reading.wallMillis(),
-        heartbeats);
+    SharedNote.Account note =
+        new SharedNote.Account(
+            instance,
+            customer,
+            spent,
+            lost,
+            held(),
+            idle,
+            asked,
+            wanted(),
+            promised,
+            pace,
+            tokensPerSecond(),
+            reading.steadyNanos(),
+            reading.wallMillis(),
+            heartbeats);
+    unread.add(note);
+    return note;
   }
 
   /**
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/OthersNotes.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/OthersNotes.java
@@ -1,13 +1,16 @@
 package org.teaseldeal.gateway.account;
 
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.ToLongFunction;
 import org.teaseldeal.gateway.log.SharedNote;
 
 /** What other instances have said of their parts of one customer's total, and its sums. */
 final class OthersNotes {
   private final Map<String, SharedNote.Account> byInstance = new HashMap<>();
+  private final Set<String> unknown = new HashSet<>();
   private long taken;
   private long lost;
   private long idle;
@@ -15,16 +18,28 @@
   private long lacking;
   private long tokensPerSecond;
 
-  void forget() {
-    byInstance.clear();
-    addUp();
-  }
-
   void hear(SharedNote.Account note) {
+    unknown.remove(note.instance());
     byInstance.put(note.instance(), note);
     addUp();
   }
 
+  /**
+   * Takes note that what an instance holds isn't known.
+   *
+   * <p>Failure: its newest note was overwritten, and the one before it, which may have raised what
+   * it holds, was never read here. Symptom, if that counted as nothing or as before: the same
+   * tokens are given out twice. An instance that finds its note overwritten writes it anew at once.
+   */
+  void doubt(String instance) {
+    unknown.add(instance);
+  }
+
+  /** Whether what all others hold is known, so that the rest may be given out. */
+  boolean known() {
+    return unknown.isEmpty();
+  }
+
   /** Tokens that can't be given to this instance. */
   long taken() {
     return taken;
@@ -67,7 +82,7 @@
   private long sum(ToLongFunction<SharedNote.Account> part) {
     long sum = 0;
     for (SharedNote.Account note : byInstance.values()) {
-      sum += part.applyAsLong(note);
+      sum = Saturated.sum(sum, part.applyAsLong(note));
     }
     return sum;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
@@ -4,8 +4,10 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -43,6 +45,9 @@
   /** How far the epoch goes on after one that was in use: more than clocks of restarts differ. */
   private static final long EPOCH_STEP = 60_000;
 
+  /** Bounds memory whatever other writers do; beyond it nothing more is logged. */
+  private static final int MOST_REMEMBERED = 1_000;
+
   private enum State {
     FENCING,
     LOADING,
@@ -55,6 +60,9 @@
   private final InstantSource clock;
   private final List<LogParticipant> participants;
 
+  /** Keys whose newest record can't be read, each logged once. */
+  private final Set<String> unreadable = new HashSet<>();
+
   private State state = State.FENCING;
   private long epoch;
   private long sequence;
@@ -276,12 +284,16 @@
             });
   }
 
-  private static Optional<SharedNote> decode(PositionedRecord record) {
+  private Optional<SharedNote> decode(PositionedRecord record) {
     try {
-      return Optional.of(NoteCodec.decode(record.record()));
+      SharedNote note = NoteCodec.decode(record.record());
+      unreadable.remove(record.record().key());
+      return Optional.of(note);
     } catch (IllegalArgumentException e) {
-      LOG.warn("record at offset {} is skipped: {}", record.offset(), e.getMessage());
-      return Optional.empty();
+      if (unreadable.size() < MOST_REMEMBERED && unreadable.add(record.record().key())) {
+        LOG.warn("record at offset {} can't be read: {}", record.offset(), e.getMessage());
+      }
+      return NoteCodec.unreadable(record.record());
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetView.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetView.java
@@ -32,8 +32,14 @@
 
   @Override
   public void onNote(SharedNote note, boolean ownNote) {
-    if (note instanceof SharedNote.Presence presence && !ownNote) {
+    if (!(note instanceof SharedNote.Presence presence)) {
+      return;
+    }
+    if (!ownNote) {
       addresses.put(presence.instance(), presence.peerAddress());
+    } else if (!presence.equals(own)) {
+      // Somebody else's under the own key: the others would call the wrong address until a restart.
+      written = false;
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -6,6 +6,9 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Optional;
+import org.teaseldeal.api.Preconditions;
+import org.teaseldeal.net.IpAddresses;
 
 /**
  * Notes as records: the key names kind, instance and subject, the value holds the numbers.
@@ -16,6 +19,11 @@
   private static final String ACCOUNT = "account";
   private static final String CRASH = "crash";
   private static final String PRESENCE = "presence";
+  private static final int KEY_PARTS = 3;
+
+  /** Far more than one instance sees before all refuse the request. */
+  private static final int MOST_CRASHES = 1_000;
+
   private static final byte LAYOUT = 3;
 
   /** Without the pace. */
@@ -56,6 +64,8 @@
               : record(
                   key(CRASH, crash.instance(), crash.fingerprint()),
                   out -> out.writeInt(crash.count()));
+      case SharedNote.UnreadableAccount unreadable ->
+          throw new IllegalArgumentException("was a note that can't be read, expected another");
       case SharedNote.Presence presence ->
           record(
               key(PRESENCE, presence.instance(), ""), out -> out.writeUTF(presence.peerAddress()));
@@ -68,8 +78,8 @@
    * @throws IllegalArgumentException if the record is none of this layout
    */
   static SharedNote decode(KeyedRecord record) {
-    String[] key = record.key().split("\\|", 3);
-    if (key.length != 3) {
+    String[] key = record.key().split("\\|", KEY_PARTS);
+    if (key.length != KEY_PARTS || key[1].isBlank()) {
       throw new IllegalArgumentException(
           "key was '%s', expected kind|instance|subject".formatted(record.key()));
     }
@@ -83,12 +93,24 @@
             "layout of %s was %d, expected %d to %d"
                 .formatted(record.key(), layout, FIRST_LAYOUT, LAYOUT));
       }
-      return decode(layout, key, in);
+      SharedNote note = decode(layout, key, in);
+      if (in.available() > 0) {
+        throw new IllegalArgumentException("value of %s is too long".formatted(record.key()));
+      }
+      return note;
     } catch (IOException e) {
       throw new IllegalArgumentException("value of %s is too short".formatted(record.key()), e);
     }
   }
 
+  /** Whose account a record is about that {@link #decode} refuses; empty if it is about none. */
+  static Optional<SharedNote> unreadable(KeyedRecord record) {
+    String[] key = record.key().split("\\|", KEY_PARTS);
+    return key.length == KEY_PARTS && key[0].equals(ACCOUNT) && !key[1].isBlank()
+        ? Optional.of(new SharedNote.UnreadableAccount(key[1], key[2]))
+        : Optional.empty();
+  }
+
   private static SharedNote decode(byte layout, String[] key, DataInputStream in)
       throws IOException {
     String kind = key[0];
@@ -96,14 +118,28 @@
     String subject = key[2];
     return switch (kind) {
       case ACCOUNT -> account(layout, instance, subject, in);
-      case CRASH -> new SharedNote.Crash(instance, subject, in.readInt());
-      case PRESENCE -> new SharedNote.Presence(instance, in.readUTF());
+      case CRASH -> new SharedNote.Crash(instance, subject, crashes(in.readInt()));
+      case PRESENCE -> new SharedNote.Presence(instance, address(in.readUTF()));
       default ->
           throw new IllegalArgumentException(
               "kind was '%s', expected account, crash or presence".formatted(kind));
     };
   }
 
+  /**
+   * A count that is over has no value; a large one is as good as this, and can't overflow a sum.
+   */
+  private static int crashes(int count) {
+    Preconditions.requirePositive(count, "crashes");
+    return Math.min(count, MOST_CRASHES);
+  }
+
+  /** Checked here: a message to an address that is none fails, and those to all others with it. */
+  private static String address(String text) {
+    IpAddresses.parse(text);
+    return text;
+  }
+
   /**
    * Reads the numbers of an account.
    *
@@ -125,21 +161,40 @@
     long tokensPerSecond = first ? 0 : in.readLong();
     boolean paced = layout > SECOND_LAYOUT;
     long pace = paced ? in.readLong() : 0;
-    return new SharedNote.Account(
-        instance,
-        customer,
-        spent,
-        lost,
-        held,
-        idle,
-        asked,
-        wanted,
-        paced ? promised : idle + asked,
-        pace,
-        tokensPerSecond,
-        steadyNanos,
-        wallMillis,
-        heartbeats);
+    return checked(
+        new SharedNote.Account(
+            instance,
+            customer,
+            spent,
+            lost,
+            held,
+            idle,
+            asked,
+            wanted,
+            paced ? promised : idle + asked,
+            pace,
+            tokensPerSecond,
+            steadyNanos,
+            wallMillis,
+            heartbeats));
+  }
+
+  /** Refuses numbers that no instance writes, as no account can go on from them. */
+  private static SharedNote.Account checked(SharedNote.Account note) {
+    Preconditions.requireText(note.customer(), "customer");
+    Preconditions.requireNotNegative(note.tokensPerSecond(), "tokens per second");
+    Preconditions.require(
+        note.idle() <= note.held(),
+        "idle was %d, expected at most %d".formatted(note.idle(), note.held()));
+    try {
+      note.taken();
+    } catch (ArithmeticException e) {
+      throw new IllegalArgumentException("the numbers were too large to add up", e);
+    }
+    Preconditions.require(
+        note.promised() >= 0 && note.promised() <= note.idle() + note.asked(),
+        "promised was %d, expected 0 to %d".formatted(note.promised(), note.idle() + note.asked()));
+    return note;
   }
 
   private static String key(String kind, String instance, String subject) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -56,10 +56,16 @@
 
     /** What of the total can't be given to another instance. */
     public long taken() {
-      return spent + lost + held + asked;
+      return Math.addExact(Math.addExact(spent, lost), Math.addExact(held, asked));
     }
   }
 
+  /**
+   * A note of an account that can't be read: it says nothing, and hides what the note before it
+   * said. Never written.
+   */
+  record UnreadableAccount(String instance, String customer) implements SharedNote {}
+
   /**
    * How many backend servers this instance has seen a request crash.
    *
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ForeignNoteTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ForeignNoteTests.java
@@ -5,6 +5,11 @@
 
 import java.nio.ByteBuffer;
 import java.time.Duration;
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -36,7 +41,9 @@
     assertNotMoreThanTheTotalIsGiven();
   }
 
-  /** The same as it is first read by a process that has just started and knows nothing of before. */
+  /**
+   * The same as it is first read by a process that has just started and knows nothing of before.
+   */
   @Test
   void givesNothingOutWhileTheNoteOfAnotherCannotBeReadAtTheStart() {
     spendAtTheOther();
@@ -60,7 +67,9 @@
     assertEquals(1, fleet.instance(1).refused.size());
   }
 
-  /** Callers are served again once the instance has written its note anew, which it does at once. */
+  /**
+   * Callers are served again once the instance has written its note anew, which it does at once.
+   */
   @Test
   void servesOnOnceAnInstanceHasWrittenItsNoteAnew() {
     fleet.instance(0).port.line(Line.CUT);
@@ -104,6 +113,32 @@
     assertNotMoreThanTheTotalIsGiven();
   }
 
+  /** Whatever bytes are written at whatever time, and whether or not a process starts again. */
+  @Property(tries = 100, seed = "4711")
+  void givesNoMoreThanTheTotalWhateverBytesAreWritten(
+      @ForAll @Size(min = 1, max = 6) List<@Size(max = 40) byte[]> values, @ForAll long seed) {
+    AccountFleet drawing = new AccountFleet(3, TOTAL);
+    Random random = new Random(seed);
+    for (byte[] value : values) {
+      for (AccountFleet.Instance instance : drawing.instances) {
+        instance.request(TOTAL / 8 + random.nextInt((int) TOTAL / 4));
+      }
+      drawing.run(Duration.ofMillis(random.nextInt(500)));
+      int overwritten = random.nextInt(3);
+      drawing.overwriteNote(overwritten, value);
+      if (random.nextBoolean()) {
+        drawing.log.forgetHistory();
+      }
+      if (random.nextInt(3) == 0) {
+        drawing.end(overwritten);
+        drawing.run(Duration.ofMillis(random.nextInt(500)));
+        drawing.startAgain(overwritten);
+      }
+      drawing.run(Duration.ofMillis(random.nextInt(1_000)));
+    }
+    assertTrue(drawing.given() <= TOTAL, drawing.given() + " tokens were given");
+  }
+
   private void spendAtTheOther() {
     fleet.instance(1).request(TOTAL * 8 / 10);
     fleet.run(A_WHILE);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
@@ -89,7 +89,8 @@
             new KeyedRecord("account|a|trawler", new byte[0]),
             new KeyedRecord("account||trawler", account),
             new KeyedRecord("account|a|", account),
-            record(new SharedNote.Account("a", "c", Long.MAX_VALUE, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0)),
+            record(
+                new SharedNote.Account("a", "c", Long.MAX_VALUE, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0)),
             record(new SharedNote.Account("a", "c", 0, 0, 3, 4, 0, 0, 0, 0, 0, 0, 0, 0)),
             record(new SharedNote.Account("a", "c", 0, 0, 4, 4, 5, 0, 10, 0, 0, 0, 0, 0)),
             record(new SharedNote.Account("a", "c", 0, 0, 4, 4, 5, 0, -1, 0, 0, 0, 0, 0)),
