Test counts of crashes that nobody takes back

A request is refused for good by all instances once a count stands under the name of an instance that isn't there.

--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/quarantine/RequestQuarantineTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/quarantine/RequestQuarantineTests.java
@@ -104,6 +104,34 @@
     assertFalse(fleet.getFirst().active(), "still counted after the time to forget");
   }
 
+  /**
+   * A caller's request is refused by all for a while only. A count stands under the name of an
+   * instance that isn't there, or is gone for good, so nobody ever takes it back.
+   */
+  @Test
+  void forgetsWhatNobodyTakesBack() {
+    RequestQuarantine one = fleet.getFirst();
+    one.onNote(new SharedNote.Crash("nobody", REQUEST, 1_000), false);
+    assertTrue(one.holds(REQUEST), "what another instance counted isn't held");
+    clock.advance(Duration.ofMinutes(5));
+    one.tick();
+    assertFalse(one.holds(REQUEST), "held for good");
+    assertFalse(one.active(), "still counted after the time to forget");
+  }
+
+  /** Read again after a gap, the same note is as old as before. */
+  @Test
+  void countsNoNoteLongerForReadingItAgain() {
+    SharedNote note = new SharedNote.Crash("nobody", REQUEST, 3);
+    RequestQuarantine one = fleet.getFirst();
+    one.onLoaded(List.of(note), true);
+    clock.advance(Duration.ofMinutes(3));
+    one.onLoaded(List.of(note), false);
+    clock.advance(Duration.ofMinutes(2));
+    one.tick();
+    assertFalse(one.holds(REQUEST), "held for good");
+  }
+
   private RequestQuarantine quarantine(String instance) {
     return new RequestQuarantine(instance, listed::contains, events::add, clock);
   }
