Forget counts of crashes that nobody takes back

Cause: what another instance had counted of a request was kept until it took the count back; another writer, or an instance that is gone for good, never does. Change: a count of others that stays the same ends a minute after an instance would have taken it back; read again after a gap, it is as old as it was. Ruled out: a shorter time, as an instance keeps its own for three minutes.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/RequestQuarantine.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/RequestQuarantine.java
@@ -39,12 +39,21 @@
   /** Callers who send a request again do so within minutes; the log needn't hold it for longer. */
   private static final Duration FORGET_AFTER = Duration.ofMinutes(3);
 
+  /**
+   * An instance takes its count back after {@link #FORGET_AFTER}; what is there for longer is
+   * nobody's, or another writer's, and would stop a request for good.
+   */
+  private static final Duration FORGET_OTHERS_AFTER = FORGET_AFTER.plusMinutes(1);
+
   /** Bounds memory when many servers crash at once: thirty requests run at each. */
   private static final int MOST_TRACKED = 2_000;
 
   /** A request whose connection broke off at a server. */
   private record Suspect(String fingerprint, BackendServerId server, Instant at) {}
 
+  /** What another instance has counted of a request, and since when this count is known here. */
+  private record Heard(int crashes, Instant at) {}
+
   /** What this instance has counted of a request; due until the log has it. */
   private static final class Count {
     private int crashes;
@@ -58,7 +67,7 @@
   private final InstantSource clock;
   private final List<Suspect> suspects = new ArrayList<>();
   private final Map<String, Count> own = new LinkedHashMap<>();
-  private final Map<String, Map<String, Integer>> others = new HashMap<>();
+  private final Map<String, Map<String, Heard>> others = new HashMap<>();
 
   /**
    * Creates the quarantine of {@code instance}; {@code listed} tells whether a server is listed.
@@ -104,11 +113,12 @@
 
   /** Takes servers that are gone from the list as crashed, and forgets what is old. */
   public void tick() {
-    if (suspects.isEmpty() && own.isEmpty()) {
+    if (suspects.isEmpty() && !active()) {
       return;
     }
     confirm(suspect -> !listed.test(suspect.server()));
     Instant now = clock.instant();
+    forgetOthers(now);
     suspects.removeIf(suspect -> suspect.at().plus(PROOF_WITHIN).isBefore(now));
     for (Count count : own.values()) {
       if (count.crashes > 0 && count.last.plus(FORGET_AFTER).isBefore(now)) {
@@ -118,22 +128,30 @@
     }
   }
 
+  private void forgetOthers(Instant now) {
+    for (Map<String, Heard> byInstance : others.values()) {
+      byInstance.values().removeIf(each -> each.at().plus(FORGET_OTHERS_AFTER).isBefore(now));
+    }
+    others.values().removeIf(Map::isEmpty);
+  }
+
   @Override
   public void onNote(SharedNote note, boolean ownNote) {
     if (note instanceof SharedNote.Crash crash && !ownNote) {
-      hear(crash);
+      hear(crash, others);
     }
   }
 
   @Override
   public void onLoaded(List<SharedNote> notes, boolean first) {
+    Map<String, Map<String, Heard>> before = new HashMap<>(others);
     others.clear();
     for (SharedNote note : notes) {
       if (!(note instanceof SharedNote.Crash crash)) {
         continue;
       }
       if (!crash.instance().equals(instance)) {
-        hear(crash);
+        hear(crash, before);
       } else if (first) {
         goOn(crash);
       }
@@ -170,18 +188,24 @@
     count.last = clock.instant();
   }
 
-  private void hear(SharedNote.Crash crash) {
+  /** {@code before} is what was known; a count that was known already is as old as it was. */
+  private void hear(SharedNote.Crash crash, Map<String, Map<String, Heard>> before) {
     if (crash.count() == 0) {
-      Map<String, Integer> byInstance = others.get(crash.fingerprint());
+      Map<String, Heard> byInstance = others.get(crash.fingerprint());
       if (byInstance != null) {
         byInstance.remove(crash.instance());
         others.remove(crash.fingerprint(), Map.of());
       }
       return;
     }
+    Heard known = before.getOrDefault(crash.fingerprint(), Map.of()).get(crash.instance());
+    Heard heard =
+        known != null && known.crashes() == crash.count()
+            ? known
+            : new Heard(crash.count(), clock.instant());
     others
         .computeIfAbsent(crash.fingerprint(), fingerprint -> new HashMap<>())
-        .put(crash.instance(), crash.count());
+        .put(crash.instance(), heard);
   }
 
   private void confirm(Predicate<Suspect> crashed) {
@@ -213,8 +237,8 @@
   private int crashes(String fingerprint) {
     Count count = own.get(fingerprint);
     int sum = count == null ? 0 : count.crashes;
-    for (int each : others.getOrDefault(fingerprint, Map.of()).values()) {
-      sum += each;
+    for (Heard each : others.getOrDefault(fingerprint, Map.of()).values()) {
+      sum += each.crashes();
     }
     return sum;
   }
