Test that a backend server may start again under its id

Cause: a server's id stands for one process for good, so one that crashed or drained and starts again under its id stays shut out, or is called at its old address.

--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -0,0 +1,71 @@
+package org.teaseldeal.gateway.fake;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseldeal.api.Problem;
+import org.teaseldeal.api.Result;
+import org.teaseldeal.gateway.flow.AnswerVerdict;
+import org.teaseldeal.gateway.flow.Dialect;
+import org.teaseldeal.gateway.flow.Handover;
+import org.teaseldeal.gateway.flow.RoutedRequest;
+import org.teaseldeal.net.HttpAnswer;
+import org.teaseldeal.net.HttpCallRequest;
+import org.teaseldeal.net.HttpExchange;
+
+/** Takes every request for one host and every answer as genuine. */
+public final class FakeDialect implements Dialect {
+  /** The host of all requests. */
+  public static final String HOST = "desk.example";
+
+  @Override
+  public Result<RoutedRequest> read(HttpExchange exchange) {
+    return Result.ok(
+        new RoutedRequest(
+            requestId(exchange),
+            exchange.method(),
+            HOST,
+            exchange.path(),
+            List.of(),
+            exchange.body(),
+            Optional.empty(),
+            Optional.empty(),
+            Optional.empty()));
+  }
+
+  @Override
+  public String requestId(HttpExchange exchange) {
+    return "r-1";
+  }
+
+  @Override
+  public HttpCallRequest forward(RoutedRequest request, Handover handover) {
+    return new HttpCallRequest(
+        handover.address(),
+        request.method(),
+        request.target(),
+        Map.of(),
+        request.body(),
+        handover.timeLeft());
+  }
+
+  @Override
+  public boolean isAnswerTo(RoutedRequest request, Map<String, String> headers) {
+    return true;
+  }
+
+  @Override
+  public AnswerVerdict verdict(int status, Map<String, String> headers) {
+    return AnswerVerdict.GENUINE;
+  }
+
+  @Override
+  public Map<String, String> answerHeaders(Map<String, String> headers) {
+    return headers;
+  }
+
+  @Override
+  public HttpAnswer refuse(Problem problem) {
+    return new HttpAnswer(problem.kind().status(), Map.of(), new byte[0]);
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
@@ -0,0 +1,82 @@
+package org.teaseldeal.gateway.fake;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseldeal.net.HttpExchange;
+import org.teaseldeal.net.ResponseStream;
+
+/** A caller's request without a body, and the status of its whole answer. */
+public final class FakeExchange implements HttpExchange {
+  private final String path;
+  private int status;
+
+  /** Creates a request for {@code path}. */
+  public FakeExchange(String path) {
+    this.path = path;
+  }
+
+  /** The answer's status; 0 while there is none. */
+  public int status() {
+    return status;
+  }
+
+  @Override
+  public String method() {
+    return "POST";
+  }
+
+  @Override
+  public String path() {
+    return path;
+  }
+
+  @Override
+  public Optional<String> header(String name) {
+    return Optional.empty();
+  }
+
+  @Override
+  public List<Map.Entry<String, String>> headers() {
+    return List.of();
+  }
+
+  @Override
+  public byte[] body() {
+    return new byte[0];
+  }
+
+  @Override
+  public Duration sinceHead() {
+    return Duration.ZERO;
+  }
+
+  @Override
+  public String remoteAddress() {
+    return "10.0.0.99";
+  }
+
+  @Override
+  public void respond(int answerStatus, Map<String, String> headers, byte[] body) {
+    if (status != 0) {
+      throw new IllegalStateException("a second answer: " + answerStatus);
+    }
+    status = answerStatus;
+  }
+
+  @Override
+  public ResponseStream startStream(int answerStatus, Map<String, String> headers) {
+    throw new UnsupportedOperationException("streams aren't played");
+  }
+
+  @Override
+  public void abort() {
+    throw new UnsupportedOperationException("aborts aren't played");
+  }
+
+  @Override
+  public void onCallerGone(Runnable action) {
+    // Callers wait for their answers.
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -0,0 +1,140 @@
+package org.teaseldeal.gateway.flow;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Random;
+import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.account.AccountBook;
+import org.teaseldeal.gateway.account.ClockReading;
+import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.fake.FakeDialect;
+import org.teaseldeal.gateway.fake.FakeExchange;
+import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.plan.CallerLimits;
+import org.teaseldeal.gateway.plan.GatewayPlan;
+import org.teaseldeal.gateway.plan.PlannedService;
+import org.teaseldeal.gateway.plan.Route;
+import org.teaseldeal.gateway.plan.RouteKind;
+import org.teaseldeal.gateway.plan.WeightedService;
+import org.teaseldeal.gateway.quarantine.RequestQuarantine;
+import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerListing;
+import org.teaseldeal.net.HttpCallRequest;
+import org.teaseldeal.net.HttpFailure;
+import org.teaseldeal.net.HttpListener;
+
+/** A gateway whose backend servers are played by the test, in virtual time. */
+final class GatewayFixture {
+  static final String SERVICE = "register";
+
+  /** Path prefixes of the two routes. */
+  static final String ONCE = "/bid/";
+
+  static final String REPEATABLE = "/hold/";
+
+  /** A request as it was sent to a server's address. */
+  record Sent(HttpCallRequest request, HttpListener listener) {
+    String address() {
+      return request.address();
+    }
+
+    void loseAnswer() {
+      listener.onFailure(HttpFailure.NO_ANSWER, "reset");
+    }
+
+    void answer() {
+      listener.onHead(200, Map.of());
+      listener.onEnd();
+    }
+  }
+
+  final ManualClock clock = new ManualClock();
+  final ServerDirectory servers = new ServerDirectory();
+  final List<Sent> sent = new ArrayList<>();
+  final List<GatewayEvent> events = new ArrayList<>();
+  final RequestDesk desk;
+
+  GatewayFixture() {
+    GatewayPlan plan =
+        new GatewayPlan(
+            1,
+            List.of(
+                route("bid", ONCE, RouteKind.AT_MOST_ONCE, 1),
+                route("hold", REPEATABLE, RouteKind.IDEMPOTENT, 2)),
+            List.of(new PlannedService(SERVICE, 100, 0)),
+            List.of(),
+            CallerLimits.untilPublished());
+    ClockReading reading = new ClockReading(0, 0);
+    AccountBook accounts =
+        new AccountBook(
+            "instance-1",
+            customer -> OptionalLong.empty(),
+            () -> 1,
+            events::add,
+            clock,
+            reading,
+            () -> reading,
+            Optional::empty);
+    RequestQuarantine quarantine =
+        new RequestQuarantine(
+            "instance-1", id -> servers.find(id).isPresent(), events::add, clock);
+    desk =
+        new RequestDesk(
+            new GatewayParts(
+                () -> plan,
+                servers,
+                accounts,
+                quarantine,
+                new FakeDialect(),
+                (request, listener) -> {
+                  sent.add(new Sent(request, listener));
+                  return () -> {};
+                },
+                Map::of,
+                () -> 1,
+                new GatewayLimits(0.2, 50, Duration.ofSeconds(10)),
+                events::add,
+                clock,
+                new Random(1)));
+  }
+
+  void list(String id, String address, Instant start) {
+    servers.put(
+        new ServerListing(
+            new BackendServerId(id), SERVICE, address, "hall-a", 6, false, Optional.of(start)));
+    desk.tick();
+  }
+
+  BackendServer server(String id) {
+    return servers.find(new BackendServerId(id)).orElseThrow();
+  }
+
+  /** A caller's request; its answer is found in the exchange. */
+  FakeExchange call(String path) {
+    FakeExchange exchange = new FakeExchange(path);
+    desk.handle(exchange);
+    return exchange;
+  }
+
+  private static Route route(String name, String prefix, RouteKind kind, int maxAttempts) {
+    return new Route(
+        name,
+        FakeDialect.HOST,
+        prefix,
+        kind,
+        false,
+        true,
+        Duration.ofSeconds(5),
+        Duration.ofSeconds(1),
+        Duration.ofSeconds(1),
+        0,
+        maxAttempts,
+        List.of(new WeightedService(SERVICE, 1)));
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerChoiceTests.java
@@ -0,0 +1,93 @@
+package org.teaseldeal.gateway.flow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.decisions.PromptPlacement;
+import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerListing;
+
+class ServerChoiceTests {
+  private static final Instant NOW = Instant.ofEpochMilli(1_700_000_000_000L);
+  private static final PromptPlacement.Prompt NO_PROMPT =
+      new PromptPlacement.Prompt("", 0, 0, Duration.ofSeconds(1));
+
+  /** More in a row than chance explains, so that a server is left out. */
+  private static final int MANY_FAILURES = 6;
+
+  private final ServerDirectory servers = new ServerDirectory();
+  private final ServerChoice choice = new ServerChoice(servers, Map::of, new Random(1));
+
+  @BeforeEach
+  void list() {
+    for (String id : new String[] {"a", "b", "c"}) {
+      servers.put(listing(id, NOW));
+    }
+    choice.tick(NOW);
+  }
+
+  /** A server that failed until it was left out starts again under its id: it serves at once. */
+  @Test
+  void startsARestartedServerWithACleanRecord() {
+    fail(find("a"));
+    choice.tick(NOW);
+    assertEquals(2, candidates());
+    servers.put(listing("a", NOW.plusMillis(1)));
+    assertEquals(3, candidates());
+  }
+
+  /**
+   * A server that started again is sent its share. The answers lost of the process before it become
+   * known only now, one by one, and say nothing of the new one.
+   */
+  @Test
+  void countsNoFailureOfAnEarlierIncarnation() {
+    BackendServer crashed = find("a");
+    servers.put(listing("a", NOW.plusMillis(1)));
+    choice.tick(NOW);
+    fail(crashed);
+    choice.tick(NOW);
+    assertEquals(3, candidates());
+  }
+
+  /** The only server of a service fails, is gone from the list and returns: it is new. */
+  @Test
+  void forgetsTheLastServerOfAService() {
+    for (String id : new String[] {"b", "c"}) {
+      servers.remove(new BackendServerId(id));
+    }
+    fail(find("a"));
+    servers.remove(new BackendServerId("a"));
+    choice.tick(NOW);
+    list();
+    assertEquals(3, candidates());
+  }
+
+  private void fail(BackendServer server) {
+    for (int i = 0; i < MANY_FAILURES; i++) {
+      choice.onFailed(server);
+    }
+  }
+
+  private int candidates() {
+    return choice.choose("models", NO_PROMPT, Set.of(), NOW).orElseThrow().candidates();
+  }
+
+  private BackendServer find(String id) {
+    return servers.find(new BackendServerId(id)).orElseThrow();
+  }
+
+  private static ServerListing listing(String id, Instant start) {
+    return new ServerListing(
+        new BackendServerId(id), "models", "10.0.0.1:80", "hall-a", 64, false, Optional.of(start));
+  }
+}
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -15,6 +16,7 @@
 
 class LoadExchangeTests {
   private static final BackendServerId ENGINE = new BackendServerId("i-1");
+  private static final Instant FIRST = Instant.ofEpochMilli(1_700_000_000_000L);
 
   private final ManualClock clock = new ManualClock();
   private final List<byte[]> sent = new ArrayList<>();
@@ -22,8 +24,9 @@
   private final LoadExchange telling =
       new LoadExchange(
           "a", teller, () -> List.of("10.0.0.2:7"), (to, message) -> sent.add(message), clock);
+  private final ServerDirectory listener = directory();
   private final LoadExchange hearing =
-      new LoadExchange("b", directory(), List::of, (to, message) -> {}, clock);
+      new LoadExchange("b", listener, List::of, (to, message) -> {}, clock);
 
   @Test
   void addsUpWhatOthersHaveOutstanding() {
@@ -54,6 +57,27 @@
     assertEquals(Map.of(ENGINE, new OthersLoad(2, 1000)), hearing.others());
   }
 
+  /**
+   * A server that started again draws its share of requests. A peer that hasn't heard of the restart
+   * still tells what it had at the process that crashed; the new one has none of it.
+   */
+  @Test
+  void takesNoLoadOfAnEarlierIncarnation() {
+    teller.put(listing(Optional.of(FIRST)));
+    listener.put(listing(Optional.of(FIRST.plusMillis(1))));
+    teller.find(ENGINE).orElseThrow().started(700);
+    telling.tick();
+    hearing.receive(sent.getFirst());
+    assertEquals(Map.of(), hearing.others());
+
+    teller.put(listing(Optional.of(FIRST.plusMillis(1))));
+    teller.find(ENGINE).orElseThrow().started(300);
+    clock.advance(Duration.ofMillis(200));
+    telling.tick();
+    hearing.receive(sent.getLast());
+    assertEquals(Map.of(ENGINE, new OthersLoad(1, 300)), hearing.others());
+  }
+
   @Test
   void ignoresWhatIsNoMessage() {
     hearing.receive(new byte[] {9, 9, 9});
@@ -63,8 +87,11 @@
 
   private static ServerDirectory directory() {
     ServerDirectory servers = new ServerDirectory();
-    servers.put(
-        new ServerListing(ENGINE, "models", "10.0.0.9:80", "hall-a", 64, false, Optional.empty()));
+    servers.put(listing(Optional.empty()));
     return servers;
   }
+
+  private static ServerListing listing(Optional<Instant> startedAt) {
+    return new ServerListing(ENGINE, "models", "10.0.0.9:80", "hall-a", 64, false, startedAt);
+  }
 }
