Tell the processes of a backend server apart by id and start

Cause: whatever is remembered of a server was remembered under its id, which stood for one process. A server that started again under its id was shut out for good if it had said that it leaves, and called at its old address if it crashed. Change: ServerIncarnation (id and start) names a process. A line with a later start replaces it by a new BackendServer; an earlier start changes nothing; of the same start leaving is final, now also after the line was gone (DepartedServers, at most 4,096). A line without a start behind one with a start changes nothing, and the reverse is a new process. Once half of the list tells a start, lines without one name no server, and those listed are dropped; half, so that one line of another writer can't take away a fleet whose servers tell none. A fleet without starts goes on as before.

Looked at for the same cause: - attempts' "not again at this one": by process now, else a repeatable request is refused though its only server is back. - load told by peers: the hash covers the start, else an idle new process looks loaded. Instances of the release before hash the id alone; beside them, load of servers with starts isn't added up, which costs worse choices during the rollout only. - quarantine: by process; a later start proves the end of the one before, which was missed if the line never expired, and a refused connection at the old address proves nothing of the new process. - health: forgotten with the process; answers and failures of an earlier one aren't counted; a service whose servers are all gone forgets them too. - counts of running requests and prompt tokens: in the object, which attempts keep; nothing to mend but the new object. - placement's homes: by id on purpose. The new process has nothing cached, and to read a beginning anew costs the same anywhere. - heartbeat count: counts records of the topic, not the servers' own numbers; a restart doesn't set it back. - the product's own router and core: its list has an incarnation of its own beside the id, and all is keyed by it. The stand-in draws a new one at each start and may keep its id; it has no start to tell on that list, and is left as it is. - account notes, presence and crash notes name instances, not servers. Log: ServerListed is told once for each change, with the new state restarted; servers whose lapse ran out are told as gone, which they weren't. RequestQuarantineTests names processes in place of ids, its checks are the same, and takesARefusalByAnEarlierIncarnationForNoCrashOfTheNext is new; ServerHealthTests gains startsAServerAnewThatIsAnotherProcess.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerHealth.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerHealth.java
@@ -80,6 +80,12 @@
     }
   }
 
+  /** Forgets a server whose process is another from now on; the next list starts its ramp. */
+  public void forget(BackendServerId server) {
+    medianKnown = false;
+    records.remove(server);
+  }
+
   /**
    * Counts an answer.
    *
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/ServerHealthTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/ServerHealthTests.java
@@ -98,4 +98,16 @@
     assertEquals(0.1, health.rampShare(server(9), NOW));
     assertEquals(1, health.rampShare(server(0), NOW));
   }
+
+  /** A server that was left out has started again: it is taken in at once, and by degrees. */
+  @Test
+  void startsAServerAnewThatIsAnotherProcess() {
+    fail(0, 5);
+    health.update(NOW);
+    health.forget(server(0));
+    health.onListed(servers, NOW, false);
+    health.update(NOW);
+    assertTrue(health.isIn(server(0), NOW));
+    assertEquals(0.1, health.rampShare(server(0), NOW));
+  }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -72,7 +72,7 @@
   /** A published plan could not be read; the one before stays in force. */
   record PlanUnreadable(long offset, String detail) implements GatewayEvent {}
 
-  /** A backend server is new on the list, leaves, or is gone from it. */
+  /** A backend server is new on the list, started again, leaves, or is gone from it. */
   record ServerListed(String server, String service, String address, String state)
       implements GatewayEvent {}
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
-import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.decisions.PromptPlacement;
@@ -18,6 +17,7 @@
 import org.teaseldeal.gateway.plan.PrepaidCustomer;
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.ServerIncarnation;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpExchange;
 
@@ -73,7 +73,7 @@
   private final long planVersion;
   private final Instant arrived;
   private final Instant deadline;
-  private final Set<BackendServerId> tried = new HashSet<>();
+  private final Set<ServerIncarnation> tried = new HashSet<>();
 
   private Stage stage = Stage.TOKENS;
   private Reservation reservation = Reservation.NONE;
@@ -316,13 +316,13 @@
         .accept(
             new GatewayEvent.AttemptFailed(
                 request.id(), server.id().name(), sends, end.name(), detail, failed.age()));
-    tried.add(server.id());
+    tried.add(server.incarnation());
     stage = Stage.SERVER;
     switch (end) {
       case NOT_SENT -> {
         sends--;
         unreachable++;
-        parts.quarantine().onUnreachable(server.id());
+        parts.quarantine().onUnreachable(server.incarnation());
         server.avoidUntil(now().plus(UNREACHABLE_PAUSE));
         sendAgainIf(unreachable < MAX_UNREACHABLE, ErrorKind.NO_BACKEND_SERVER, detail);
       }
@@ -337,7 +337,7 @@
       case SERVER_ERROR -> sendAgainIf(true, ErrorKind.BACKEND_FAILED, detail);
       case MAY_HAVE_RUN -> {
         desk.choice().onFailed(server);
-        parts.quarantine().onBrokenOff(request.fingerprint(), server.id());
+        parts.quarantine().onBrokenOff(request.fingerprint(), server.incarnation());
         sendAgainIf(route.repeatable() && mayRepeat(), ErrorKind.BACKEND_FAILED, detail);
       }
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -16,6 +16,7 @@
 import org.teaseldeal.gateway.peer.OthersLoad;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerIncarnation;
 
 /** Chooses the backend server of each attempt from what the list and own attempts say. */
 final class ServerChoice {
@@ -32,6 +33,7 @@
   private final Supplier<Map<BackendServerId, OthersLoad>> load;
   private final RandomGenerator random;
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
+  private final Map<BackendServerId, ServerIncarnation> followed = new HashMap<>();
   private long seenChanges = -1;
 
   ServerChoice(
@@ -45,17 +47,38 @@
 
   /** Follows the list and leaves out servers that have become unfit. */
   void tick(Instant now) {
-    if (seenChanges != servers.changes()) {
-      Map<String, Set<BackendServerId>> listed = new HashMap<>();
-      for (BackendServer server : servers.all()) {
-        listed.computeIfAbsent(server.service(), name -> new HashSet<>()).add(server.id());
-      }
-      listed.forEach((service, ids) -> health(service).onListed(ids, now, seenChanges < 0));
-      seenChanges = servers.changes();
-    }
+    followList(now);
     healthByService.values().forEach(health -> health.update(now));
   }
 
+  private void followList(Instant now) {
+    if (seenChanges == servers.changes()) {
+      return;
+    }
+    Map<String, Set<BackendServerId>> listed = new HashMap<>();
+    for (BackendServer server : servers.all()) {
+      listed.computeIfAbsent(server.service(), name -> new HashSet<>()).add(server.id());
+      forgetEarlierIncarnation(server);
+    }
+    listed.keySet().forEach(this::health);
+    healthByService.forEach(
+        (service, health) ->
+            health.onListed(listed.getOrDefault(service, Set.of()), now, seenChanges < 0));
+    followed.keySet().removeIf(id -> servers.find(id).isEmpty());
+    seenChanges = servers.changes();
+  }
+
+  /**
+   * Failure: a server that failed until it was left out starts again under its id. Symptom: the new
+   * process stands idle for the rest of the ejection, or is given little as its predecessor was
+   * slow.
+   */
+  private void forgetEarlierIncarnation(BackendServer server) {
+    if (!server.incarnation().equals(followed.put(server.id(), server.incarnation()))) {
+      health(server.service()).forget(server.id());
+    }
+  }
+
   /** Servers are compared with those of their own service only. */
   private ServerHealth health(String service) {
     return healthByService.computeIfAbsent(
@@ -66,14 +89,15 @@
    * Chooses a server of {@code service}.
    *
    * @param prompt of no tokens for a plain service
-   * @param tried servers that failed this request before
+   * @param tried servers that failed this request before; one that started again since is none
    */
   Optional<Chosen> choose(
-      String service, PromptPlacement.Prompt prompt, Set<BackendServerId> tried, Instant now) {
+      String service, PromptPlacement.Prompt prompt, Set<ServerIncarnation> tried, Instant now) {
+    followList(now);
     ServerHealth health = health(service);
     List<BackendServer> ready = servers.ready(service);
     List<BackendServer> untried =
-        ready.stream().filter(server -> !tried.contains(server.id())).toList();
+        ready.stream().filter(server -> !tried.contains(server.incarnation())).toList();
     List<BackendServer> fit =
         untried.stream()
             .filter(server -> !server.avoided(now) && health.isIn(server.id(), now))
@@ -103,12 +127,14 @@
    * @param work the time that it should take, in any unit; the kinds of request differ by far
    */
   void onAnswered(BackendServer server, Duration took, double work) {
-    health(server.service()).onAnswered(server.id(), took, work);
+    if (servers.lists(server.incarnation())) {
+      health(server.service()).onAnswered(server.id(), took, work);
+    }
   }
 
-  /** Counts a failure that is the server's. */
+  /** Counts a failure that is the server's; of an earlier process it says nothing of the next. */
   void onFailed(BackendServer server) {
-    if (servers.find(server.id()).isPresent()) {
+    if (servers.lists(server.incarnation())) {
       health(server.service()).onFailed(server.id());
     }
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -14,6 +14,7 @@
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerIncarnation;
 
 /**
  * Tells the other instances what this one has outstanding at each backend server, and adds up what
@@ -32,6 +33,9 @@
   /** News older than this say nothing: most prompts were read since. */
   private static final Duration STALE = Duration.ofSeconds(1);
 
+  /** Bounds memory over many restarts; a fleet has some hundreds, which are soon hashed anew. */
+  private static final int MOST_HASHES = 4_096;
+
   private record Heard(LoadNews news, Instant at) {}
 
   private final String instance;
@@ -40,7 +44,7 @@
   private final PeerPort port;
   private final InstantSource clock;
   private final Map<String, Heard> heard = new HashMap<>();
-  private final Map<BackendServerId, Long> hashes = new HashMap<>();
+  private final Map<ServerIncarnation, Long> hashes = new HashMap<>();
   private Instant next = Instant.MIN;
   private long sequence;
   private boolean idleTold;
@@ -109,7 +113,7 @@
     }
     Map<BackendServerId, OthersLoad> byServer = new HashMap<>();
     for (BackendServer server : servers.all()) {
-      OthersLoad sum = sums.get(hash(server.id()));
+      OthersLoad sum = sums.get(hash(server.incarnation()));
       if (sum != null) {
         byServer.put(server.id(), sum);
       }
@@ -122,14 +126,26 @@
     for (BackendServer server : servers.all()) {
       if (server.running() > 0) {
         int ahead = (int) Math.clamp(server.promptTokensAhead(), 0, Integer.MAX_VALUE);
-        loads.add(new LoadNews.ServerLoad(hash(server.id()), server.running(), ahead));
+        loads.add(new LoadNews.ServerLoad(hash(server.incarnation()), server.running(), ahead));
       }
     }
     return loads;
   }
 
-  private long hash(BackendServerId id) {
+  /**
+   * Differs with the start, so that what a peer still has at an earlier process isn't taken for the
+   * load of the one that runs.
+   */
+  private long hash(ServerIncarnation incarnation) {
+    if (hashes.size() >= MOST_HASHES) {
+      hashes.clear();
+    }
     return hashes.computeIfAbsent(
-        id, server -> Hashing.komihash5_0().hashCharsToLong(server.name()));
+        incarnation, each -> Hashing.komihash5_0().hashCharsToLong(hashedName(each)));
+  }
+
+  private static String hashedName(ServerIncarnation incarnation) {
+    String start = incarnation.startedAt().map(at -> "\n" + at.toEpochMilli()).orElse("");
+    return incarnation.id().name() + start;
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadNews.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadNews.java
@@ -19,7 +19,7 @@
   /**
    * One server's part.
    *
-   * @param server a hash of the server's id, which is too long to send so often
+   * @param server a hash of the server's id and start, which are too long to send so often
    */
   record ServerLoad(long server, int running, int promptTokensAhead) {}
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/RequestQuarantine.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/RequestQuarantine.java
@@ -10,11 +10,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Predicate;
-import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.log.LogParticipant;
 import org.teaseldeal.gateway.log.SharedNote;
+import org.teaseldeal.gateway.server.ServerIncarnation;
 
 /**
  * Stops requests that crash each backend server that begins to run them.
@@ -25,9 +25,9 @@
  * shared log what it has seen, and all count together.
  *
  * <p>A broken connection alone proves no crash: an answer may have been lost on its way. It counts
- * only once the server can't be connected to, or is gone from the list without having left. A
- * request that happened to run beside the culprit is counted too; that it happens to {@link #LIMIT}
- * servers in a row without one answer between is too rare to matter.
+ * only once the server can't be connected to, is gone from the list, or is listed with a later
+ * start. A request that happened to run beside the culprit is counted too; that it happens to
+ * {@link #LIMIT} servers in a row without one answer between is too rare to matter.
  */
 public final class RequestQuarantine implements LogParticipant {
   /** Crashes after which a request isn't sent any more; two may be chance when a rack fails. */
@@ -43,7 +43,7 @@
   private static final int MOST_TRACKED = 2_000;
 
   /** A request whose connection broke off at a server. */
-  private record Suspect(String fingerprint, BackendServerId server, Instant at) {}
+  private record Suspect(String fingerprint, ServerIncarnation server, Instant at) {}
 
   /** What this instance has counted of a request; due until the log has it. */
   private static final class Count {
@@ -53,7 +53,7 @@
   }
 
   private final String instance;
-  private final Predicate<BackendServerId> listed;
+  private final Predicate<ServerIncarnation> listed;
   private final EventSink events;
   private final InstantSource clock;
   private final List<Suspect> suspects = new ArrayList<>();
@@ -61,10 +61,11 @@
   private final Map<String, Map<String, Integer>> others = new HashMap<>();
 
   /**
-   * Creates the quarantine of {@code instance}; {@code listed} tells whether a server is listed.
+   * Creates the quarantine of {@code instance}; {@code listed} tells whether that incarnation of a
+   * server is listed.
    */
   public RequestQuarantine(
-      String instance, Predicate<BackendServerId> listed, EventSink events, InstantSource clock) {
+      String instance, Predicate<ServerIncarnation> listed, EventSink events, InstantSource clock) {
     this.instance = instance;
     this.listed = listed;
     this.events = events;
@@ -82,14 +83,14 @@
   }
 
   /** Takes note that a server closed a request's connection without an answer. */
-  public void onBrokenOff(String fingerprint, BackendServerId server) {
+  public void onBrokenOff(String fingerprint, ServerIncarnation server) {
     if (suspects.size() < MOST_TRACKED) {
       suspects.add(new Suspect(fingerprint, server, clock.instant()));
     }
   }
 
   /** Takes note that a server can't be connected to: what broke off there was a crash. */
-  public void onUnreachable(BackendServerId server) {
+  public void onUnreachable(ServerIncarnation server) {
     confirm(suspect -> suspect.server().equals(server));
   }
 
@@ -102,7 +103,9 @@
     }
   }
 
-  /** Takes servers that are gone from the list as crashed, and forgets what is old. */
+  /**
+   * Takes servers that are gone from the list, or replaced, as crashed, and forgets what is old.
+   */
   public void tick() {
     if (suspects.isEmpty() && own.isEmpty()) {
       return;
@@ -206,7 +209,7 @@
     count.noteDue = true;
     if (crashes(suspect.fingerprint()) == LIMIT) {
       events.accept(
-          new GatewayEvent.RequestQuarantined(suspect.fingerprint(), suspect.server().name()));
+          new GatewayEvent.RequestQuarantined(suspect.fingerprint(), suspect.server().id().name()));
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -3,9 +3,14 @@
 import java.time.Instant;
 import org.teaseldeal.api.BackendServerId;
 
-/** One backend server as listed, and this instance's own work at it. */
+/**
+ * One incarnation of a backend server as listed, and this instance's own work at it.
+ *
+ * <p>A server that starts again under its id is another object. So what still runs at the process
+ * before is counted there, and its end can't be taken off the counts of the new one.
+ */
 public final class BackendServer {
-  private final BackendServerId id;
+  private final ServerIncarnation incarnation;
   private final String service;
   private final String address;
   private final String dataCentre;
@@ -16,7 +21,7 @@
   private Instant avoidUntil = Instant.MIN;
 
   BackendServer(ServerListing listing) {
-    this.id = listing.id();
+    this.incarnation = listing.incarnation();
     this.service = listing.service();
     this.address = listing.address();
     this.dataCentre = listing.dataCentre();
@@ -24,9 +29,14 @@
     this.leaving = listing.leaving();
   }
 
-  /** Names this incarnation. */
+  /** Names the server; the next incarnation may have the same id. */
   public BackendServerId id() {
-    return id;
+    return incarnation.id();
+  }
+
+  /** Names this run of its process. */
+  public ServerIncarnation incarnation() {
+    return incarnation;
   }
 
   /** The service it belongs to. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -5,6 +5,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,36 +17,83 @@
   private final Map<BackendServerId, BackendServer> servers = new HashMap<>();
   private final Map<BackendServerId, Instant> lapsed = new HashMap<>();
   private final Map<String, Map<BackendServerId, BackendServer>> byService = new HashMap<>();
+  private final DepartedServers departed = new DepartedServers();
   private long changes;
 
-  /** Takes in a new or changed line of the list. */
-  public void put(ServerListing listing) {
-    changes++;
-    lapsed.remove(listing.id());
+  /** Stays set: good lines may all be gone for a moment while another writer's stay. */
+  private boolean startsTold;
+
+  /**
+   * Takes in a line of the list.
+   *
+   * <p>A line of a later incarnation replaces what is known of its server; of an earlier one, it
+   * changes nothing. Of the same one, leaving is final, and nothing else changes.
+   */
+  public ListChange put(ServerListing listing) {
+    if (startsTold && listing.startedAt().isEmpty()) {
+      return ListChange.NONE;
+    }
     BackendServer known = servers.get(listing.id());
     if (known == null) {
-      BackendServer added = new BackendServer(listing);
-      servers.put(listing.id(), added);
-      byService
-          .computeIfAbsent(listing.service(), name -> new LinkedHashMap<>())
-          .put(listing.id(), added);
-    } else if (listing.leaving()) {
-      known.markLeaving();
+      return putUnlisted(listing);
+    }
+    if (listing.incarnation().startedAfter(known.incarnation())) {
+      return replace(known, listing);
     }
+    if (!listing.incarnation().equals(known.incarnation())) {
+      return ListChange.NONE;
+    }
+    lapsed.remove(listing.id());
+    return listing.leaving() && known.listedAsReady() ? leave(known) : ListChange.NONE;
   }
 
-  /** Takes a line out of the list: the server left, or was silent for too long. */
-  public void remove(BackendServerId id) {
-    lapsed.remove(id);
-    BackendServer removed = servers.remove(id);
-    if (removed == null) {
-      return;
+  private ListChange putUnlisted(ServerListing listing) {
+    if (departed.shutsOut(listing.incarnation())) {
+      return ListChange.NONE;
     }
+    departed.remove(listing.id());
+    add(listing);
+    return listing.leaving() ? ListChange.LEAVING : ListChange.READY;
+  }
+
+  private ListChange replace(BackendServer earlier, ServerListing listing) {
+    drop(earlier);
+    add(listing);
+    return listing.leaving() ? ListChange.LEAVING : ListChange.RESTARTED;
+  }
+
+  private ListChange leave(BackendServer server) {
+    changes++;
+    server.markLeaving();
+    return ListChange.LEAVING;
+  }
+
+  private void add(ServerListing listing) {
     changes++;
-    removed.markLeaving();
-    Map<BackendServerId, BackendServer> others = byService.get(removed.service());
+    BackendServer added = new BackendServer(listing);
+    servers.put(listing.id(), added);
+    byService
+        .computeIfAbsent(listing.service(), name -> new LinkedHashMap<>())
+        .put(listing.id(), added);
+  }
+
+  private void drop(BackendServer server) {
+    changes++;
+    lapsed.remove(server.id());
+    servers.remove(server.id());
+    server.markLeaving();
+    Map<BackendServerId, BackendServer> others = byService.get(server.service());
     if (others != null) {
-      others.remove(id);
+      others.remove(server.id());
+    }
+  }
+
+  /** Takes a line out of the list: the server left, or was silent for too long. */
+  public void remove(BackendServerId id) {
+    BackendServer removed = servers.get(id);
+    if (removed != null) {
+      departed.add(removed.incarnation(), !removed.listedAsReady());
+      drop(removed);
     }
   }
 
@@ -67,16 +115,37 @@
     }
   }
 
-  /** Removes what has not come back in time. */
-  public void tick(Instant now) {
-    if (lapsed.isEmpty()) {
-      return;
-    }
-    for (Map.Entry<BackendServerId, Instant> entry : List.copyOf(lapsed.entrySet())) {
-      if (!now.isBefore(entry.getValue())) {
-        remove(entry.getKey());
-      }
+  /** Removes what has not come back in time and what names no server, and returns it. */
+  public List<BackendServer> tick(Instant now) {
+    Set<BackendServer> gone = new LinkedHashSet<>();
+    lapsed.forEach(
+        (id, until) -> {
+          if (!now.isBefore(until)) {
+            find(id).ifPresent(gone::add);
+          }
+        });
+    if (!startsTold && mostTellStarts()) {
+      startsTold = true;
+      gone.addAll(servers.values().stream().filter(server -> !tellsStart(server)).toList());
     }
+    gone.forEach(server -> remove(server.id()));
+    return List.copyOf(gone);
+  }
+
+  /**
+   * Whether the list is of a fleet that tells starts, so that a line without one names no server.
+   *
+   * <p>Failure: another writer's line is taken for a server's. Symptom: requests are sent to an
+   * address that is none of the platform's. All servers of a fleet tell their start, or none does;
+   * half of the list decides, so that one line of another writer can't take a whole fleet away.
+   */
+  private boolean mostTellStarts() {
+    long telling = servers.values().stream().filter(ServerDirectory::tellsStart).count();
+    return telling > 0 && 2 * telling >= servers.size();
+  }
+
+  private static boolean tellsStart(BackendServer server) {
+    return server.incarnation().startedAt().isPresent();
   }
 
   /** Removes all that are not among {@code listed}, after the list was read anew. */
@@ -109,12 +178,18 @@
     return Optional.ofNullable(servers.get(id));
   }
 
+  /** Whether this incarnation is listed; not so once a later one of its id is. */
+  public boolean lists(ServerIncarnation incarnation) {
+    BackendServer known = servers.get(incarnation.id());
+    return known != null && known.incarnation().equals(incarnation);
+  }
+
   /** All that are listed. */
   public Collection<BackendServer> all() {
     return servers.values();
   }
 
-  /** Counts up with each change of the list. */
+  /** Counts up with each change of which servers are listed, and of which of them are ready. */
   public long changes() {
     return changes;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerListing.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerListing.java
@@ -26,4 +26,9 @@
     Preconditions.requireText(address, "address of " + id);
     Preconditions.requirePositive(places, "places of " + id);
   }
+
+  /** The process that the line is of. */
+  public ServerIncarnation incarnation() {
+    return new ServerIncarnation(id, startedAt);
+  }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -82,8 +82,7 @@
             () -> reading,
             Optional::empty);
     RequestQuarantine quarantine =
-        new RequestQuarantine(
-            "instance-1", id -> servers.find(id).isPresent(), events::add, clock);
+        new RequestQuarantine("instance-1", servers::lists, events::add, clock);
     desk =
         new RequestDesk(
             new GatewayParts(
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -58,8 +58,8 @@
   }
 
   /**
-   * A server that started again draws its share of requests. A peer that hasn't heard of the restart
-   * still tells what it had at the process that crashed; the new one has none of it.
+   * A server that started again draws its share of requests. A peer that hasn't heard of the
+   * restart still tells what it had at the process that crashed; the new one has none of it.
    */
   @Test
   void takesNoLoadOfAnEarlierIncarnation() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/quarantine/RequestQuarantineTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/quarantine/RequestQuarantineTests.java
@@ -5,21 +5,24 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.fake.ManualClock;
 import org.teaseldeal.gateway.log.SharedNote;
+import org.teaseldeal.gateway.server.ServerIncarnation;
 
 class RequestQuarantineTests {
   private static final String REQUEST = "f1";
 
   private final ManualClock clock = new ManualClock();
-  private final Set<BackendServerId> listed =
+  private final Set<ServerIncarnation> listed =
       new HashSet<>(Set.of(server(0), server(1), server(2), server(3)));
   private final List<GatewayEvent> events = new ArrayList<>();
   private final List<RequestQuarantine> fleet =
@@ -43,7 +46,8 @@
       assertTrue(each.holds(REQUEST), "not held after three crashes");
       assertFalse(each.holds("beside 1"), "a request that ran beside it is held");
     }
-    assertEquals(List.of(new GatewayEvent.RequestQuarantined(REQUEST, server(2).name())), events);
+    assertEquals(
+        List.of(new GatewayEvent.RequestQuarantined(REQUEST, server(2).id().name())), events);
   }
 
   /**
@@ -61,6 +65,20 @@
     assertFalse(fleet.getFirst().active(), "a lost answer was counted as a crash");
   }
 
+  /**
+   * A caller's request isn't stopped for an answer lost at a server that runs. The server's earlier
+   * process, at another address, refuses a connection; that tells nothing of the one that runs.
+   */
+  @Test
+  void takesARefusalByAnEarlierIncarnationForNoCrashOfTheNext() {
+    ServerIncarnation earlier = new ServerIncarnation(server(0).id(), Optional.of(Instant.EPOCH));
+    ServerIncarnation later =
+        new ServerIncarnation(server(0).id(), Optional.of(Instant.EPOCH.plusMillis(1)));
+    fleet.getFirst().onBrokenOff(REQUEST, later);
+    fleet.getFirst().onUnreachable(earlier);
+    assertFalse(fleet.getFirst().active(), "a lost answer was counted as a crash");
+  }
+
   /** A crashed server that nobody connects to again is found out by its absence from the list. */
   @Test
   void countsServersThatAreGoneFromTheList() {
@@ -116,7 +134,7 @@
     }
   }
 
-  private static BackendServerId server(int index) {
-    return new BackendServerId("engine-" + index);
+  private static ServerIncarnation server(int index) {
+    return new ServerIncarnation(new BackendServerId("engine-" + index), Optional.empty());
   }
 }
