Close kept connections to a server's process that has ended

Cause: after a loss of power the connections to a process stay open here, by address; the next request on one is reset, counts as one that may have run, and isn't repeated. Ruled out: a check of each connection before use, which the dead machine's silence passes.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.teaseldeal.api.BackendServerId;
 
 /** The backend servers that are listed, by service. */
@@ -18,11 +19,17 @@
   private final Map<BackendServerId, Instant> lapsed = new HashMap<>();
   private final Map<String, Map<BackendServerId, BackendServer>> byService = new HashMap<>();
   private final DepartedServers departed = new DepartedServers();
+  private Consumer<BackendServer> replacedListener = earlier -> {};
   private long changes;
 
   /** Stays set: good lines may all be gone for a moment while another writer's stay. */
   private boolean startsTold;
 
+  /** Tells {@code listener} of each incarnation that a later one of its id takes the place of. */
+  public void onReplaced(Consumer<BackendServer> listener) {
+    replacedListener = listener;
+  }
+
   /**
    * Takes in a line of the list.
    *
@@ -59,6 +66,7 @@
   private ListChange replace(BackendServer earlier, ServerListing listing) {
     drop(earlier);
     add(listing);
+    replacedListener.accept(earlier);
     return listing.leaving() ? ListChange.LEAVING : ListChange.RESTARTED;
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
@@ -7,6 +7,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -70,6 +71,8 @@
   void replacesAnIncarnationByALaterOne() {
     directory.put(started("c", FIRST, false));
     BackendServer crashed = find("c");
+    List<BackendServer> replaced = new ArrayList<>();
+    directory.onReplaced(replaced::add);
     crashed.started(700);
     crashed.avoidUntil(Instant.MAX);
     directory.put(
@@ -92,6 +95,7 @@
     assertEquals(List.of("a", "b"), ready("models"));
     crashed.ended();
     assertEquals(0, restarted.running());
+    assertEquals(List.of(crashed), replaced);
   }
 
   /** A server that was draining ends and starts again under its id: it serves at once. */
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -76,6 +76,11 @@
     writing = channel.writeAndFlush(encode(next.request()));
   }
 
+  /** Closes a connection that was taken out of the pool and has no call. */
+  void discard() {
+    channel.close();
+  }
+
   private FullHttpRequest encode(HttpCallRequest request) {
     FullHttpRequest encoded =
         new DefaultFullHttpRequest(
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -59,6 +59,22 @@
     return collector.answer();
   }
 
+  /** Closes the connections to {@code address} that have no call. */
+  public void closeIdle(String address) {
+    InetSocketAddress closed;
+    try {
+      closed = IpAddresses.parse(address);
+    } catch (IllegalArgumentException e) {
+      // Nothing can be connected to it, so nothing is.
+      return;
+    }
+    for (ClientConnection idle = pool.takeIdle(closed);
+        idle != null;
+        idle = pool.takeIdle(closed)) {
+      idle.discard();
+    }
+  }
+
   /** Closes all connections; calls under way fail. */
   @Override
   public void close() {
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
@@ -205,6 +205,26 @@
       }
     }
 
+    @Test
+    void withoutACallAreClosedOnRequest() throws Exception {
+      // A server's process has ended without closing its connections. What is kept to its address
+      // is closed; the next call goes over a new connection.
+      try (ScriptedServer server =
+          new ScriptedServer(
+              socket -> {
+                ScriptedServer.readRequest(socket);
+                ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+                assertEquals(-1, socket.getInputStream().read());
+              })) {
+        for (int i = 0; i < 3; i++) {
+          assertEquals("ok", client.fetch(request(server.address(), "GET", "")).get().text());
+          client.closeIdle(address(server.address()));
+          server.awaitClosed(i + 1);
+        }
+        client.closeIdle("no address");
+      }
+    }
+
     @Test
     void areClosedWhenBytesComeThatNobodyAskedFor() throws Exception {
       try (ScriptedServer server =
