Test that a server whose clock was set back returns

Cause: what is kept of departed servers outlasts any late line. A server whose clock was set back before it started again tells an earlier start and would be shut out for good: ServerDirectoryTests.listsAServerWithAnEarlierStartInTheEnd fails on this code.

--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
@@ -146,6 +146,20 @@
     assertEquals(List.of("a", "b"), ready("models"));
   }
 
+  /** A server's clock is set back and it starts again: it isn't shut out for good. */
+  @Test
+  void listsAServerWithAnEarlierStartInTheEnd() {
+    directory.tick(BACK);
+    directory.put(started("c", SECOND, false));
+    directory.remove(new BackendServerId("c"));
+    directory.tick(BACK.plus(Duration.ofMinutes(1)));
+    directory.put(started("c", FIRST, false));
+    assertEquals(List.of("a", "b"), ready("models"));
+    directory.tick(BACK.plus(Duration.ofMinutes(2)));
+    directory.put(started("c", FIRST, false));
+    assertEquals(List.of("a", "b", "c"), ready("models"));
+  }
+
   /**
    * A server that was cut off from the list serves again once it is back. It lived on meanwhile, so
    * its line comes with the start that it had; only its own heartbeat can have written it.
