Forget departed servers after two minutes

Cause: an earlier start behind a departed server's was refused for good, so a server whose clock was set back would have been shut out. A line is late by seconds; after two minutes any start is taken.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/DepartedServers.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/DepartedServers.java
@@ -1,5 +1,7 @@
 package org.teaseldeal.gateway.server;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.teaseldeal.api.BackendServerId;
@@ -14,7 +16,13 @@
   /** Some tens of fleets; a line isn't late by so many departures. About 200 bytes each. */
   private static final int MOST = 4_096;
 
-  private record Departed(ServerIncarnation incarnation, boolean left) {}
+  /**
+   * Longer than lines are late: the store is away for some ten seconds at most. Not for good, as a
+   * server whose clock was set back starts with an earlier start.
+   */
+  private static final Duration KEPT = Duration.ofMinutes(2);
+
+  private record Departed(ServerIncarnation incarnation, boolean left, Instant at) {}
 
   private final Map<BackendServerId, Departed> departed =
       new LinkedHashMap<>() {
@@ -23,6 +31,13 @@
           return size() > MOST;
         }
       };
+  private Instant now = Instant.MIN;
+
+  /** Forgets those that are gone for long. */
+  void tick(Instant time) {
+    now = time;
+    departed.values().removeIf(each -> !each.at().plus(KEPT).isAfter(time));
+  }
 
   /**
    * Takes note that a server is gone; {@code left} if it had said that it leaves.
@@ -33,7 +48,7 @@
   void add(ServerIncarnation incarnation, boolean left) {
     if (incarnation.startedAt().isPresent()) {
       departed.remove(incarnation.id());
-      departed.put(incarnation.id(), new Departed(incarnation, left));
+      departed.put(incarnation.id(), new Departed(incarnation, left, now));
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -125,6 +125,7 @@
 
   /** Removes what has not come back in time and what names no server, and returns it. */
   public List<BackendServer> tick(Instant now) {
+    departed.tick(now);
     Set<BackendServer> gone = new LinkedHashSet<>();
     lapsed.forEach(
         (id, until) -> {
