Refuse everything before asking whether a stopping instance may end

Cause: what is taken during a stop and when the process may end were decided in two places. Requests that still wait and have not run are refused as such 300 ms before the end; runs that are left at the end get their answer (502) or see their stream broken off. The time until the end is bounded by the grace also where it is short, counts from one reading of the clock, and before the balancer has noticed a request is refused too if nine in ten of its route's last answers took longer than is left. Changed test: DrainAdmissionTests passes the usual duration (zero); its cases and their expectations are as before.

--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/DrainAdmissionTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/DrainAdmissionTests.java
@@ -32,8 +32,38 @@
     assertTrue(admits(Duration.ofMillis(4_800), Duration.ofSeconds(1)));
   }
 
+  /**
+   * A caller's stream breaks off after it has run for four seconds. The balancer didn't know of the
+   * stop yet, so it was taken, though streams of its route have taken five seconds lately and four
+   * and a half were left.
+   */
+  @Test
+  void refusesEarlyWhatUsuallyOutlastsTheInstance() {
+    assertFalse(admits(Duration.ofMillis(2_500), Duration.ofSeconds(15), Duration.ofSeconds(5)));
+    assertTrue(admits(Duration.ofMillis(1_500), Duration.ofSeconds(15), Duration.ofSeconds(5)));
+  }
+
+  /** Told to stop with a second to go, half of it is kept for what was taken before. */
+  @Test
+  void takesNothingLongToTheEndOfAShortGrace() {
+    DrainAdmission hasty = new DrainAdmission(BEGAN, BEGAN.plusSeconds(1));
+    Instant read = BEGAN.plusMillis(600);
+    assertFalse(hasty.admits(read, read.plusSeconds(15), Duration.ZERO));
+    assertTrue(hasty.admits(read, read.plusMillis(300), Duration.ZERO));
+  }
+
+  /** What would be sent in the last moment is cut off or late; it is refused instead. */
+  @Test
+  void takesNothingInTheLastMoment() {
+    assertFalse(admits(Duration.ofMillis(6_800), Duration.ofMillis(100)));
+  }
+
   private boolean admits(Duration after, Duration patience) {
-    Instant arrived = BEGAN.plus(after);
-    return admission.admits(arrived, arrived.plus(patience));
+    return admits(after, patience, Duration.ZERO);
+  }
+
+  private boolean admits(Duration after, Duration patience, Duration usual) {
+    Instant read = BEGAN.plus(after);
+    return admission.admits(read, read.plus(patience), usual);
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -14,6 +14,7 @@
 import org.teaseldeal.api.Result;
 import org.teaseldeal.decisions.ComeBackTime;
 import org.teaseldeal.decisions.DrainAdmission;
+import org.teaseldeal.decisions.RecentDurations;
 import org.teaseldeal.decisions.RetryWindow;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.plan.GatewayPlan;
@@ -50,14 +51,13 @@
       long planVersion,
       Instant arrived) {}
 
-  /** How long callers still come after an instance says that it is not ready. */
-  public static final Duration CALLERS_COME_FOR = DrainAdmission.BALANCER_NOTICES;
-
   private final GatewayParts parts;
   private final ServerChoice choice;
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
   private final Map<String, RetryWindow> retries = new HashMap<>();
+  private final Map<String, RecentDurations> answersOfRoutes = new HashMap<>();
   private @Nullable DrainAdmission draining;
+  private boolean refusing;
 
   /** Creates a desk. */
   public RequestDesk(GatewayParts parts) {
@@ -70,9 +70,23 @@
     return flows.size();
   }
 
-  /** Takes from now on only what ends before {@code ends}, once callers can go elsewhere. */
-  public void drainUntil(Instant ends) {
-    draining = new DrainAdmission(parts.clock().instant(), ends);
+  /** Takes from now on only what {@code admission} admits. */
+  public void drain(DrainAdmission admission) {
+    draining = admission;
+  }
+
+  /**
+   * Refuses from now on everything that has not run, what waits included: it would be cut off
+   * without an answer, or sent to a server that has no time left to run it.
+   */
+  public void refuseAll() {
+    refusing = true;
+    new ArrayList<>(flows).forEach(RequestFlow::refuseIfNotRun);
+  }
+
+  /** Ends all requests: says of each what is true, and breaks off the answers that have begun. */
+  public void breakOffAll() {
+    new ArrayList<>(flows).forEach(RequestFlow::breakOff);
   }
 
   @Override
@@ -124,9 +138,8 @@
       return Result.err(
           Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers"));
     }
-    DrainAdmission drain = draining;
-    if (drain != null && !drain.admits(arrived, arrived.plus(longest(request, route.get())))) {
-      return refusal(ErrorKind.DRAINING, "the instance stops", drain.comeBack());
+    if (!takes(route.get(), arrived.plus(longest(request, route.get())))) {
+      return Result.err(stopping());
     }
     String service = route.get().drawService(parts.random());
     int tokensPerEvent = plan.service(service).map(PlannedService::tokensPerEvent).orElse(0);
@@ -135,6 +148,19 @@
             request, route.get(), customer, service, tokensPerEvent, plan.version(), arrived));
   }
 
+  private boolean takes(Route route, Instant deadline) {
+    DrainAdmission drain = draining;
+    if (drain == null) {
+      return true;
+    }
+    Duration usual = answersOf(route).ofNearlyAll();
+    return !refusing && drain.admits(parts.clock().instant(), deadline, usual);
+  }
+
+  private RecentDurations answersOf(Route route) {
+    return answersOfRoutes.computeIfAbsent(route.name(), name -> new RecentDurations());
+  }
+
   private Result<Admitted> refusal(ErrorKind kind, String detail, Duration comeBack) {
     return Result.err(Problem.retryable(kind, detail, spread(comeBack)));
   }
@@ -166,6 +192,22 @@
     return patience.compareTo(route.timeout()) < 0 ? patience : route.timeout();
   }
 
+  /** Whether nothing is sent to a server for the first time any more. */
+  boolean refusing() {
+    return refusing;
+  }
+
+  /** What a caller is told whose request has not run as the instance stops. */
+  Problem stopping() {
+    DrainAdmission drain = draining;
+    Duration comeBack = drain == null ? COME_BACK_STARTING : drain.comeBack();
+    return Problem.retryable(ErrorKind.DRAINING, "the instance stops", spread(comeBack));
+  }
+
+  void onAnswered(Route route, Duration took) {
+    answersOf(route).add(took);
+  }
+
   ServerChoice choice() {
     return choice;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -170,7 +170,31 @@
     }
   }
 
+  /** Refuses it if no server can have run it: it waits for tokens or for a server. */
+  void refuseIfNotRun() {
+    boolean waits = stage == Stage.TOKENS || stage == Stage.SERVER;
+    if (waits && !mayHaveRun) {
+      refuse(desk.stopping());
+    }
+  }
+
+  /** Ends it now, as the process ends. */
+  void breakOff() {
+    refuseIfNotRun();
+    if (stage == Stage.ENDED) {
+      return;
+    }
+    if (attempt != null) {
+      giveUpAttempt(attempt);
+    }
+    fail(Problem.of(ErrorKind.BACKEND_FAILED, "the instance ended while it ran"));
+  }
+
   private void send() {
+    if (desk.refusing() && !mayHaveRun) {
+      refuse(desk.stopping());
+      return;
+    }
     Optional<ServerChoice.Chosen> chosen =
         desk.choice().choose(service, placedPrompt(), tried, now());
     if (chosen.isEmpty()) {
@@ -284,6 +308,7 @@
 
   private void answered() {
     mayHaveRun = true;
+    desk.onAnswered(route, Duration.between(arrived, now()));
     if (parts.quarantine().active()) {
       parts.quarantine().onAnswered(request.fingerprint());
     }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
@@ -4,12 +4,14 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.util.concurrent.Future;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import io.netty.util.concurrent.Promise;
 import java.io.IOException;
@@ -104,12 +106,37 @@
 
   /** Stops listening; what holds for {@link #closeAfterAnswers} holds for open connections. */
   public void stopAccepting() {
+    beginToStopAccepting().awaitUninterruptibly();
+  }
+
+  /**
+   * As {@link #stopAccepting}, for an event loop, which can't wait.
+   *
+   * <p>Callers whose connections the system has accepted for the server would see them reset if the
+   * socket were closed at once; they are taken first.
+   *
+   * @return done when the address is free
+   */
+  public Future<Void> beginToStopAccepting() {
     closeAfterAnswers();
-    listening.close().syncUninterruptibly();
-    // The system goes on listening until the selector has let go of the socket.
-    Promise<Void> released = listening.eventLoop().newPromise();
-    NetRuntime.afterPendingInput(listening.eventLoop(), () -> released.setSuccess(null));
-    released.awaitUninterruptibly();
+    EventLoop loop = listening.eventLoop();
+    Promise<Void> released = loop.newPromise();
+    NetRuntime.afterPendingInput(
+        loop,
+        () -> {
+          listening.close();
+          // The system goes on listening until the selector has let go of the socket.
+          NetRuntime.afterPendingInput(loop, () -> released.setSuccess(null));
+        });
+    return released;
+  }
+
+  /**
+   * Reads nothing more from any connection. No request comes up from now on; the answers that are
+   * outstanding still leave.
+   */
+  public void stopReading() {
+    connections.forEach(connection -> connection.config().setAutoRead(false));
   }
 
   /** Stops listening and closes all connections. */
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -316,7 +316,10 @@
     request = null;
     body = new ByteArrayOutputStream(0);
     releaseBody();
-    channel.writeAndFlush(ServerExchange.wholeAnswer(answer, false));
+    unanswered.incrementAndGet();
+    channel
+        .writeAndFlush(ServerExchange.wholeAnswer(answer, false))
+        .addListener(done -> unanswered.decrementAndGet());
     closeGracefully();
   }
 
