--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpServerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpServerTests.java
@@ -214,6 +214,55 @@
     }
   }
 
+  @Nested
+  class Stops {
+    /**
+     * A caller's connection is reset and its request never read. The system had accepted the
+     * connection for the server while its event loop was busy, and the listening socket was closed
+     * before the loop came to take it.
+     */
+    @Test
+    void takeTheConnectionsThatTheSystemHasAccepted() throws Exception {
+      HttpServer server = startEcho();
+      CountDownLatch busy = new CountDownLatch(1);
+      NetRuntime.group().forEach(loop -> loop.execute(() -> awaitQuietly(busy)));
+      try (RawConnection connection = connect(server)) {
+        connection.send(post("/a", "x"));
+        Thread stopping = Thread.ofVirtual().start(server::stopAccepting);
+        while (stopping.getState() == Thread.State.NEW
+            || stopping.getState() == Thread.State.RUNNABLE) {
+          Thread.onSpinWait();
+        }
+        busy.countDown();
+        assertTrue(connection.readToEnd().endsWith("POST /a x"));
+        stopping.join();
+      }
+    }
+
+    /** The process may not end before a rejection has left it either. */
+    @Test
+    void waitForRejectionsToo() throws Exception {
+      byte[] large = new byte[32 << 20];
+      HttpServer server =
+          HttpServer.start(
+              CONFIG, exchange -> {}, rejection -> new HttpAnswer(400, Map.of(), large));
+      servers.add(server);
+      try (RawConnection connection = connect(server)) {
+        connection.send("NOT A REQUEST\r\n\r\n");
+        connection.readUntil("400 Bad Request");
+        assertEquals(1, server.unanswered());
+      }
+    }
+
+    private void awaitQuietly(CountDownLatch latch) {
+      try {
+        latch.await();
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+  }
+
   @Nested
   class Rejections {
     @Test
