--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -53,6 +53,7 @@
 
   private final GatewayParts parts;
   private final ServerChoice choice;
+  private final GuardedSteps guarded = new GuardedSteps();
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
   private final Map<String, RetryWindow> retries = new HashMap<>();
   private final Map<String, RecentDurations> answersOfRoutes = new HashMap<>();
@@ -81,12 +82,12 @@
    */
   public void refuseAll() {
     refusing = true;
-    new ArrayList<>(flows).forEach(RequestFlow::refuseIfNotRun);
+    new ArrayList<>(flows).forEach(flow -> guarded.run("refuse", flow::refuseIfNotRun));
   }
 
   /** Ends all requests: says of each what is true, and breaks off the answers that have begun. */
   public void breakOffAll() {
-    new ArrayList<>(flows).forEach(RequestFlow::breakOff);
+    new ArrayList<>(flows).forEach(flow -> guarded.run("break off", flow::breakOff));
   }
 
   @Override
@@ -102,7 +103,7 @@
   public void tick() {
     choice.tick(parts.clock().instant());
     parts.quarantine().tick();
-    new ArrayList<>(flows).forEach(RequestFlow::tick);
+    new ArrayList<>(flows).forEach(flow -> guarded.run("request", flow::tick));
   }
 
   private void start(HttpExchange exchange, Admitted admitted) {
