--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GuardedSteps.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GuardedSteps.java
@@ -31,4 +31,9 @@
       LOG.info("step '{}' is well again", name);
     }
   }
+
+  /** Forgets a step that is over. */
+  public void forget(String name) {
+    failing.remove(name);
+  }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -82,12 +82,12 @@
    */
   public void refuseAll() {
     refusing = true;
-    new ArrayList<>(flows).forEach(flow -> guarded.run("refuse", flow::refuseIfNotRun));
+    new ArrayList<>(flows).forEach(flow -> guarded.run(flow.request().id(), flow::refuseIfNotRun));
   }
 
   /** Ends all requests: says of each what is true, and breaks off the answers that have begun. */
   public void breakOffAll() {
-    new ArrayList<>(flows).forEach(flow -> guarded.run("break off", flow::breakOff));
+    new ArrayList<>(flows).forEach(flow -> guarded.run(flow.request().id(), flow::breakOff));
   }
 
   @Override
@@ -103,7 +103,7 @@
   public void tick() {
     choice.tick(parts.clock().instant());
     parts.quarantine().tick();
-    new ArrayList<>(flows).forEach(flow -> guarded.run("request", flow::tick));
+    new ArrayList<>(flows).forEach(flow -> guarded.run(flow.request().id(), flow::tick));
   }
 
   private void start(HttpExchange exchange, Admitted admitted) {
@@ -229,6 +229,7 @@
 
   void onEnded(RequestFlow flow) {
     flows.remove(flow);
+    guarded.forget(flow.request().id());
   }
 
   private RetryWindow window(String service) {
