Wait for the writer of the log before the process ends

Cause: close() found the buffer empty while the writer held the last line, and the process ended. Ruled out: a missing event (it is accepted before close). Change: close() stops the writer and waits for it, a second at most.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
@@ -34,6 +34,12 @@
 
   private static final Duration IDLE_WAIT = Duration.ofMillis(500);
 
+  /**
+   * A line takes well under a millisecond, the first one some hundreds, as classes are loaded for
+   * it; if nobody reads the output, waiting longer doesn't help.
+   */
+  private static final Duration LAST_WRITE = Duration.ofSeconds(1);
+
   private record Line(Instant time, GatewayEvent event) {}
 
   private final BlockingQueue<Line> lines = new ArrayBlockingQueue<>(CAPACITY);
@@ -42,6 +48,7 @@
   private final PrintStream out;
   private final InstantSource clock;
   private final String instance;
+  private final Thread writer = new Thread(this::writeAll, "event-log");
   private volatile boolean closed;
 
   private EventLog(PrintStream out, InstantSource clock, String instance) {
@@ -53,9 +60,8 @@
   /** Starts a log of {@code instance}; {@code clock} shows the time of day. */
   public static EventLog start(PrintStream out, InstantSource clock, String instance) {
     EventLog log = new EventLog(out, clock, instance);
-    Thread writer = new Thread(log::writeAll, "event-log");
-    writer.setDaemon(true);
-    writer.start();
+    log.writer.setDaemon(true);
+    log.writer.start();
     return log;
   }
 
@@ -79,9 +85,15 @@
     return dropped.get();
   }
 
-  /** Writes what is left, as far as it can be written soon. */
+  /**
+   * Writes what is left, as far as it can be written soon.
+   *
+   * <p>The writer may have taken a line from the buffer that it has not written yet; without a wait
+   * for it, the process would end before its last lines, those of its stop, are out.
+   */
   public void close() {
     closed = true;
+    awaitWriter();
     Line line;
     while ((line = lines.poll()) != null) {
       write(line);
@@ -89,6 +101,16 @@
     out.flush();
   }
 
+  private void awaitWriter() {
+    // It may be waiting for a line.
+    writer.interrupt();
+    try {
+      writer.join(LAST_WRITE);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   private static boolean sampledOut(GatewayEvent event) {
     return switch (event) {
       case GatewayEvent.Placed placed -> placed.attempt() == 1 && isSampledOut(placed.request());
