--- a/platform/src/main/java/org/teaseldeal/platform/InstanceDrain.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
@@ -1,10 +1,10 @@
-package org.teaseldeal.platform;
+package org.teaseldeal.gateway.flow;
 
-import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.time.InstantSource;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -14,7 +14,6 @@
 import org.teaseldeal.gateway.account.AccountBook;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
-import org.teaseldeal.gateway.flow.RequestDesk;
 import org.teaseldeal.net.HttpServer;
 
 /**
@@ -24,13 +23,13 @@
  * has come before it runs these, so an answer that arrived in time is passed on before a step
  * breaks off what is left, and no request comes between a look at what is left and the step.
  */
-final class InstanceDrain {
+public final class InstanceDrain {
   private static final Logger LOG = LoggerFactory.getLogger(InstanceDrain.class);
 
   /** Fine against the shortest of the phases, 60 ms. */
   private static final Duration STEP = Duration.ofMillis(20);
 
-  private final EventLoop loop;
+  private final ScheduledExecutorService loop;
   private final HttpServer callers;
   private final RequestDesk desk;
   private final AccountBook accounts;
@@ -42,9 +41,15 @@
   private Phase phase = Phase.ACCEPTING;
   private int brokenOff;
 
-  /** Begins a stop now; {@code clock} must not follow steps of the time of day. */
-  InstanceDrain(
-      EventLoop loop,
+  /**
+   * Begins a stop now.
+   *
+   * @param loop the event loop that carries the callers
+   * @param clock must not follow steps of the time of day
+   * @param grace until the process is killed
+   */
+  public InstanceDrain(
+      ScheduledExecutorService loop,
       HttpServer callers,
       RequestDesk desk,
       AccountBook accounts,
@@ -62,7 +67,7 @@
   }
 
   /** Returns when the process may end. */
-  void run() throws InterruptedException {
+  public void run() throws InterruptedException {
     callers.closeAfterAnswers();
     loop.execute(this::begin);
     Future<?> steps =
