Draw on other instances' idle tokens while the log is away or slow

Cause: in a cut of all instances a request that the part given free at one instance doesn't cover waits until 2.4 s after the last note, later than any aim, though the instances together hold enough. Ruled out: more given free at each instance; it is lost when power is lost. Change: an instance whose requests have waited for 60 ms asks others, by what they noted as idle; the giver counts the gift as spent, within what its own notes let it use.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -17,6 +17,7 @@
 import org.slf4j.LoggerFactory;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
+import org.teaseldeal.decisions.DrawOrder;
 import org.teaseldeal.decisions.OutagePatience;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
@@ -159,7 +160,43 @@
       return;
     }
     CustomerAccount account = account(reservation.customer());
-    account.settle(reservation.tokens(), Math.min(used, reservation.tokens()));
+    account.settle(reservation, Math.min(used, reservation.tokens()));
+    account.serveWaiting(total(account), clock.instant());
+  }
+
+  /** Customers with requests that have waited since {@code since} or longer for their tokens. */
+  List<String> lacking(Instant since) {
+    return accounts.values().stream()
+        .filter(
+            account -> account.waiting().stream().anyMatch(each -> !each.since().isAfter(since)))
+        .map(CustomerAccount::customer)
+        .toList();
+  }
+
+  /** Tokens that the waiting requests of a customer lack. */
+  long lack(String customer) {
+    CustomerAccount account = account(customer);
+    return account.lack(total(account), clock.instant());
+  }
+
+  /** What other instances said to have idle of a customer's tokens, by instance. */
+  Map<String, Long> idleElsewhere(String customer) {
+    return account(customer).others().idleByInstance();
+  }
+
+  /** Gives another instance up to {@code wanted} tokens; returns how many. */
+  public long give(String customer, long wanted) {
+    OptionalLong total = prepaid.apply(customer);
+    if (!loaded || total.isEmpty()) {
+      return 0;
+    }
+    return account(customer).give(wanted, total.getAsLong(), clock.instant());
+  }
+
+  /** Takes in tokens that another instance has given. */
+  void receive(String customer, long tokens) {
+    CustomerAccount account = account(customer);
+    account.receive(tokens);
     account.serveWaiting(total(account), clock.instant());
   }
 
@@ -364,6 +401,9 @@
   /** {@code ahead} are the tokens of those that wait before it. */
   private Optional<Problem> refusal(
       CustomerAccount account, WaitingRequest request, long ahead, long total, Instant now) {
+    if (mayBeDrawn(account, request, now)) {
+      return Optional.empty();
+    }
     if (!asksForMore()) {
       return refusalInOutage(account, request, ahead, now);
     }
@@ -391,6 +431,12 @@
     return Optional.of(notAtHand(account, request, COME_BACK));
   }
 
+  /** Whether other instances may still give what a request lacks, see {@link TokenDraws}. */
+  private static boolean mayBeDrawn(CustomerAccount account, WaitingRequest request, Instant now) {
+    boolean asked = !now.isBefore(request.since().plus(DrawOrder.LONGEST_ROUND));
+    return !asked && account.coveredWithOthers(request.tokens());
+  }
+
   private Optional<Problem> refusalInOutage(
       CustomerAccount account, WaitingRequest request, long ahead, Instant now) {
     Duration untilReleased = account.untilReleased(ahead + request.tokens(), total(account), now);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -51,6 +51,10 @@
 
   private long reserved;
   private long idle;
+
+  /** Given by other instances and in no note here: it stands as spent in the givers' notes. */
+  private long drawn;
+
   private long asked;
   private boolean noteDue;
   private boolean closing;
@@ -203,7 +207,7 @@
 
   /** Whether the total may cover a request, counting as free what is idle or lost anywhere. */
   boolean mayCover(long tokens, long total) {
-    return tokens <= total - spent - reserved - others.inUse();
+    return tokens <= total - spent - reserved - others.inUse() + drawn;
   }
 
   /** Whether instances hold so little between them that the request could be granted. */
@@ -242,28 +246,58 @@
 
   /** Gives a request its tokens if they are at hand. */
   boolean take(WaitingRequest request, long total, Instant now) {
-    if (request.tokens() > usable(total) || !released(request.tokens(), now)) {
+    long fromDrawn = Math.min(drawn, request.tokens());
+    long own = request.tokens() - fromDrawn;
+    if (own > ownAtHand(total, now)) {
       return false;
     }
-    takenSinceNoted += request.tokens();
-    takenSinceDrafted += request.tokens();
-    idle -= request.tokens();
-    reserved += request.tokens();
-    request.listener().onReserved(new Reservation(customer, request.tokens()));
+    drawn -= fromDrawn;
+    useIdle(own);
+    reserved += own;
+    request.listener().onReserved(new Reservation(customer, request.tokens(), fromDrawn));
     return true;
   }
 
   /**
-   * Whether {@code tokens} may be taken now by all notes that a successor may find.
+   * Gives another instance up to {@code wanted} tokens, which count as spent here from now on.
+   *
+   * <p>Failure: the giver is killed, and its successor takes back what the last note shows as idle.
+   * Symptom, if more were given than that note lets the giver use: the same tokens are given out
+   * twice. So a gift is bound by the notes as a request of its own is.
+   */
+  long give(long wanted, long total, Instant now) {
+    if (!waiting.isEmpty()) {
+      return 0;
+    }
+    long given = Math.min(wanted, ownAtHand(total, now));
+    useIdle(given);
+    spent += given;
+    return given;
+  }
+
+  /** Takes in what another instance has given. */
+  void receive(long tokens) {
+    drawn += tokens;
+  }
+
+  private void useIdle(long tokens) {
+    takenSinceNoted += tokens;
+    takenSinceDrafted += tokens;
+    idle -= tokens;
+  }
+
+  /**
+   * Idle tokens that may be used now by all notes that a successor may find.
    *
    * <p>Failure: a note reaches the log and its answer is lost as a cut begins. The note before it
    * is older and releases its tokens sooner, so an instance that went by that one alone used more
    * than the younger one allows. Symptom: its successor, which finds the younger note, gives the
    * same tokens out again and the customer gets more than its total.
    */
-  private boolean released(long tokens, Instant now) {
-    return takenSinceNoted + tokens <= noted.released(now)
-        && takenSinceDrafted + tokens <= drafted.released(now);
+  private long ownAtHand(long total, Instant now) {
+    long byNoted = noted.released(now) - takenSinceNoted;
+    long byDrafted = drafted.released(now) - takenSinceDrafted;
+    return Math.max(0, Math.min(usable(total), Math.min(byNoted, byDrafted)));
   }
 
   /** Idle tokens that may be used; fewer after the total was lowered below what is out. */
@@ -273,18 +307,47 @@
 
   /** When {@code tokens} can be taken without the log, at the latest; very long if never. */
   Duration untilReleased(long tokens, long total, Instant now) {
-    if (tokens > usable(total)) {
+    long own = Math.max(0, tokens - drawn);
+    if (own > usable(total)) {
       return NEVER;
     }
-    Duration byNoted = noted.untilReleased(takenSinceNoted + tokens, now);
-    Duration byDrafted = drafted.untilReleased(takenSinceDrafted + tokens, now);
+    Duration byNoted = noted.untilReleased(takenSinceNoted + own, now);
+    Duration byDrafted = drafted.untilReleased(takenSinceDrafted + own, now);
     return byNoted.compareTo(byDrafted) > 0 ? byNoted : byDrafted;
   }
 
-  void settle(long tokens, long used) {
-    reserved -= tokens;
-    spent += used;
-    idle += tokens - used;
+  /** Counts what was used, first of the part that another instance has given. */
+  void settle(Reservation reservation, long used) {
+    long ofDrawn = Math.min(used, reservation.drawn());
+    long ofOwn = used - ofDrawn;
+    drawn += reservation.drawn() - ofDrawn;
+    reserved -= reservation.own();
+    spent += ofOwn;
+    idle += reservation.own() - ofOwn;
+  }
+
+  /**
+   * Takes what is left of others' tokens into the own account, in place of own ones that were
+   * spent: the sum that the next note tells stays as it was.
+   *
+   * <p>Failure: what stands in no note is lost when this process ends. Symptom: each cut would cost
+   * the customer what was drawn in it and not used.
+   */
+  private void takeInDrawn() {
+    long taken = Math.min(drawn, spent);
+    drawn -= taken;
+    spent -= taken;
+    idle += taken;
+  }
+
+  /** Tokens that waiting requests lack beyond what is at hand for them now. */
+  long lack(long total, Instant now) {
+    return Math.max(0, wantedInAll() - drawn - ownAtHand(total, now));
+  }
+
+  /** Whether a request would be served if others gave all that they have idle. */
+  boolean coveredWithOthers(long tokens) {
+    return tokens <= Saturated.sum(drawn, idle, others.idle());
   }
 
   /** The note to write now, if one is due; {@code refill} allows those that could wait. */
@@ -302,7 +365,7 @@
     long remaining = free(total);
     long target = closing ? 0 : target(total, instances);
     long wish = waitingThatFits(remaining);
-    boolean urgent = wish > 0 || waits(now);
+    boolean urgent = wish > 0 || waits(total, now);
     boolean scarce = othersLack(remaining) > 0;
     long surplus = surplus(remaining);
     boolean low = remaining > 0 && idle < target * REFILL_BELOW && !scarce;
@@ -346,10 +409,12 @@
   }
 
   /** Whether a request waits only because its tokens haven't been promised on the log. */
-  private boolean waits(Instant now) {
-    return !waiting.isEmpty()
-        && waiting.getFirst().tokens() <= idle
-        && !released(waiting.getFirst().tokens(), now);
+  private boolean waits(long total, Instant now) {
+    if (waiting.isEmpty()) {
+      return false;
+    }
+    long own = waiting.getFirst().tokens() - drawn;
+    return own <= idle && own > ownAtHand(total, now);
   }
 
   /** Idle tokens to give back: what requests that wait elsewhere lack, or all at the end. */
@@ -368,6 +433,7 @@
   private SharedNote compose(
       String instance, long total, ClockReading reading, long heartbeats, Instant now) {
     noteDue = false;
+    takeInDrawn();
     wantTold = wanted() > 0;
     long atOnce = LeaseRelease.atOnce(demand.tokensPerSecond(), rateOfAll(), pool(total));
     long promised = Math.min(idle + asked, wantedInAll() + atOnce);
@@ -408,7 +474,7 @@
 
   /** What the waiting requests lack. */
   private long wanted() {
-    return Math.max(0, wantedInAll() - idle);
+    return Math.max(0, wantedInAll() - idle - drawn);
   }
 
   private long wantedInAll() {
@@ -429,11 +495,11 @@
   private long waitingThatFits(long remaining) {
     long fits = 0;
     for (WaitingRequest request : waiting) {
-      if (fits + request.tokens() <= idle + remaining) {
+      if (fits + request.tokens() <= idle + drawn + remaining) {
         fits += request.tokens();
       }
     }
-    return Math.max(0, fits - idle);
+    return Math.max(0, fits - idle - drawn);
   }
 
   /**
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/OthersNotes.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/OthersNotes.java
@@ -55,6 +55,13 @@
     return idle;
   }
 
+  /** The same by instance. */
+  Map<String, Long> idleByInstance() {
+    Map<String, Long> idles = new HashMap<>();
+    byInstance.forEach((instance, note) -> idles.put(instance, note.idle()));
+    return idles;
+  }
+
   /** Tokens that are spent, or that requests have. */
   long inUse() {
     return inUse;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -115,6 +115,9 @@
       long ratePerSecond)
       implements GatewayEvent {}
 
+  /** Other instances gave tokens of a customer to requests that waited here. */
+  record TokensDrawn(String customer, long tokens, Duration took) implements GatewayEvent {}
+
   /**
    * A request crashed so many backend servers that no instance sends it any more.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetView.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetView.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeMap;
 
 /** The instances that have ever joined, by the notes that each leaves once. */
@@ -22,6 +23,11 @@
     return addresses.size();
   }
 
+  /** Where an instance can be reached; empty if it has never joined. */
+  public Optional<String> addressOf(String instance) {
+    return Optional.ofNullable(addresses.get(instance));
+  }
+
   /** Where the other instances can be reached. */
   public List<String> others() {
     return addresses.entrySet().stream()
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -58,6 +58,7 @@
       case GatewayEvent.InstanceState state -> count("instance_states");
       case GatewayEvent.Dependency dependency -> onDependency(dependency);
       case GatewayEvent.AccountLevel level -> accounts.put(level.customer(), level);
+      case GatewayEvent.TokensDrawn drawn -> registry.counter("tokens_drawn").inc(drawn.tokens());
       case GatewayEvent.RequestQuarantined quarantined -> count("requests_quarantined");
       case GatewayEvent.LinesDropped dropped ->
           registry.counter("log_lines_dropped").inc(dropped.count());
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/DrawCalls.java
@@ -0,0 +1,129 @@
+package org.teaseldeal.gateway.peer;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaseldeal.gateway.account.AccountBook;
+import org.teaseldeal.gateway.account.DrawPort;
+import org.teaseldeal.net.HttpAnswer;
+import org.teaseldeal.net.HttpCallRequest;
+import org.teaseldeal.net.HttpExchange;
+import org.teaseldeal.net.HttpHandler;
+
+/** Draws of tokens between instances: asks others, and answers those that ask. */
+public final class DrawCalls implements DrawPort, HttpHandler {
+  /** Where an instance answers draws. */
+  public static final String PATH = "/draws";
+
+  private static final Logger LOG = LoggerFactory.getLogger(DrawCalls.class);
+
+  /** Far above an answer's two milliseconds; a round of draws waits for one that never comes. */
+  private static final Duration TIMEOUT = Duration.ofMillis(150);
+
+  private static final byte LAYOUT = 1;
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+
+  private final Function<String, Optional<String>> addresses;
+  private final RelayedCalls.Caller caller;
+  private final AccountBook accounts;
+
+  /** Creates the draws of an instance; {@code addresses} gives those of others by their names. */
+  public DrawCalls(
+      Function<String, Optional<String>> addresses,
+      RelayedCalls.Caller caller,
+      AccountBook accounts) {
+    this.addresses = addresses;
+    this.caller = caller;
+    this.accounts = accounts;
+  }
+
+  @Override
+  public void draw(String instance, String customer, long tokens, Consumer<OptionalLong> given) {
+    Optional<String> address = addresses.apply(instance);
+    if (address.isEmpty()) {
+      given.accept(OptionalLong.empty());
+      return;
+    }
+    byte[] body = new Draw(customer, tokens).encode();
+    caller
+        .call(new HttpCallRequest(address.get(), "POST", PATH, Map.of(), body, TIMEOUT))
+        .whenComplete((answer, failure) -> given.accept(read(answer, failure, tokens)));
+  }
+
+  private static OptionalLong read(
+      @Nullable HttpAnswer answer, @Nullable Throwable failure, long asked) {
+    if (failure != null || answer == null || answer.status() != OK) {
+      return OptionalLong.empty();
+    }
+    try {
+      long given = Long.parseLong(new String(answer.body(), StandardCharsets.US_ASCII));
+      return given >= 0 && given <= asked ? OptionalLong.of(given) : OptionalLong.empty();
+    } catch (NumberFormatException e) {
+      LOG.warn("the answer to a draw is no number: {}", e.getMessage());
+      return OptionalLong.empty();
+    }
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    Draw draw;
+    try {
+      draw = Draw.decode(exchange.body());
+    } catch (IllegalArgumentException e) {
+      LOG.warn("a draw can't be read: {}", e.getMessage());
+      exchange.respond(BAD_REQUEST, Map.of(), new byte[0]);
+      return;
+    }
+    long given = accounts.give(draw.customer(), draw.tokens());
+    byte[] body = Long.toString(given).getBytes(StandardCharsets.US_ASCII);
+    exchange.respond(OK, Map.of(), body);
+  }
+
+  /** What is asked for. */
+  private record Draw(String customer, long tokens) {
+    Draw {
+      if (tokens <= 0) {
+        throw new IllegalArgumentException("tokens were %d, expected more".formatted(tokens));
+      }
+    }
+
+    byte[] encode() {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+      try (DataOutputStream out = new DataOutputStream(bytes)) {
+        out.writeByte(LAYOUT);
+        out.writeUTF(customer);
+        out.writeLong(tokens);
+      } catch (IOException e) {
+        throw new UncheckedIOException(e);
+      }
+      return bytes.toByteArray();
+    }
+
+    static Draw decode(byte[] body) {
+      try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(body))) {
+        byte layout = in.readByte();
+        if (layout != LAYOUT) {
+          throw new IllegalArgumentException(
+              "layout was %d, expected %d".formatted(layout, LAYOUT));
+        }
+        return new Draw(in.readUTF(), in.readLong());
+      } catch (IOException e) {
+        throw new IllegalArgumentException("the draw is too short", e);
+      }
+    }
+  }
+}
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -118,6 +118,7 @@
       case 15, 16, 17 -> fleet.lines(Line.SLOW_APPENDS);
       case 18, 19 -> fleet.log.forgetHistory();
       case 20 -> fleet.setTimeOfDay(Duration.ofMillis(random.nextInt(4_000) - 2_000));
+      case 21, 22, 23 -> fleet.peers = AccountFleet.Peers.values()[random.nextInt(3)];
       default -> {}
     }
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -5,6 +5,8 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Random;
+import java.util.function.Consumer;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.gateway.fake.FakeSharedLog;
 import org.teaseldeal.gateway.fake.ManualClock;
@@ -84,6 +86,27 @@
 
   private long strangers;
 
+  /** What becomes of draws between instances. */
+  enum Peers {
+    REACHABLE,
+    UNREACHABLE,
+    /** The asked one gives, and nobody hears of it. */
+    ANSWERS_LOST
+  }
+
+  Peers peers = Peers.REACHABLE;
+
+  private void draw(String name, String customer, long tokens, Consumer<OptionalLong> given) {
+    Optional<Instance> asked =
+        instances.stream().filter(each -> each.name.equals(name) && each.alive).findFirst();
+    if (asked.isEmpty() || peers == Peers.UNREACHABLE) {
+      given.accept(OptionalLong.empty());
+      return;
+    }
+    long gift = asked.get().book.give(customer, tokens);
+    given.accept(peers == Peers.ANSWERS_LOST ? OptionalLong.empty() : OptionalLong.of(gift));
+  }
+
   /** One process ends, as by a kill. */
   void end(int index) {
     instance(index).alive = false;
@@ -116,6 +139,7 @@
     final FakeSharedLog.Port port;
     final AccountBook book;
     final FleetLog fleetLog;
+    final TokenDraws draws;
     final List<Reservation> reserved = new ArrayList<>();
     int granted;
     final List<Problem> refused = new ArrayList<>();
@@ -135,6 +159,7 @@
               AccountFleet.this::machineClock,
               () -> Optional.of(heartbeats()));
       this.fleetLog = new FleetLog(port, name, ++epochs, clock, List.of(book));
+      this.draws = new TokenDraws(book, AccountFleet.this::draw, event -> {}, clock, new Random(1));
     }
 
     void request(long tokens) {
@@ -173,6 +198,7 @@
       fleetLog.tick();
       book.logReachable(!fleetLog.troubled());
       book.tick();
+      draws.tick();
     }
   }
 }
