Tell others within a second what ended requests gave back

Cause: a note was written when tokens were taken, not when an ended request gave some back; an instance without further requests showed them as used for good, and others refused as unpaid (402) what the total covers. Shown first by AccountBookTests.servesWhatRequestsElsewhereGaveBack and givesBackDrawnTokensThatWereNotUsed, which fail without the change.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -32,6 +32,15 @@
    */
   private static final Duration NOTE_AGE = Duration.ofMillis(200);
 
+  /**
+   * How old a note may be that shows as used what has come back since.
+   *
+   * <p>Failure: a customer's last requests end and use less than they might have; no other request
+   * comes here, so no note is written. Symptom: other instances refuse as unpaid what the total
+   * covers.
+   */
+  private static final Duration SETTLED_NOTE_AGE = Duration.ofSeconds(1);
+
   private final String customer;
   private final OthersNotes others = new OthersNotes();
   private final Demand demand = new Demand();
@@ -71,6 +80,9 @@
 
   private long takenSinceDrafted;
 
+  /** Tokens spent or given to requests, as the newest own note says. */
+  private long inUseDrafted;
+
   /** Whether the newest own note says that requests wait here. */
   private boolean wantTold;
 
@@ -334,12 +346,16 @@
    * the customer what was drawn in it and not used.
    */
   private void takeInDrawn() {
-    long taken = Math.min(drawn, spent);
+    long taken = drawnToTakeIn();
     drawn -= taken;
     spent -= taken;
     idle += taken;
   }
 
+  private long drawnToTakeIn() {
+    return Math.min(drawn, spent);
+  }
+
   /** Tokens that waiting requests lack beyond what is at hand for them now. */
   long lack(long total, Instant now) {
     return Math.max(0, wantedInAll() - drawn - ownAtHand(total, now));
@@ -369,7 +385,8 @@
     boolean scarce = othersLack(remaining) > 0;
     long surplus = surplus(remaining);
     boolean low = remaining > 0 && idle < target * REFILL_BELOW && !scarce;
-    boolean optional = noteDue || low || surplus > 0 || wanted() > 0 != wantTold || stale(now);
+    boolean told = wanted() > 0 == wantTold && drawnToTakeIn() == 0;
+    boolean optional = noteDue || low || surplus > 0 || !told || stale(now);
     if (!urgent && !(refill && optional)) {
       return Optional.empty();
     }
@@ -427,13 +444,19 @@
 
   private boolean stale(Instant now) {
     boolean changed = takenSinceNoted > 0 || (closing && noted.held() != held());
-    return changed && now.isAfter(noted.at().plus(NOTE_AGE));
+    boolean old = changed && now.isAfter(noted.at().plus(NOTE_AGE));
+    return old || (inUse() != inUseDrafted && now.isAfter(drafted.at().plus(SETTLED_NOTE_AGE)));
+  }
+
+  private long inUse() {
+    return spent + reserved;
   }
 
   private SharedNote compose(
       String instance, long total, ClockReading reading, long heartbeats, Instant now) {
     noteDue = false;
     takeInDrawn();
+    inUseDrafted = inUse();
     wantTold = wanted() > 0;
     long atOnce = LeaseRelease.atOnce(demand.tokensPerSecond(), rateOfAll(), pool(total));
     long promised = Math.min(idle + asked, wantedInAll() + atOnce);
@@ -488,7 +511,7 @@
 
   /** Whether nothing is held here, and the log says so. */
   boolean returned() {
-    return held() == 0 && noted.held() == 0;
+    return held() == 0 && noted.held() == 0 && drawnToTakeIn() == 0;
   }
 
   /** What to ask for so that as many as fit can go, the oldest first. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -256,4 +256,79 @@
     assertEquals(List.of(), fleet.instance(0).refused);
     assertEquals(3, fleet.instance(0).granted);
   }
+
+  /**
+   * Callers with large requests are served at once though nobody can reach the log. All instances
+   * are cut off; what each may use at once is less than one large request, but they reach each
+   * other, and one draws on what the others may use.
+   */
+  @Test
+  void servesALargeRequestInACutWithWhatOthersMayUse() {
+    AccountFleet fleet = steadilyDrawnOn();
+    fleet.lines(Line.CUT);
+    fleet.run(Duration.ofMillis(300));
+    AccountFleet.Instance asked = fleet.instance(0);
+    int before = asked.granted;
+    asked.request(3 * LARGE);
+    fleet.run(Duration.ofMillis(150));
+    assertEquals(before + 1, asked.granted);
+  }
+
+  /**
+   * Tokens that were drawn and not used aren't lost. An instance draws on others in a cut, its
+   * request uses little of it, and once the log is back the process stops; the total serves one
+   * request for nearly all that is left.
+   */
+  @Test
+  void givesBackDrawnTokensThatWereNotUsed() {
+    AccountFleet fleet = steadilyDrawnOn();
+    fleet.lines(Line.CUT);
+    fleet.run(Duration.ofMillis(300));
+    AccountFleet.Instance asked = fleet.instance(0);
+    asked.request(3 * LARGE);
+    fleet.run(Duration.ofMillis(150));
+    while (!asked.reserved.isEmpty()) {
+      asked.settle(1);
+    }
+    fleet.lines(Line.OPEN);
+    asked.book.close();
+    fleet.run(Duration.ofSeconds(2));
+    AccountFleet.Instance other = fleet.instance(1);
+    int before = other.granted;
+    other.request(fleet.total - fleet.given() - LARGE / 10);
+    fleet.run(Duration.ofSeconds(3));
+    assertEquals(List.of(), other.refused);
+    assertEquals(before + 1, other.granted);
+  }
+
+  /**
+   * A caller isn't told that the total is used up by requests that have ended. One instance's only
+   * request has set most of the total aside and used little of it; then another instance is asked
+   * for more than what was left before.
+   */
+  @Test
+  void servesWhatRequestsElsewhereGaveBack() {
+    AccountFleet fleet = new AccountFleet(2, 100_000);
+    fleet.instance(0).request(80_000);
+    fleet.run(Duration.ofSeconds(1));
+    fleet.instance(0).settle(10_000);
+    fleet.run(Duration.ofMillis(1_500));
+    fleet.instance(1).request(60_000);
+    fleet.run(Duration.ofSeconds(1));
+    assertEquals(List.of(), fleet.instance(1).refused);
+    assertEquals(1, fleet.instance(1).granted);
+  }
+
+  /** Seven instances that a customer has drawn on for ten seconds, all requests ended. */
+  private static AccountFleet steadilyDrawnOn() {
+    AccountFleet fleet = new AccountFleet(7, 5_000_000);
+    drawFor(fleet, Duration.ofSeconds(10));
+    for (AccountFleet.Instance instance : fleet.instances) {
+      while (!instance.reserved.isEmpty()) {
+        instance.settle(LARGE / 2);
+      }
+    }
+    fleet.run(Duration.ofMillis(1_500));
+    return fleet;
+  }
 }
