Keep what comes while an instance starts for the moment until it can be served

Change: such a request waits up to 0.8 s for the configuration and 1 s for the accounts, which take some tens of milliseconds.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -54,6 +54,9 @@
   /** When to come back if only a higher total helps: the operator may raise it at any time. */
   private static final Duration COME_BACK_LOST = Duration.ofSeconds(4);
 
+  /** Within this time after its start a process has read the log, unless that is away. */
+  private static final Duration USUAL_START = Duration.ofSeconds(1);
+
   /** How long a time of day that was set is not gone by: it may be set back within seconds. */
   private static final Duration CLOCK_DOUBT = Duration.ofSeconds(20);
 
@@ -70,6 +73,7 @@
   private final Supplier<ClockReading> machineClock;
   private final Supplier<Optional<HeartbeatCount>> heartbeats;
   private final ClockReading started;
+  private final Instant startedAt;
   private final Map<String, CustomerAccount> accounts = new TreeMap<>();
   private ClockReading lastReading;
   private Instant clockSetAt = Instant.EPOCH;
@@ -107,6 +111,7 @@
     this.machineClock = machineClock;
     this.heartbeats = heartbeats;
     this.started = started;
+    this.startedAt = clock.instant();
     this.lastReading = machineClock.get();
   }
 
@@ -401,7 +406,7 @@
   /** {@code ahead} are the tokens of those that wait before it. */
   private Optional<Problem> refusal(
       CustomerAccount account, WaitingRequest request, long ahead, long total, Instant now) {
-    if (mayBeDrawn(account, request, now)) {
+    if (mayBeDrawn(account, request, now) || starting(now)) {
       return Optional.empty();
     }
     if (!asksForMore()) {
@@ -431,6 +436,17 @@
     return Optional.of(notAtHand(account, request, COME_BACK));
   }
 
+  /**
+   * Whether the accounts are about to be read for the first time.
+   *
+   * <p>Failure: a process that has just started takes callers before it has read what it may spend.
+   * Symptom, if that were an outage: they are refused, and come back only seconds later, though
+   * their tokens are at hand after some tens of milliseconds.
+   */
+  private boolean starting(Instant now) {
+    return !loaded && now.isBefore(startedAt.plus(USUAL_START));
+  }
+
   /** Whether other instances may still give what a request lacks, see {@link TokenDraws}. */
   private static boolean mayBeDrawn(CustomerAccount account, WaitingRequest request, Instant now) {
     boolean asked = !now.isBefore(request.since().plus(DrawOrder.LONGEST_ROUND));
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -32,6 +33,12 @@
    */
   private static final Duration COME_BACK_STARTING = Duration.ofMillis(500);
 
+  /**
+   * How long a request is kept for the first configuration, which is read some tens of milliseconds
+   * after callers can connect. Longer than that, the store is away, and another instance may serve.
+   */
+  private static final Duration LONGEST_WAIT_FOR_PLAN = Duration.ofMillis(800);
+
   /**
    * A server that sends nothing for this many times the aim of its route counts as silent. Answers
    * under load take up to twice the aim; at three most of those still to come never will.
@@ -51,9 +58,13 @@
       long planVersion,
       Instant arrived) {}
 
+  /** A request that came before the first configuration was known. */
+  private record EarlyRequest(HttpExchange exchange, Instant arrived) {}
+
   private final GatewayParts parts;
   private final ServerChoice choice;
   private final GuardedSteps guarded = new GuardedSteps();
+  private final List<EarlyRequest> early = new ArrayList<>();
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
   private final Map<String, RetryWindow> retries = new HashMap<>();
   private final Map<String, RecentDurations> answersOfRoutes = new HashMap<>();
@@ -68,7 +79,7 @@
 
   /** How many requests have no final answer yet. */
   public int open() {
-    return flows.size();
+    return flows.size() + early.size();
   }
 
   /** How many backend servers get no requests, as they failed or are far slower than others. */
@@ -87,6 +98,7 @@
    */
   public void refuseAll() {
     refusing = true;
+    handleEarly();
     new ArrayList<>(flows).forEach(flow -> guarded.run(flow.request().id(), flow::refuseIfNotRun));
   }
 
@@ -98,14 +110,46 @@
   @Override
   public void handle(HttpExchange exchange) {
     Instant arrived = parts.clock().instant().minus(exchange.sinceHead());
+    if (parts.plan().get() == null && !refusing) {
+      EarlyRequest request = new EarlyRequest(exchange, arrived);
+      early.add(request);
+      exchange.onCallerGone(() -> early.remove(request));
+    } else {
+      handle(exchange, arrived);
+    }
+  }
+
+  private void handle(HttpExchange exchange, Instant arrived) {
     switch (admit(exchange, arrived)) {
       case Result.Ok<Admitted> admitted -> start(exchange, admitted.value());
       case Result.Err<Admitted> refused -> refuse(exchange, refused.problem(), arrived);
     }
   }
 
+  /**
+   * Goes on with requests that came before the first configuration.
+   *
+   * <p>Failure: all instances start again at once, and callers connect before any has read its
+   * configuration. Symptom, if they were refused: most use up their one retry on that and fail,
+   * though they could be served a moment later.
+   */
+  private void handleEarly() {
+    Instant now = parts.clock().instant();
+    List<EarlyRequest> due =
+        early.stream()
+            .filter(each -> parts.plan().get() != null || refusing || waitedLong(each, now))
+            .toList();
+    early.removeAll(due);
+    due.forEach(each -> handle(each.exchange(), each.arrived()));
+  }
+
+  private static boolean waitedLong(EarlyRequest request, Instant now) {
+    return !now.isBefore(request.arrived().plus(LONGEST_WAIT_FOR_PLAN));
+  }
+
   /** Ends what takes too long and starts what waited. */
   public void tick() {
+    handleEarly();
     choice.tick(parts.clock().instant());
     parts.quarantine().tick();
     new ArrayList<>(flows).forEach(flow -> guarded.run(flow.request().id(), flow::tick));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -319,6 +319,21 @@
     assertEquals(1, fleet.instance(1).granted);
   }
 
+  /**
+   * A caller that comes as the process has just started is served. All instances start at once, and
+   * what they may spend is read a moment after the request; nobody knows yet what the customer has.
+   */
+  @Test
+  void servesWhatComesBeforeTheAccountsAreRead() {
+    AccountFleet fleet = new AccountFleet(2, 100_000);
+    fleet.end(0);
+    fleet.startAgain(0);
+    fleet.instance(0).request(5_000);
+    fleet.run(Duration.ofMillis(400));
+    assertEquals(List.of(), fleet.instance(0).refused);
+    assertEquals(1, fleet.instance(0).granted);
+  }
+
   /** Seven instances that a customer has drawn on for ten seconds, all requests ended. */
   private static AccountFleet steadilyDrawnOn() {
     AccountFleet fleet = new AccountFleet(7, 5_000_000);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -60,6 +60,9 @@
   final List<GatewayEvent> events = new ArrayList<>();
   final RequestDesk desk;
 
+  /** Whether the configuration has been read. */
+  boolean configured = true;
+
   GatewayFixture() {
     GatewayPlan plan =
         new GatewayPlan(
@@ -86,7 +89,7 @@
     desk =
         new RequestDesk(
             new GatewayParts(
-                () -> plan,
+                () -> configured ? plan : null,
                 servers,
                 accounts,
                 quarantine,
