Find the instance that reaches the store in one round

Change: an instance that the store turns away says so to relayed calls at once, the call goes on to the next, and direct calls take over only after a whole round in vain.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RelayChoice.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RelayChoice.java
@@ -14,19 +14,20 @@
  *
  * <p>Load pattern: nobody reaches the service, or an instance reaches nobody. Relays help nothing
  * then, and each call that waits for one delays the moment in which the service is found to be
- * back. So a relay that failed is followed by direct calls for a while.
+ * back. So once each relay has failed in turn, calls go straight for a while.
  */
 public final class RelayChoice {
   /** How often a call is made directly while relays work: how late its return is noticed. */
   private static final Duration PROBE_EVERY = Duration.ofMillis(500);
 
-  /** Direct calls only, after a relay failed: two or three of them, at their usual pauses. */
+  /** Direct calls only, after all relays failed: two or three of them, at their usual pauses. */
   private static final Duration RELAYS_REST = Duration.ofMillis(800);
 
   private boolean directWorks = true;
   private Instant nextProbe = Instant.MIN;
   private Instant relaysRestUntil = Instant.MIN;
   private int turn;
+  private int failedInTurn;
 
   /**
    * Creates a choice.
@@ -62,10 +63,20 @@
     directWorks = reached;
   }
 
-  /** Takes note of what became of a relayed call; after a failure the next relay has its turn. */
-  public void onRelayed(boolean reached, Instant now) {
-    if (!reached) {
-      turn++;
+  /**
+   * Takes note of what became of a relayed call; after a failure the next relay has its turn.
+   *
+   * @param relays how many there are
+   */
+  public void onRelayed(boolean reached, int relays, Instant now) {
+    if (reached) {
+      failedInTurn = 0;
+      return;
+    }
+    turn++;
+    failedInTurn++;
+    if (failedInTurn >= relays) {
+      failedInTurn = 0;
       relaysRestUntil = now.plus(RELAYS_REST);
     }
   }
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/RelayChoiceTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/RelayChoiceTests.java
@@ -51,12 +51,28 @@
   @Test
   void takesTheNextRelayAfterAFailure() {
     choice.onDirect(false, now);
-    choice.onRelayed(false, now);
+    choice.onRelayed(false, RELAYS.size(), now);
     now = now.plusMillis(900);
     choice.next(RELAYS, now);
     assertEquals(Optional.of("b"), choice.next(RELAYS, now));
   }
 
+  /**
+   * Callers of an instance notice little where the service turns most instances away. Only one of
+   * eight others reaches it; those that don't say so at once, and the one is found within a round.
+   */
+  @Test
+  void findsTheOneRelayThatReachesTheService() {
+    List<String> relays = List.of("a", "b", "c", "d", "e", "f", "g", "h");
+    choice.onDirect(false, now);
+    for (int call = 0; call < relays.size() - 1; call++) {
+      now = now.plusMillis(5);
+      String relay = choice.next(relays, now).orElseThrow();
+      choice.onRelayed(relay.equals("h"), relays.size(), now);
+    }
+    assertEquals(Optional.of("h"), choice.next(relays, now));
+  }
+
   /** Makes a call each {@link #STEP}; returns how many went straight. */
   private int calls(Duration time, boolean directReached, boolean relayReached) {
     int direct = 0;
@@ -65,7 +81,7 @@
         direct++;
         choice.onDirect(directReached, now);
       } else {
-        choice.onRelayed(relayReached, now);
+        choice.onRelayed(relayReached, RELAYS.size(), now);
       }
     }
     return direct;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/RelayedCalls.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/RelayedCalls.java
@@ -59,16 +59,37 @@
     this.clock = clock;
   }
 
+  /** Whether the service has served this instance's last direct call. */
+  public boolean direct() {
+    return !choice.relaying();
+  }
+
   /** Sends {@code request} to its address, or to a relay. */
   public CompletableFuture<HttpAnswer> call(HttpCallRequest request) {
-    Optional<String> relay = choice.next(relays.get(), clock.instant());
+    return call(request, relays.get().size());
+  }
+
+  /**
+   * Sends a request; one that a relay turns away at once goes on to the next.
+   *
+   * @param further relays that may be asked after the first
+   */
+  private CompletableFuture<HttpAnswer> call(HttpCallRequest request, int further) {
+    List<String> present = relays.get();
+    Optional<String> relay = choice.next(present, clock.instant());
     if (relay.isEmpty()) {
       return direct.call(request).whenComplete(this::onDirect);
     }
     return direct
         .call(readdressed(request, relay.get()))
         .whenComplete(
-            (answer, failure) -> choice.onRelayed(reached(answer, failure), clock.instant()));
+            (answer, failure) ->
+                choice.onRelayed(reached(answer, failure), present.size(), clock.instant()))
+        .thenCompose(
+            answer ->
+                answer.status() == UNAVAILABLE && further > 0
+                    ? call(request, further - 1)
+                    : CompletableFuture.completedFuture(answer));
   }
 
   private void onDirect(@Nullable HttpAnswer answer, @Nullable Throwable failure) {
