Place prompts by what lies in the engines' caches, as all instances have sent it

Hypothesis: the work ahead of an engine is counted without the shared beginnings, which are 13,300 of 17,000 tokens of the largest kind here; while caches are empty (first seconds, after crashes of engines) the hash piles prompts on some engines. Change: instances tell each other what they have sent where; a prompt goes to the soonest engine that holds its beginning, else to the least busy of three homes, counting all that is to be read.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
@@ -14,52 +14,59 @@
  *
  * <p>Load pattern: many subjects, each with a long beginning that its prompts share, over engines
  * whose caches hold a part of them. Spread at random, each beginning is read again at every engine,
- * and the caches hold many copies of few. So each beginning has a home, the first engine by
- * rendezvous hash, which all instances work out alike without a message.
+ * and the caches hold many copies of few. So a prompt goes where its beginning lies, or to the
+ * beginning's home, the first engine by rendezvous hash, which all instances work out alike.
+ *
+ * <p>Load pattern: all caches are empty, after a start or a crash of engines, and each prompt has
+ * to be read whole. The hash alone then gives some engines twice the work of others. So a beginning
+ * that lies nowhere yet goes to the least busy of its homes, by all that is to be read there.
  *
  * <p>Load pattern: one subject takes a third of the requests, or a prompt of fifty thousand tokens
- * keeps an engine busy for a second. The home then makes callers wait while others idle. So the
- * home is passed over as soon as the first token is expected there later than a part of the time in
- * which it is on time; the next homes by the same hash are tried first, so that a hot subject is
- * cached at just as many engines as it needs.
+ * keeps an engine busy for a second. Where the beginning lies, callers wait while others idle. So
+ * an engine is passed over as soon as the first token is expected there later than it is on time; a
+ * hot subject is cached at just as many engines as it needs.
  */
 public final class PromptPlacement {
   /**
-   * An engine.
+   * An engine, and what the prompt would be there.
    *
    * @param running requests that it is thought to have
    * @param promptTokensAhead of requests sent there whose answer hasn't begun
+   * @param uncachedTokens of the prompt that it would have to read
+   * @param holdsBeginning whether all that the prompt shares with others is thought to be cached
    * @param slowness its time to answer relative to the others'
    */
   public record Candidate(
-      BackendServerId id, int running, long promptTokensAhead, double slowness) {
+      BackendServerId id,
+      int running,
+      long promptTokensAhead,
+      long uncachedTokens,
+      boolean holdsBeginning,
+      double slowness) {
     public Candidate {
       Preconditions.requireNotNegative(running, "running");
       Preconditions.requireNotNegative(promptTokensAhead, "prompt tokens ahead");
+      Preconditions.requireNotNegative(uncachedTokens, "uncached tokens");
     }
 
-    /** The wait for the first token of a prompt of which {@code tokens} aren't cached. */
-    private double expectedMillis(long tokens) {
-      double reading = (promptTokensAhead + tokens) / TOKENS_PER_MILLI;
+    /** The wait for the first token of the prompt. */
+    private double expectedMillis() {
+      double reading = (promptTokensAhead + uncachedTokens) / TOKENS_PER_MILLI;
       return (reading + running * MILLIS_PER_RUNNING) * slowness;
     }
+
+    private double ownReadingMillis() {
+      return uncachedTokens / TOKENS_PER_MILLI * slowness;
+    }
   }
 
   /**
    * A prompt to place.
    *
    * @param beginning names what it shares with others; empty if nothing
-   * @param sharedTokens in the beginning
-   * @param tokens in all
    * @param aim until when the first token is on time
    */
-  public record Prompt(String beginning, long sharedTokens, long tokens, Duration aim) {
-    public Prompt {
-      Preconditions.require(
-          sharedTokens <= tokens,
-          "shared tokens were %d, expected at most %d".formatted(sharedTokens, tokens));
-    }
-  }
+  public record Prompt(String beginning, Duration aim) {}
 
   /** Prompt tokens that an engine reads in a millisecond, from the sheets of those in use. */
   private static final double TOKENS_PER_MILLI = 60;
@@ -68,51 +75,69 @@
   private static final double MILLIS_PER_RUNNING = 0.5;
 
   /**
-   * The part of the aim that the first token may be expected after at a home. The whole of it: a
-   * beginning that is read again elsewhere costs its engine as much time as the wait saves, and
-   * with half of it the engines read a third more of what others had cached.
+   * The part of the aim that the first token may be expected after where the beginning lies. The
+   * whole of it: a beginning that is read again elsewhere costs its engine as much time as the wait
+   * saves, and with half of it the engines read a third more of what others had cached.
    */
   private static final double HOME_PATIENCE = 1.0;
 
-  /** Homes of a beginning that are tried in turn before any engine will do. */
+  /** Homes of a beginning that are tried before any engine will do. */
   private static final int HOMES = 3;
 
+  /**
+   * The part of a prompt's own reading time that its first home may be busier than the others by.
+   * An instance that has just started doesn't know what is cached; the first home most likely is.
+   */
+  private static final double FIRST_HOME_LEAD = 0.5;
+
   private PromptPlacement() {}
 
   /** Chooses among {@code engines}; none only if there are none. */
   public static Optional<BackendServerId> choose(
       List<Candidate> engines, Prompt prompt, RandomGenerator random) {
-    if (!prompt.beginning().isEmpty()) {
-      long uncached = prompt.tokens() - prompt.sharedTokens();
-      double patience = prompt.aim().toMillis() * HOME_PATIENCE;
-      Optional<Candidate> home =
-          engines.stream()
-              .sorted(Comparator.comparingLong(engine -> score(engine, prompt.beginning())))
-              .limit(HOMES)
-              .filter(engine -> engine.expectedMillis(uncached) <= patience)
-              .findFirst();
-      if (home.isPresent()) {
-        return home.map(Candidate::id);
-      }
+    if (prompt.beginning().isEmpty()) {
+      return soonest(engines, random).map(Candidate::id);
+    }
+    double patience = prompt.aim().toMillis() * HOME_PATIENCE;
+    List<Candidate> holders = engines.stream().filter(Candidate::holdsBeginning).toList();
+    return soonest(holders, random)
+        .filter(holder -> holder.expectedMillis() <= patience)
+        .or(() -> home(engines, prompt).filter(home -> home.expectedMillis() <= patience))
+        .or(() -> soonest(engines, random))
+        .map(Candidate::id);
+  }
+
+  /** The first home of a beginning, or the least busy one if the first is much busier. */
+  private static Optional<Candidate> home(List<Candidate> engines, Prompt prompt) {
+    List<Candidate> homes =
+        engines.stream()
+            .sorted(Comparator.comparingLong(engine -> score(engine, prompt.beginning())))
+            .limit(HOMES)
+            .toList();
+    if (homes.isEmpty()) {
+      return Optional.empty();
     }
-    return soonest(engines, prompt.tokens(), random);
+    Candidate first = homes.getFirst();
+    double lead = first.ownReadingMillis() * FIRST_HOME_LEAD;
+    return homes.stream()
+        .min(Comparator.comparingDouble(Candidate::expectedMillis))
+        .map(least -> first.expectedMillis() <= least.expectedMillis() + lead ? first : least);
   }
 
   /** The engine that is expected to answer first; of equal ones, any. */
-  private static Optional<BackendServerId> soonest(
-      List<Candidate> engines, long tokens, RandomGenerator random) {
+  private static Optional<Candidate> soonest(List<Candidate> engines, RandomGenerator random) {
     Candidate best = null;
     double bestMillis = Double.MAX_VALUE;
     int first = engines.isEmpty() ? 0 : random.nextInt(engines.size());
     for (int i = 0; i < engines.size(); i++) {
       Candidate engine = engines.get((first + i) % engines.size());
-      double millis = engine.expectedMillis(tokens);
+      double millis = engine.expectedMillis();
       if (millis < bestMillis) {
         best = engine;
         bestMillis = millis;
       }
     }
-    return Optional.ofNullable(best).map(Candidate::id);
+    return Optional.ofNullable(best);
   }
 
   private static long score(Candidate engine, String beginning) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -19,9 +19,12 @@
   private final GatewayParts parts;
   private final BackendServer server;
 
-  /** Tokens to read there; the beginning is taken to be cached, as requests go where it is. */
+  /** Tokens of the prompt that no server can have had in its cache. */
   private final long promptTokens;
 
+  /** Tokens that the server is thought to read. */
+  private final long uncachedTokens;
+
   private final boolean streamed;
   private final Instant started;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
@@ -35,10 +38,16 @@
   private boolean promptRead;
   private boolean over;
 
-  Attempt(RequestFlow flow, GatewayParts parts, BackendServer server, boolean streamed) {
+  Attempt(
+      RequestFlow flow,
+      GatewayParts parts,
+      BackendServer server,
+      long uncachedTokens,
+      boolean streamed) {
     this.flow = flow;
     this.parts = parts;
     this.server = server;
+    this.uncachedTokens = uncachedTokens;
     this.streamed = streamed;
     this.promptTokens = flow.request().prompt().map(PromptTerms::unsharedTokens).orElse(0L);
     this.started = parts.clock().instant();
@@ -46,7 +55,7 @@
   }
 
   void start(Handover handover) {
-    server.started(promptTokens);
+    server.started(uncachedTokens);
     HttpCall sent = parts.backends().send(parts.dialect().forward(flow.request(), handover), this);
     if (!over) {
       call = sent;
@@ -171,7 +180,7 @@
   private void readPrompt() {
     if (!promptRead) {
       promptRead = true;
-      server.promptRead(promptTokens);
+      server.promptRead(uncachedTokens);
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/AttemptEnd.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/AttemptEnd.java
@@ -11,5 +11,10 @@
   /** The server ran an idempotent request and answered with an error of its own. */
   SERVER_ERROR,
   /** The request may have run. */
-  MAY_HAVE_RUN
+  MAY_HAVE_RUN;
+
+  /** Whether the server has not run the request, and never will. */
+  boolean provesNotRun() {
+    return this == NOT_SENT || this == NOT_RUN || this == OTHER_SERVER;
+  }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
@@ -12,6 +12,7 @@
 import org.teaseldeal.gateway.peer.OthersLoad;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.quarantine.RequestQuarantine;
+import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 
 /**
@@ -19,6 +20,7 @@
  *
  * @param plan the plan in force; null until one is known
  * @param othersLoad what other instances have outstanding at the servers
+ * @param cachedPrompts what lies in the servers' caches
  * @param instances how many instances there are, this one included
  */
 public record GatewayParts(
@@ -29,6 +31,7 @@
     Dialect dialect,
     BackendPort backends,
     Supplier<Map<BackendServerId, OthersLoad>> othersLoad,
+    CachedPrompts cachedPrompts,
     IntSupplier instances,
     GatewayLimits limits,
     EventSink events,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptTerms.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptTerms.java
@@ -36,6 +36,11 @@
     return inputTokens - sharedTokens();
   }
 
+  /** The ids of all parts but the last, in order. */
+  List<String> sharedParts() {
+    return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+  }
+
   /** Names the longest beginning that other prompts may share; empty if there is none. */
   public String sharedBeginning() {
     return parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -74,7 +74,9 @@
   /** Creates a desk. */
   public RequestDesk(GatewayParts parts) {
     this.parts = parts;
-    this.choice = new ServerChoice(parts.servers(), parts.othersLoad(), parts.random());
+    this.choice =
+        new ServerChoice(
+            parts.servers(), parts.othersLoad(), parts.cachedPrompts(), parts.random());
   }
 
   /** How many requests have no final answer yet. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -3,13 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
-import org.teaseldeal.decisions.PromptPlacement;
 import org.teaseldeal.gateway.account.AccountBook;
 import org.teaseldeal.gateway.account.Reservation;
 import org.teaseldeal.gateway.account.ReservationListener;
@@ -199,7 +199,7 @@
       return;
     }
     Optional<ServerChoice.Chosen> chosen =
-        desk.choice().choose(service, placedPrompt(), tried, now());
+        desk.choice().choose(service, request.prompt(), route.aim(), tried, now());
     if (chosen.isEmpty()) {
       waitOrGiveUp();
       return;
@@ -218,7 +218,9 @@
                 server.running(),
                 chosen.get().candidates(),
                 answer.lastEventId()));
-    Attempt next = new Attempt(this, parts, server, route.kind().streamed());
+    parts.cachedPrompts().onSent(server.incarnation(), sharedParts(), now());
+    Attempt next =
+        new Attempt(this, parts, server, chosen.get().uncachedTokens(), route.kind().streamed());
     attempt = next;
     next.start(
         new Handover(
@@ -230,17 +232,8 @@
             answer.lastEventId().isEmpty() ? Optional.empty() : Optional.of(answer.lastEventId())));
   }
 
-  private PromptPlacement.Prompt placedPrompt() {
-    return request
-        .prompt()
-        .map(
-            prompt ->
-                new PromptPlacement.Prompt(
-                    prompt.sharedBeginning(),
-                    prompt.sharedTokens(),
-                    prompt.inputTokens(),
-                    route.aim()))
-        .orElse(new PromptPlacement.Prompt("", 0, 0, route.aim()));
+  private List<String> sharedParts() {
+    return request.prompt().map(PromptTerms::sharedParts).orElse(List.of());
   }
 
   private int rank() {
@@ -349,6 +342,9 @@
             new GatewayEvent.AttemptFailed(
                 request.id(), server.id().name(), sends, end.name(), detail, failed.age()));
     tried.add(server.incarnation());
+    if (end.provesNotRun()) {
+      parts.cachedPrompts().onNotRun(server.incarnation(), sharedParts());
+    }
     stage = Stage.SERVER;
     switch (end) {
       case NOT_SENT -> {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -15,6 +15,7 @@
 import org.teaseldeal.decisions.ServerHealth;
 import org.teaseldeal.gateway.peer.OthersLoad;
 import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerIncarnation;
 
@@ -26,11 +27,17 @@
   private static final Duration LONGEST_EJECTION = Duration.ofSeconds(8);
   private static final Duration RAMP = Duration.ofSeconds(1);
 
-  /** The servers of a choice, for the log. */
-  record Chosen(BackendServer server, int candidates) {}
+  /**
+   * What was chosen.
+   *
+   * @param candidates among which
+   * @param uncachedTokens of the prompt that the server has to read
+   */
+  record Chosen(BackendServer server, int candidates, long uncachedTokens) {}
 
   private final ServerDirectory servers;
   private final Supplier<Map<BackendServerId, OthersLoad>> load;
+  private final CachedPrompts cached;
   private final RandomGenerator random;
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
   private final Map<BackendServerId, ServerIncarnation> followed = new HashMap<>();
@@ -39,9 +46,11 @@
   ServerChoice(
       ServerDirectory servers,
       Supplier<Map<BackendServerId, OthersLoad>> load,
+      CachedPrompts cached,
       RandomGenerator random) {
     this.servers = servers;
     this.load = load;
+    this.cached = cached;
     this.random = random;
   }
 
@@ -93,11 +102,16 @@
   /**
    * Chooses a server of {@code service}.
    *
-   * @param prompt of no tokens for a plain service
+   * @param prompt none for a plain service
+   * @param aim until when the answer is to begin
    * @param tried servers that failed this request before; one that started again since is none
    */
   Optional<Chosen> choose(
-      String service, PromptPlacement.Prompt prompt, Set<ServerIncarnation> tried, Instant now) {
+      String service,
+      Optional<PromptTerms> prompt,
+      Duration aim,
+      Set<ServerIncarnation> tried,
+      Instant now) {
     followList(now);
     ServerHealth health = health(service);
     List<BackendServer> ready = servers.ready(service);
@@ -111,21 +125,41 @@
     Map<BackendServerId, OthersLoad> others = load.get();
     List<PromptPlacement.Candidate> views =
         candidates.stream()
-            .map(server -> view(server, others.getOrDefault(server.id(), OthersLoad.NONE)))
+            .map(server -> view(server, others.getOrDefault(server.id(), OthersLoad.NONE), prompt))
             .toList();
-    return PromptPlacement.choose(views, prompt, random)
+    String beginning = prompt.map(PromptTerms::sharedBeginning).orElse("");
+    return PromptPlacement.choose(views, new PromptPlacement.Prompt(beginning, aim), random)
         .flatMap(servers::find)
-        .map(server -> new Chosen(server, candidates.size()));
+        .map(server -> new Chosen(server, candidates.size(), uncached(server, prompt)));
   }
 
-  private PromptPlacement.Candidate view(BackendServer server, OthersLoad others) {
+  private PromptPlacement.Candidate view(
+      BackendServer server, OthersLoad others, Optional<PromptTerms> prompt) {
+    long uncached = uncached(server, prompt);
     return new PromptPlacement.Candidate(
         server.id(),
         server.running() + others.running(),
         Math.max(0, server.promptTokensAhead()) + others.promptTokensAhead(),
+        uncached,
+        prompt.map(terms -> uncached == terms.unsharedTokens()).orElse(false),
         health(server.service()).slowness(server.id()));
   }
 
+  /** Tokens of a prompt that a server has to read: all behind the first part that it lacks. */
+  private long uncached(BackendServer server, Optional<PromptTerms> prompt) {
+    if (prompt.isEmpty()) {
+      return 0;
+    }
+    long tokens = prompt.get().inputTokens();
+    for (PromptPart part : prompt.get().parts().subList(0, prompt.get().sharedParts().size())) {
+      if (!cached.holds(server.incarnation(), part.id())) {
+        return tokens;
+      }
+      tokens = Math.max(prompt.get().unsharedTokens(), tokens - part.tokens());
+    }
+    return tokens;
+  }
+
   /**
    * Counts a whole answer.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -13,6 +13,7 @@
 import org.slf4j.LoggerFactory;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerIncarnation;
 
@@ -30,6 +31,9 @@
   /** Between messages: about the time in which an instance sends two prompts. */
   private static final Duration INTERVAL = Duration.ofMillis(100);
 
+  /** Each message repeats what was sent since; two of three may be lost. */
+  private static final Duration REPEATED = Duration.ofMillis(300);
+
   /** News older than this say nothing: most prompts were read since. */
   private static final Duration STALE = Duration.ofSeconds(1);
 
@@ -40,6 +44,7 @@
 
   private final String instance;
   private final ServerDirectory servers;
+  private final CachedPrompts cached;
   private final Supplier<List<String>> others;
   private final PeerPort port;
   private final InstantSource clock;
@@ -53,11 +58,13 @@
   public LoadExchange(
       String instance,
       ServerDirectory servers,
+      CachedPrompts cached,
       Supplier<List<String>> others,
       PeerPort port,
       InstantSource clock) {
     this.instance = instance;
     this.servers = servers;
+    this.cached = cached;
     this.others = others;
     this.port = port;
     this.clock = clock;
@@ -77,7 +84,7 @@
       return;
     }
     idleTold = loads.isEmpty();
-    byte[] message = new LoadNews(instance, ++sequence, loads).encode();
+    byte[] message = new LoadNews(instance, ++sequence, loads, sentParts(now)).encode();
     others.get().forEach(address -> port.send(address, message));
   }
 
@@ -94,6 +101,27 @@
     if (before == null || before.news().sequence() < news.sequence()) {
       heard.put(news.instance(), new Heard(news, clock.instant()));
     }
+    noteCached(news.sentParts());
+  }
+
+  private List<LoadNews.SentPart> sentParts(Instant now) {
+    return cached.sentSince(now.minus(REPEATED)).stream()
+        .map(copy -> new LoadNews.SentPart(hash(copy.server()), copy.part()))
+        .toList();
+  }
+
+  private void noteCached(List<LoadNews.SentPart> sent) {
+    if (sent.isEmpty()) {
+      return;
+    }
+    Map<Long, ServerIncarnation> byHash = new HashMap<>();
+    servers.all().forEach(each -> byHash.put(hash(each.incarnation()), each.incarnation()));
+    for (LoadNews.SentPart each : sent) {
+      ServerIncarnation server = byHash.get(each.server());
+      if (server != null) {
+        cached.onHeard(new CachedPrompts.Copy(server, each.part()));
+      }
+    }
   }
 
   /** What the others have outstanding, by server; servers without any are left out. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadNews.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadNews.java
@@ -10,12 +10,12 @@
 import java.util.List;
 
 /**
- * What an instance has outstanding at each backend server.
+ * What an instance has outstanding at each backend server, and what it has lately sent there.
  *
  * @param instance the sender
  * @param sequence rises with each message, so that one that was overtaken is dropped
  */
-record LoadNews(String instance, long sequence, List<ServerLoad> loads) {
+record LoadNews(String instance, long sequence, List<ServerLoad> loads, List<SentPart> sentParts) {
   /**
    * One server's part.
    *
@@ -23,10 +23,19 @@
    */
   record ServerLoad(long server, int running, int promptTokensAhead) {}
 
-  private static final byte LAYOUT = 1;
+  /**
+   * A part of a prompt that was sent to a server for the first time.
+   *
+   * @param server as in {@link ServerLoad}
+   * @param part a hash of the part's id
+   */
+  record SentPart(long server, long part) {}
+
+  private static final byte LAYOUT = 2;
 
   LoadNews {
     loads = List.copyOf(loads);
+    sentParts = List.copyOf(sentParts);
   }
 
   byte[] encode() {
@@ -41,6 +50,11 @@
         out.writeShort(Math.min(load.running(), Short.MAX_VALUE));
         out.writeInt(load.promptTokensAhead());
       }
+      out.writeShort(sentParts.size());
+      for (SentPart sent : sentParts) {
+        out.writeLong(sent.server());
+        out.writeLong(sent.part());
+      }
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
@@ -65,7 +79,12 @@
       for (int i = 0; i < count; i++) {
         loads.add(new ServerLoad(in.readLong(), in.readUnsignedShort(), in.readInt()));
       }
-      return new LoadNews(instance, sequence, loads);
+      int sentCount = in.readUnsignedShort();
+      List<SentPart> sentParts = new ArrayList<>();
+      for (int i = 0; i < sentCount; i++) {
+        sentParts.add(new SentPart(in.readLong(), in.readLong()));
+      }
+      return new LoadNews(instance, sequence, loads, sentParts);
     } catch (IOException e) {
       throw new IllegalArgumentException("the message is too short", e);
     }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -23,6 +23,7 @@
 import org.teaseldeal.gateway.plan.WeightedService;
 import org.teaseldeal.gateway.quarantine.RequestQuarantine;
 import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerListing;
 import org.teaseldeal.net.HttpCallRequest;
@@ -99,6 +100,7 @@
                   return () -> {};
                 },
                 Map::of,
+                new CachedPrompts(),
                 () -> 1,
                 new GatewayLimits(0.2, 50, Duration.ofSeconds(10)),
                 events::add,
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerChoiceTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerChoiceTests.java
@@ -11,21 +11,20 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
-import org.teaseldeal.decisions.PromptPlacement;
 import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerListing;
 
 class ServerChoiceTests {
   private static final Instant NOW = Instant.ofEpochMilli(1_700_000_000_000L);
-  private static final PromptPlacement.Prompt NO_PROMPT =
-      new PromptPlacement.Prompt("", 0, 0, Duration.ofSeconds(1));
 
   /** More in a row than chance explains, so that a server is left out. */
   private static final int MANY_FAILURES = 6;
 
   private final ServerDirectory servers = new ServerDirectory();
-  private final ServerChoice choice = new ServerChoice(servers, Map::of, new Random(1));
+  private final ServerChoice choice =
+      new ServerChoice(servers, Map::of, new CachedPrompts(), new Random(1));
 
   @BeforeEach
   void list() {
@@ -79,7 +78,10 @@
   }
 
   private int candidates() {
-    return choice.choose("models", NO_PROMPT, Set.of(), NOW).orElseThrow().candidates();
+    return choice
+        .choose("models", Optional.empty(), Duration.ofSeconds(1), Set.of(), NOW)
+        .orElseThrow()
+        .candidates();
   }
 
   private BackendServer find(String id) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.gateway.peer;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -11,6 +12,8 @@
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerListing;
 
@@ -20,13 +23,20 @@
 
   private final ManualClock clock = new ManualClock();
   private final List<byte[]> sent = new ArrayList<>();
+  private final CachedPrompts told = new CachedPrompts();
+  private final CachedPrompts heard = new CachedPrompts();
   private final ServerDirectory teller = directory();
   private final LoadExchange telling =
       new LoadExchange(
-          "a", teller, () -> List.of("10.0.0.2:7"), (to, message) -> sent.add(message), clock);
+          "a",
+          teller,
+          told,
+          () -> List.of("10.0.0.2:7"),
+          (to, message) -> sent.add(message),
+          clock);
   private final ServerDirectory listener = directory();
   private final LoadExchange hearing =
-      new LoadExchange("b", listener, List::of, (to, message) -> {}, clock);
+      new LoadExchange("b", listener, heard, List::of, (to, message) -> {}, clock);
 
   @Test
   void addsUpWhatOthersHaveOutstanding() {
@@ -78,6 +88,19 @@
     assertEquals(Map.of(ENGINE, new OthersLoad(1, 300)), hearing.others());
   }
 
+  /** A prompt goes where another instance has sent its beginning, also if a message was lost. */
+  @Test
+  void tellsWhatWasSentToAServer() {
+    BackendServer server = teller.find(ENGINE).orElseThrow();
+    server.started(700);
+    told.onSent(server.incarnation(), List.of("subject"), clock.instant());
+    telling.tick();
+    clock.advance(Duration.ofMillis(120));
+    telling.tick();
+    hearing.receive(sent.getLast());
+    assertTrue(heard.holds(listener.find(ENGINE).orElseThrow().incarnation(), "subject"));
+  }
+
   @Test
   void ignoresWhatIsNoMessage() {
     hearing.receive(new byte[] {9, 9, 9});
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/CachedPromptsTests.java
@@ -0,0 +1,61 @@
+package org.teaseldeal.gateway.server;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Instant;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.BackendServerId;
+
+class CachedPromptsTests {
+  private static final Instant NOW = Instant.ofEpochMilli(1_700_000_000_000L);
+  private static final ServerIncarnation FIRST = incarnation(NOW);
+
+  private final CachedPrompts cached = new CachedPrompts();
+
+  @Test
+  void knowsWhatWasSent() {
+    cached.onSent(FIRST, List.of("a", "b"), NOW);
+    assertTrue(cached.holds(FIRST, "a"));
+    assertFalse(cached.holds(FIRST, "c"));
+  }
+
+  /** A server that started again has an empty cache. */
+  @Test
+  void knowsNothingOfTheNextIncarnation() {
+    cached.onSent(FIRST, List.of("a"), NOW);
+    assertFalse(cached.holds(incarnation(NOW.plusMillis(1)), "a"));
+  }
+
+  @Test
+  void forgetsWhatWasNotRun() {
+    cached.onSent(FIRST, List.of("a"), NOW);
+    cached.onNotRun(FIRST, List.of("a"));
+    assertFalse(cached.holds(FIRST, "a"));
+  }
+
+  @Test
+  void tellsEachPartForAWhileAndOnlyWhenNew() {
+    cached.onSent(FIRST, List.of("a"), NOW);
+    cached.onSent(FIRST, List.of("a"), NOW.plusMillis(200));
+    assertEquals(1, cached.sentSince(NOW).size());
+    assertEquals(List.of(), cached.sentSince(NOW.plusMillis(100)));
+  }
+
+  /** Memory stays bounded over a day of ever new subjects; the latest are known. */
+  @Test
+  void forgetsTheLeastUsedBeyondItsBound() {
+    for (int i = 0; i < 50_000; i++) {
+      cached.onSent(FIRST, List.of("subject-" + i), NOW);
+    }
+    assertFalse(cached.holds(FIRST, "subject-0"));
+    assertTrue(cached.holds(FIRST, "subject-49999"));
+  }
+
+  private static ServerIncarnation incarnation(Instant start) {
+    return new ServerIncarnation(new BackendServerId("i-1"), Optional.of(start));
+  }
+}
