--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/PromptPlacementTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/PromptPlacementTests.java
@@ -57,7 +57,7 @@
       BackendServerId chosen = PromptPlacement.choose(candidates, prompt, random).orElseThrow();
       int index = Integer.parseInt(chosen.name().substring(1));
       ahead[index] += promptTokens;
-      late += ahead[index] / READ_PER_MILLI > AIM.toMillis() ? 1 : 0;
+      late += ahead[index] / READ_PER_MILLI > AIM.toMillis() * READING_PART_OF_AIM ? 1 : 0;
       double gapMillis =
           -Math.log(1 - random.nextDouble()) * promptTokens / (0.6 * engines * READ_PER_MILLI);
       for (int engine = 0; engine < engines; engine++) {
@@ -70,6 +70,9 @@
 
   private static final double READ_PER_MILLI = 60;
 
+  /** The rest of the aim goes on the way to the engine and on its steps. */
+  private static final double READING_PART_OF_AIM = 0.75;
+
   private static PromptPlacement.Candidate reading(int engine, long ahead, long tokens) {
     return new PromptPlacement.Candidate(
         new BackendServerId("e" + engine), 0, ahead, tokens, false, 1);
