Leave a prompt's home only for what that saves

Change: a home is left if it is busier than the least busy engine by more than the prompt's own reading.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
@@ -19,7 +19,8 @@
  *
  * <p>Load pattern: all caches are empty, after a start or a crash of engines, and each prompt has
  * to be read whole. The hash alone then gives some engines twice the work of others. So a beginning
- * that lies nowhere yet goes to the least busy of its homes, by all that is to be read there.
+ * that lies nowhere yet leaves its home for the next one if that is busier than the least busy
+ * engine, counting all that is to be read there, by more than the prompt's own reading.
  *
  * <p>Load pattern: one subject takes a third of the requests, or a prompt of fifty thousand tokens
  * keeps an engine busy for a second. Where the beginning lies, callers wait while others idle. So
@@ -81,47 +82,43 @@
    */
   private static final double HOME_PATIENCE = 1.0;
 
-  /** Homes of a beginning that are tried before any engine will do. */
+  /** Homes of a beginning that are tried in turn before any engine will do. */
   private static final int HOMES = 3;
 
   /**
-   * The part of a prompt's own reading time that its first home may be busier than the others by.
-   * An instance that has just started doesn't know what is cached; the first home most likely is.
+   * How much busier than others a home may be, in the prompt's own reading time. An instance that
+   * has just started doesn't know what is cached: the home may be about to save all of that time.
    */
-  private static final double FIRST_HOME_LEAD = 0.5;
+  private static final double HOME_LEAD = 1.0;
 
   private PromptPlacement() {}
 
   /** Chooses among {@code engines}; none only if there are none. */
   public static Optional<BackendServerId> choose(
       List<Candidate> engines, Prompt prompt, RandomGenerator random) {
-    if (prompt.beginning().isEmpty()) {
-      return soonest(engines, random).map(Candidate::id);
+    Optional<Candidate> soonest = soonest(engines, random);
+    if (prompt.beginning().isEmpty() || soonest.isEmpty()) {
+      return soonest.map(Candidate::id);
     }
-    double patience = prompt.aim().toMillis() * HOME_PATIENCE;
+    double soonestMillis = soonest.get().expectedMillis();
+    double patience = Math.max(soonestMillis, prompt.aim().toMillis() * HOME_PATIENCE);
     List<Candidate> holders = engines.stream().filter(Candidate::holdsBeginning).toList();
     return soonest(holders, random)
         .filter(holder -> holder.expectedMillis() <= patience)
-        .or(() -> home(engines, prompt).filter(home -> home.expectedMillis() <= patience))
-        .or(() -> soonest(engines, random))
+        .or(() -> home(engines, prompt, soonestMillis))
+        .or(() -> soonest)
         .map(Candidate::id);
   }
 
-  /** The first home of a beginning, or the least busy one if the first is much busier. */
-  private static Optional<Candidate> home(List<Candidate> engines, Prompt prompt) {
-    List<Candidate> homes =
-        engines.stream()
-            .sorted(Comparator.comparingLong(engine -> score(engine, prompt.beginning())))
-            .limit(HOMES)
-            .toList();
-    if (homes.isEmpty()) {
-      return Optional.empty();
-    }
-    Candidate first = homes.getFirst();
-    double lead = first.ownReadingMillis() * FIRST_HOME_LEAD;
-    return homes.stream()
-        .min(Comparator.comparingDouble(Candidate::expectedMillis))
-        .map(least -> first.expectedMillis() <= least.expectedMillis() + lead ? first : least);
+  /** The first of a beginning's homes that isn't much busier than the least busy engine. */
+  private static Optional<Candidate> home(
+      List<Candidate> engines, Prompt prompt, double soonestMillis) {
+    return engines.stream()
+        .sorted(Comparator.comparingLong(engine -> score(engine, prompt.beginning())))
+        .limit(HOMES)
+        .filter(
+            home -> home.expectedMillis() <= soonestMillis + home.ownReadingMillis() * HOME_LEAD)
+        .findFirst();
   }
 
   /** The engine that is expected to answer first; of equal ones, any. */
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/PromptPlacementTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/PromptPlacementTests.java
@@ -78,6 +78,24 @@
         new BackendServerId("e" + engine), 0, ahead, tokens, false, 1);
   }
 
+  /**
+   * Callers of a large prompt get their home also from an instance that has just started. It knows
+   * of nothing cached; read whole, the prompt would be late anywhere, and only its home may have
+   * it.
+   */
+  @Test
+  void keepsTheHomeOfAPromptThatWouldBeLateIfReadWhole() {
+    List<PromptPlacement.Candidate> engines = new ArrayList<>();
+    for (int engine = 0; engine < 8; engine++) {
+      engines.add(reading(engine, 0, 80_000));
+    }
+    PromptPlacement.Prompt prompt = new PromptPlacement.Prompt("large", AIM);
+    BackendServerId home = PromptPlacement.choose(engines, prompt, random).orElseThrow();
+    for (int i = 0; i < 20; i++) {
+      assertEquals(home, PromptPlacement.choose(engines, prompt, random).orElseThrow());
+    }
+  }
+
   /** The beginning lies at an engine that isn't its home: callers are sent there. */
   @Test
   void goesWhereTheBeginningLies() {
