--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -37,6 +37,9 @@
   /** News older than this say nothing: most prompts were read since. */
   private static final Duration STALE = Duration.ofSeconds(1);
 
+  /** Bounds what a starting instance is told to some ten kilobytes. */
+  private static final int MOST_COPIES = 4_096;
+
   /** Bounds memory over many restarts; a fleet has some hundreds, which are soon hashed anew. */
   private static final int MOST_HASHES = 4_096;
 
@@ -84,10 +87,27 @@
       return;
     }
     idleTold = loads.isEmpty();
-    byte[] message = new LoadNews(instance, ++sequence, loads, sentParts(now)).encode();
+    byte[] message =
+        new LoadNews(instance, ++sequence, loads, sentParts(cached.sentSince(now.minus(REPEATED))))
+            .encode();
     others.get().forEach(address -> port.send(address, message));
   }
 
+  /** What is known of the servers' caches, for an instance that has just started. */
+  byte[] cachedPrompts() {
+    return new LoadNews(instance, sequence, List.of(), sentParts(cached.newest(MOST_COPIES)))
+        .encode();
+  }
+
+  /**
+   * Takes in what another instance knows of the servers' caches.
+   *
+   * @throws IllegalArgumentException if it can't be read
+   */
+  void learnCachedPrompts(byte[] message) {
+    noteCached(LoadNews.decode(message).sentParts());
+  }
+
   /** Takes in a message of another instance. */
   public void receive(byte[] message) {
     LoadNews news;
@@ -104,8 +124,8 @@
     noteCached(news.sentParts());
   }
 
-  private List<LoadNews.SentPart> sentParts(Instant now) {
-    return cached.sentSince(now.minus(REPEATED)).stream()
+  private List<LoadNews.SentPart> sentParts(List<CachedPrompts.Copy> copies) {
+    return copies.stream()
         .map(copy -> new LoadNews.SentPart(hash(copy.server()), copy.part()))
         .toList();
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/CachedPrompts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/CachedPrompts.java
@@ -82,6 +82,11 @@
     return sent;
   }
 
+  /** The copies that were used last, {@code most} of them. */
+  public List<Copy> newest(int most) {
+    return copies.keySet().stream().skip(Math.max(0, copies.size() - most)).toList();
+  }
+
   private static long hash(String part) {
     return Hashing.komihash5_0().hashCharsToLong(part);
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -101,6 +101,14 @@
     assertTrue(heard.holds(listener.find(ENGINE).orElseThrow().incarnation(), "subject"));
   }
 
+  /** An instance that has just started sends prompts where their beginnings lie. */
+  @Test
+  void tellsAStartingInstanceWhatWasSentBefore() {
+    told.onSent(teller.find(ENGINE).orElseThrow().incarnation(), List.of("subject"), FIRST);
+    hearing.learnCachedPrompts(telling.cachedPrompts());
+    assertTrue(heard.holds(listener.find(ENGINE).orElseThrow().incarnation(), "subject"));
+  }
+
   @Test
   void ignoresWhatIsNoMessage() {
     hearing.receive(new byte[] {9, 9, 9});
