--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -12,13 +12,9 @@
 import java.util.function.Function;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
-import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
-import org.teaseldeal.decisions.DrawOrder;
-import org.teaseldeal.decisions.OutagePatience;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.log.LogParticipant;
@@ -45,18 +41,6 @@
   /** Between notes that only refill or return idle tokens; a request that waits goes at once. */
   private static final Duration REFILL_PAUSE = Duration.ofMillis(100);
 
-  /** How long a request waits for others' idle tokens: they read and answer within half of it. */
-  private static final Duration LONGEST_WAIT = Duration.ofMillis(1500);
-
-  /** When to come back after waiting in vain for others' idle tokens. */
-  private static final Duration COME_BACK = Duration.ofMillis(500);
-
-  /** When to come back if only a higher total helps: the operator may raise it at any time. */
-  private static final Duration COME_BACK_LOST = Duration.ofSeconds(4);
-
-  /** Within this time after its start a process has read the log, unless that is away. */
-  private static final Duration USUAL_START = Duration.ofSeconds(1);
-
   /** How long a time of day that was set is not gone by: it may be set back within seconds. */
   private static final Duration CLOCK_DOUBT = Duration.ofSeconds(20);
 
@@ -73,7 +57,8 @@
   private final Supplier<ClockReading> machineClock;
   private final Supplier<Optional<HeartbeatCount>> heartbeats;
   private final ClockReading started;
-  private final Instant startedAt;
+  private final LogReach log;
+  private final TokenRefusals refusals;
   private final Map<String, CustomerAccount> accounts = new TreeMap<>();
   private ClockReading lastReading;
   private Instant clockSetAt = Instant.EPOCH;
@@ -81,9 +66,6 @@
   private Instant nextRefill = Instant.MIN;
   private Instant nextRate = Instant.MIN;
   private Instant nextReport = Instant.MIN;
-  private boolean loaded;
-  private @Nullable Instant outageSince;
-  private Instant reachableSince = Instant.MIN;
 
   /**
    * Creates the book of {@code instance}.
@@ -111,7 +93,8 @@
     this.machineClock = machineClock;
     this.heartbeats = heartbeats;
     this.started = started;
-    this.startedAt = clock.instant();
+    this.log = new LogReach(clock.instant());
+    this.refusals = new TokenRefusals(log);
     this.lastReading = machineClock.get();
   }
 
@@ -137,7 +120,7 @@
     WaitingRequest request =
         new WaitingRequest(tokens, clock.instant(), leaves, deadline, listener);
     // One that waits for more than is at hand must not keep those from going that need less.
-    if (loaded && account.take(request, total.getAsLong(), clock.instant())) {
+    if (log.loaded() && account.take(request, total.getAsLong(), clock.instant())) {
       return;
     }
     account.waiting().add(request);
@@ -151,7 +134,7 @@
 
   /** Whether more tokens can be asked for now. */
   public boolean asksForMore() {
-    return loaded && outageSince == null;
+    return log.asksForMore();
   }
 
   /** Forgets a wish whose request is gone. */
@@ -192,7 +175,7 @@
   /** Gives another instance up to {@code wanted} tokens; returns how many. */
   public long give(String customer, long wanted) {
     OptionalLong total = prepaid.apply(customer);
-    if (!loaded || total.isEmpty()) {
+    if (!log.loaded() || total.isEmpty()) {
       return 0;
     }
     return account(customer).give(wanted, total.getAsLong(), clock.instant());
@@ -207,12 +190,7 @@
 
   /** Tells whether the log can be reached, which decides who may wait for it. */
   public void logReachable(boolean reachable) {
-    if (reachable) {
-      reachableSince = outageSince == null ? reachableSince : clock.instant();
-      outageSince = null;
-    } else if (outageSince == null) {
-      outageSince = clock.instant();
-    }
+    log.onReachable(reachable, clock.instant());
   }
 
   /**
@@ -241,7 +219,7 @@
       account.serveWaiting(total(account), now);
       refuseHopeless(account, total(account));
     }
-    if (loaded && !now.isBefore(nextReport)) {
+    if (log.loaded() && !now.isBefore(nextReport)) {
       nextReport = now.plus(REPORT_PERIOD);
       accounts.values().forEach(this::report);
     }
@@ -258,7 +236,7 @@
 
   /** Takes back what earlier processes can't have used, once the heartbeats are known. */
   private void recoverOnce() {
-    if (recovered || !loaded) {
+    if (recovered || !log.loaded()) {
       return;
     }
     Optional<HeartbeatCount> counted = heartbeats.get();
@@ -293,7 +271,7 @@
   @Override
   public void onLoaded(List<SharedNote> notes, boolean first) {
     notes.forEach(note -> load(note, first));
-    loaded = true;
+    log.onLoaded();
     Instant now = clock.instant();
     accounts
         .values()
@@ -393,7 +371,7 @@
     Instant now = clock.instant();
     long ahead = 0;
     for (WaitingRequest request : List.copyOf(account.waiting())) {
-      Optional<Problem> problem = refusal(account, request, ahead, total, now);
+      Optional<Problem> problem = refusals.of(account, request, ahead, total, now);
       if (problem.isPresent()) {
         account.waiting().remove(request);
         request.listener().onRefused(problem.get());
@@ -403,79 +381,6 @@
     }
   }
 
-  /** {@code ahead} are the tokens of those that wait before it. */
-  private Optional<Problem> refusal(
-      CustomerAccount account, WaitingRequest request, long ahead, long total, Instant now) {
-    if (mayBeDrawn(account, request, now) || starting(now)) {
-      return Optional.empty();
-    }
-    if (!asksForMore()) {
-      return refusalInOutage(account, request, ahead, now);
-    }
-    if (!account.wishDecided()) {
-      return Optional.empty();
-    }
-    if (account.pastUnknown()) {
-      return Optional.of(notAtHand(account, request, COME_BACK_LOST));
-    }
-    if (!account.mayCover(request.tokens(), total)) {
-      return Optional.of(
-          Problem.of(
-              ErrorKind.BUDGET_EXHAUSTED,
-              "%d tokens are needed, less remain of %d".formatted(request.tokens(), total)));
-    }
-    if (!account.couldBeGranted(request.tokens(), total)) {
-      return Optional.of(notAtHand(account, request, COME_BACK_LOST));
-    }
-    // What waited out an outage has had no chance yet: its time counts from when the log was back.
-    Instant since = request.since().isAfter(reachableSince) ? request.since() : reachableSince;
-    Duration waited = Duration.between(since, now);
-    if (waited.compareTo(LONGEST_WAIT) <= 0) {
-      return Optional.empty();
-    }
-    return Optional.of(notAtHand(account, request, COME_BACK));
-  }
-
-  /**
-   * Whether the accounts are about to be read for the first time.
-   *
-   * <p>Failure: a process that has just started takes callers before it has read what it may spend.
-   * Symptom, if that were an outage: they are refused, and come back only seconds later, though
-   * their tokens are at hand after some tens of milliseconds.
-   */
-  private boolean starting(Instant now) {
-    return !loaded && now.isBefore(startedAt.plus(USUAL_START));
-  }
-
-  /** Whether other instances may still give what a request lacks, see {@link TokenDraws}. */
-  private static boolean mayBeDrawn(CustomerAccount account, WaitingRequest request, Instant now) {
-    boolean asked = !now.isBefore(request.since().plus(DrawOrder.LONGEST_ROUND));
-    return !asked && account.coveredWithOthers(request.tokens());
-  }
-
-  private Optional<Problem> refusalInOutage(
-      CustomerAccount account, WaitingRequest request, long ahead, Instant now) {
-    Duration untilReleased = account.untilReleased(ahead + request.tokens(), total(account), now);
-    if (now.plus(untilReleased).isBefore(request.leaves())) {
-      return Optional.empty();
-    }
-    Duration outage = outageSince == null ? Duration.ZERO : Duration.between(outageSince, now);
-    return OutagePatience.comeBack(
-            outage,
-            Duration.between(now, request.leaves()),
-            Duration.between(now, request.deadline()))
-        .map(comeBack -> notAtHand(account, request, comeBack));
-  }
-
-  private static Problem notAtHand(
-      CustomerAccount account, WaitingRequest request, Duration comeBack) {
-    return Problem.retryable(
-        ErrorKind.NO_LEASE,
-        "%d tokens of %s are not at hand, %d are"
-            .formatted(request.tokens(), account.customer(), account.idle()),
-        comeBack);
-  }
-
   private long total(CustomerAccount account) {
     return prepaid.apply(account.customer()).orElse(0);
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -68,17 +68,7 @@
   private boolean noteDue;
   private boolean closing;
 
-  /**
-   * What the newest note that is surely on the log says, and what was taken since it was composed.
-   */
-  private Promise noted = Promise.NONE;
-
-  private long takenSinceNoted;
-
-  /** The same of the note that is being written, which may be on the log already. */
-  private Promise drafted = Promise.NONE;
-
-  private long takenSinceDrafted;
+  private final NotedRelease released = new NotedRelease();
 
   /** Tokens spent or given to requests, as the newest own note says. */
   private long inUseDrafted;
@@ -229,8 +219,7 @@
 
   /** Called when the note that was being written is on the log: what it promises may be used. */
   void written(long total, Instant now) {
-    noted = drafted;
-    takenSinceNoted = takenSinceDrafted;
+    released.written();
     serveWaiting(total, now);
   }
 
@@ -293,23 +282,13 @@
   }
 
   private void useIdle(long tokens) {
-    takenSinceNoted += tokens;
-    takenSinceDrafted += tokens;
+    released.take(tokens);
     idle -= tokens;
   }
 
-  /**
-   * Idle tokens that may be used now by all notes that a successor may find.
-   *
-   * <p>Failure: a note reaches the log and its answer is lost as a cut begins. The note before it
-   * is older and releases its tokens sooner, so an instance that went by that one alone used more
-   * than the younger one allows. Symptom: its successor, which finds the younger note, gives the
-   * same tokens out again and the customer gets more than its total.
-   */
+  /** Idle tokens that may be used now. */
   private long ownAtHand(long total, Instant now) {
-    long byNoted = noted.released(now) - takenSinceNoted;
-    long byDrafted = drafted.released(now) - takenSinceDrafted;
-    return Math.max(0, Math.min(usable(total), Math.min(byNoted, byDrafted)));
+    return Math.max(0, Math.min(usable(total), released.left(now)));
   }
 
   /** Idle tokens that may be used; fewer after the total was lowered below what is out. */
@@ -323,9 +302,7 @@
     if (own > usable(total)) {
       return NEVER;
     }
-    Duration byNoted = noted.untilReleased(takenSinceNoted + own, now);
-    Duration byDrafted = drafted.untilReleased(takenSinceDrafted + own, now);
-    return byNoted.compareTo(byDrafted) > 0 ? byNoted : byDrafted;
+    return released.until(own, now);
   }
 
   /** Counts what was used, first of the part that another instance has given. */
@@ -405,7 +382,7 @@
    */
   Optional<SharedNote> renewal(
       String instance, long total, ClockReading reading, long heartbeats, Instant now) {
-    boolean fresh = !now.isAfter(drafted.at().plus(NOTE_AGE));
+    boolean fresh = !now.isAfter(released.drafted().at().plus(NOTE_AGE));
     return idle == 0 || fresh
         ? Optional.empty()
         : Optional.of(compose(instance, total, reading, heartbeats, now));
@@ -443,9 +420,10 @@
   }
 
   private boolean stale(Instant now) {
-    boolean changed = takenSinceNoted > 0 || (closing && noted.held() != held());
-    boolean old = changed && now.isAfter(noted.at().plus(NOTE_AGE));
-    return old || (inUse() != inUseDrafted && now.isAfter(drafted.at().plus(SETTLED_NOTE_AGE)));
+    boolean changed = released.taken() > 0 || (closing && released.noted().held() != held());
+    boolean old = changed && now.isAfter(released.noted().at().plus(NOTE_AGE));
+    boolean settled = inUse() != inUseDrafted;
+    return old || (settled && now.isAfter(released.drafted().at().plus(SETTLED_NOTE_AGE)));
   }
 
   private long inUse() {
@@ -462,8 +440,7 @@
     long promised = Math.min(idle + asked, wantedInAll() + atOnce);
     long sealed = idle + asked - promised;
     long pace = LeaseRelease.pace(idle + asked, demand.tokensPerSecond(), demand.largest());
-    drafted = new Promise(now, held(), promised, new LeaseRelease(sealed, pace));
-    takenSinceDrafted = 0;
+    released.draft(new Promise(now, held(), promised, new LeaseRelease(sealed, pace)));
     SharedNote.Account note =
         new SharedNote.Account(
             instance,
@@ -511,7 +488,7 @@
 
   /** Whether nothing is held here, and the log says so. */
   boolean returned() {
-    return held() == 0 && noted.held() == 0 && drawnToTakeIn() == 0;
+    return held() == 0 && released.noted().held() == 0 && drawnToTakeIn() == 0;
   }
 
   /** What to ask for so that as many as fit can go, the oldest first. */
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/LogReach.java
@@ -0,0 +1,64 @@
+package org.teaseldeal.gateway.account;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.jspecify.annotations.Nullable;
+
+/** Whether the shared log can be reached, and since when. */
+final class LogReach {
+  /** Within this time after its start a process has read the log, unless that is away. */
+  private static final Duration USUAL_START = Duration.ofSeconds(1);
+
+  private final Instant startedAt;
+  private boolean loaded;
+  private @Nullable Instant outageSince;
+  private Instant reachableSince = Instant.MIN;
+
+  LogReach(Instant startedAt) {
+    this.startedAt = startedAt;
+  }
+
+  void onLoaded() {
+    loaded = true;
+  }
+
+  void onReachable(boolean reachable, Instant now) {
+    if (reachable) {
+      reachableSince = outageSince == null ? reachableSince : now;
+      outageSince = null;
+    } else if (outageSince == null) {
+      outageSince = now;
+    }
+  }
+
+  /** Whether all notes were read once. */
+  boolean loaded() {
+    return loaded;
+  }
+
+  /** Whether more tokens can be asked for now. */
+  boolean asksForMore() {
+    return loaded && outageSince == null;
+  }
+
+  /**
+   * Whether the accounts are about to be read for the first time.
+   *
+   * <p>Failure: a process that has just started takes callers before it has read what it may spend.
+   * Symptom, if that were an outage: they are refused, and come back only seconds later, though
+   * their tokens are at hand after some tens of milliseconds.
+   */
+  boolean starting(Instant now) {
+    return !loaded && now.isBefore(startedAt.plus(USUAL_START));
+  }
+
+  /** How long the log has been away. */
+  Duration outage(Instant now) {
+    return outageSince == null ? Duration.ZERO : Duration.between(outageSince, now);
+  }
+
+  /** Since when a request that came at {@code since} may have been granted its tokens. */
+  Instant grantableSince(Instant since) {
+    return since.isAfter(reachableSince) ? since : reachableSince;
+  }
+}
