--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -274,6 +274,43 @@
     assertEquals(before + 1, asked.granted);
   }
 
+  /**
+   * No caller is given what another instance has drawn. All are cut off from the log; one draws on
+   * the others for a second as its callers ask for ever more; all are killed, and their successors
+   * take back what the last notes show as unused.
+   */
+  @Test
+  void countsWhatWasDrawnOnceOverAKill() {
+    AccountFleet fleet = steadilyDrawnOn();
+    fleet.lines(Line.CUT);
+    for (int step = 0; step < 100; step++) {
+      fleet.instance(0).request(LARGE);
+      fleet.run(Duration.ofMillis(10));
+    }
+    fleet.kill(Duration.ofMillis(10));
+    fleet.lines(Line.OPEN);
+    requestEverywhere(fleet, LARGE, 300);
+    assertTrue(
+        fleet.given() <= fleet.total,
+        "%d tokens were given, expected at most %d".formatted(fleet.given(), fleet.total));
+  }
+
+  /** The same without a kill: what was drawn in a cut is the receiver's alone after it. */
+  @Test
+  void countsWhatWasDrawnOnceAfterACut() {
+    AccountFleet fleet = steadilyDrawnOn();
+    fleet.lines(Line.CUT);
+    for (int step = 0; step < 700; step++) {
+      fleet.instance(0).request(LARGE / 4);
+      fleet.run(Duration.ofMillis(10));
+    }
+    fleet.lines(Line.OPEN);
+    requestEverywhere(fleet, LARGE, 300);
+    assertTrue(
+        fleet.given() <= fleet.total,
+        "%d tokens were given, expected at most %d".formatted(fleet.given(), fleet.total));
+  }
+
   /**
    * Tokens that were drawn and not used aren't lost. An instance draws on others in a cut, its
    * request uses little of it, and once the log is back the process stops; the total serves one
