--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LeaseRelease.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LeaseRelease.java
@@ -34,9 +34,9 @@
 
   /**
    * When the rest may be used. The next process of a machine that loses power for a second and a
-   * half begins 1.9 to 2.1 seconds after the loss, as its log shows; a note is up to 0.2 seconds
-   * old by then, and 0.2 seconds are added for a time of day that is being corrected. Callers of
-   * requests that aren't at hand wait for so long when a cut begins.
+   * half begins about two seconds after the loss; a note is up to 0.2 seconds old by then, and 0.2
+   * seconds are added for a time of day that is being corrected. When a cut begins, callers of
+   * requests that can't be drawn for wait for so long.
    */
   private static final Duration GROWS_AFTER = Duration.ofMillis(2400);
 
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
@@ -78,7 +78,7 @@
   /**
    * The part of the aim that the first token may be expected after where the beginning lies. The
    * whole of it: a beginning that is read again elsewhere costs its engine as much time as the wait
-   * saves, and with half of it the engines read a third more of what others had cached.
+   * saves.
    */
   private static final double HOME_PATIENCE = 1.0;
 
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptReading.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptReading.java
@@ -7,9 +7,7 @@
  *
  * <p>Load pattern: engines that reset the connections of many requests as these arrive, within
  * milliseconds, while a customer's total runs out. Charged in full, each such prompt takes from the
- * customer what nobody used, and its later requests are refused although the total covers them: on
- * a day with such engines 193 of 5,526 requests were refused so. Uncharged, the share of requests
- * that were refused for any reason fell from 10.9 to 2.9 in 100.
+ * customer what nobody used, and its later requests are refused although the total covers them.
  *
  * <p>A run begins with its first token, and for that the whole of the prompt has to be read. So an
  * engine that broke off sooner than any engine could have read the prompt has used nothing of it.
