--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/DrawOrderTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/DrawOrderTests.java
@@ -29,7 +29,7 @@
     int most = firsts.values().stream().mapToInt(Integer::intValue).max().orElseThrow();
     assertTrue(most < 400, "one was asked first %d of 800 times, expected less".formatted(most));
     assertTrue(
-        firsts.get("instance-0") > firsts.getOrDefault("instance-5", 0),
+        firsts.getOrDefault("instance-0", 0) > firsts.getOrDefault("instance-5", 0),
         "one with much was not asked first more often than one with some");
   }
 
