List a prompt's shared parts once, without a copy for each server

ServerChoice built a list of ids for each candidate just for its length, and sharedTokens had the same loop beside it. Behaviour is unchanged; the gateway's tests pass.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptTerms.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptTerms.java
@@ -22,12 +22,14 @@
     return inputTokens + maxOutputTokens;
   }
 
+  /** All parts but the last, in order. */
+  List<PromptPart> sharedParts() {
+    return parts.subList(0, Math.max(0, parts.size() - 1));
+  }
+
   /** Tokens of all parts but the last. */
   public long sharedTokens() {
-    long shared = 0;
-    for (int i = 0; i < parts.size() - 1; i++) {
-      shared += parts.get(i).tokens();
-    }
+    long shared = sharedParts().stream().mapToLong(PromptPart::tokens).sum();
     return Math.min(shared, inputTokens);
   }
 
@@ -37,8 +39,8 @@
   }
 
   /** The ids of all parts but the last, in order. */
-  List<String> sharedParts() {
-    return parts.stream().limit(Math.max(0, parts.size() - 1)).map(PromptPart::id).toList();
+  List<String> sharedPartIds() {
+    return sharedParts().stream().map(PromptPart::id).toList();
   }
 
   /** Names the longest beginning that other prompts may share; empty if there is none. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -218,7 +218,7 @@
                 server.running(),
                 chosen.get().candidates(),
                 answer.lastEventId()));
-    parts.cachedPrompts().onSent(server.incarnation(), sharedParts(), now());
+    parts.cachedPrompts().onSent(server.incarnation(), sharedPartIds(), now());
     Attempt next =
         new Attempt(this, parts, server, chosen.get().uncachedTokens(), route.kind().streamed());
     attempt = next;
@@ -232,8 +232,8 @@
             answer.lastEventId().isEmpty() ? Optional.empty() : Optional.of(answer.lastEventId())));
   }
 
-  private List<String> sharedParts() {
-    return request.prompt().map(PromptTerms::sharedParts).orElse(List.of());
+  private List<String> sharedPartIds() {
+    return request.prompt().map(PromptTerms::sharedPartIds).orElse(List.of());
   }
 
   private int rank() {
@@ -343,7 +343,7 @@
                 request.id(), server.id().name(), sends, end.name(), detail, failed.age()));
     tried.add(server.incarnation());
     if (end.provesNotRun()) {
-      parts.cachedPrompts().onNotRun(server.incarnation(), sharedParts());
+      parts.cachedPrompts().onNotRun(server.incarnation(), sharedPartIds());
     }
     stage = Stage.SERVER;
     switch (end) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -151,7 +151,7 @@
       return 0;
     }
     long tokens = prompt.get().inputTokens();
-    for (PromptPart part : prompt.get().parts().subList(0, prompt.get().sharedParts().size())) {
+    for (PromptPart part : prompt.get().sharedParts()) {
       if (!cached.holds(server.incarnation(), part.id())) {
         return tokens;
       }
