--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -169,9 +169,7 @@
     fleet.powerLoss(Duration.ofMillis(1_500));
     fleet.lines(Line.OPEN);
     requestEverywhere(fleet, 5_000, 300);
-    assertTrue(
-        fleet.given() <= fleet.total,
-        "%d tokens were given, expected at most %d".formatted(fleet.given(), fleet.total));
+    assertWithinTotal(fleet);
   }
 
   /**
@@ -290,9 +288,7 @@
     fleet.kill(Duration.ofMillis(10));
     fleet.lines(Line.OPEN);
     requestEverywhere(fleet, LARGE, 300);
-    assertTrue(
-        fleet.given() <= fleet.total,
-        "%d tokens were given, expected at most %d".formatted(fleet.given(), fleet.total));
+    assertWithinTotal(fleet);
   }
 
   /** The same without a kill: what was drawn in a cut is the receiver's alone after it. */
@@ -306,9 +302,7 @@
     }
     fleet.lines(Line.OPEN);
     requestEverywhere(fleet, LARGE, 300);
-    assertTrue(
-        fleet.given() <= fleet.total,
-        "%d tokens were given, expected at most %d".formatted(fleet.given(), fleet.total));
+    assertWithinTotal(fleet);
   }
 
   /**
@@ -371,6 +365,12 @@
     assertEquals(1, fleet.instance(0).granted);
   }
 
+  private static void assertWithinTotal(AccountFleet fleet) {
+    assertTrue(
+        fleet.given() <= fleet.total,
+        "%d tokens were given, expected at most %d".formatted(fleet.given(), fleet.total));
+  }
+
   /** Seven instances that a customer has drawn on for ten seconds, all requests ended. */
   private static AccountFleet steadilyDrawnOn() {
     AccountFleet fleet = new AccountFleet(7, 5_000_000);
