--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -118,6 +118,30 @@
   /** Other instances gave tokens of a customer to requests that waited here. */
   record TokensDrawn(String customer, long tokens, Duration took) implements GatewayEvent {}
 
+  /**
+   * What this instance has exchanged with the shared log and with other instances since the event
+   * before.
+   *
+   * @param notesWritten by {@code appends} calls
+   * @param slowestAppend until its answer, or until nobody waited for it any more
+   * @param notesHeard in {@code reads} answers, those of other instances among them
+   * @param messagesSent to other instances, each counted once for each of them
+   * @param longestStall by which a tick of the event loop came late
+   */
+  record FleetTraffic(
+      long appends,
+      long notesWritten,
+      Duration meanAppend,
+      Duration slowestAppend,
+      long reads,
+      long notesHeard,
+      long messagesSent,
+      long octetsSent,
+      long messagesHeard,
+      long octetsHeard,
+      Duration longestStall)
+      implements GatewayEvent {}
+
   /**
    * A request crashed so many backend servers that no instance sends it any more.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -24,6 +24,7 @@
   private final Histogram duration;
   private final Histogram tokenWait;
   private final Histogram loopDelay;
+  private final Histogram appendDuration;
   private final AtomicLong planVersion = new AtomicLong();
   private final Map<String, Boolean> reachable = new ConcurrentHashMap<>();
   private final Map<String, GatewayEvent.AccountLevel> accounts = new ConcurrentHashMap<>();
@@ -35,6 +36,7 @@
     duration = histogram("request_duration_us");
     tokenWait = histogram("request_token_wait_us");
     loopDelay = histogram("loop_delay_us");
+    appendDuration = histogram("slowest_append_us");
     registry.gauge("plan_version", () -> planVersion::get);
     accountGauge("account_total_tokens", GatewayEvent.AccountLevel::total);
     accountGauge("account_taken_by_all_tokens", GatewayEvent.AccountLevel::taken);
@@ -59,6 +61,7 @@
       case GatewayEvent.Dependency dependency -> onDependency(dependency);
       case GatewayEvent.AccountLevel level -> accounts.put(level.customer(), level);
       case GatewayEvent.TokensDrawn drawn -> registry.counter("tokens_drawn").inc(drawn.tokens());
+      case GatewayEvent.FleetTraffic traffic -> onFleetTraffic(traffic);
       case GatewayEvent.RequestQuarantined quarantined -> count("requests_quarantined");
       case GatewayEvent.LinesDropped dropped ->
           registry.counter("log_lines_dropped").inc(dropped.count());
@@ -86,6 +89,16 @@
     tokenWait.update(ended.waited().toNanos() / 1_000);
   }
 
+  private void onFleetTraffic(GatewayEvent.FleetTraffic traffic) {
+    registry.counter("notes_written").inc(traffic.notesWritten());
+    registry.counter("notes_heard").inc(traffic.notesHeard());
+    registry.counter("peer_messages_sent").inc(traffic.messagesSent());
+    registry.counter("peer_messages_heard").inc(traffic.messagesHeard());
+    registry.counter("peer_octets_sent").inc(traffic.octetsSent());
+    registry.counter("peer_octets_heard").inc(traffic.octetsHeard());
+    appendDuration.update(traffic.slowestAppend().toNanos() / 1_000);
+  }
+
   private void onDependency(GatewayEvent.Dependency dependency) {
     if (reachable.put(dependency.name(), dependency.reachable()) == null) {
       String name = "reachable_" + plain(dependency.name());
