--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.gateway.account;
 
 import java.time.Duration;
+import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -44,6 +45,7 @@
   void run(Duration time) {
     for (long passed = 0; passed < time.toMillis(); passed += STEP.toMillis()) {
       clock.advance(STEP);
+      log.round();
       instances.forEach(Instance::step);
     }
   }
@@ -142,6 +144,7 @@
     final TokenDraws draws;
     final List<Reservation> reserved = new ArrayList<>();
     int granted;
+    final List<Duration> waits = new ArrayList<>();
     final List<Problem> refused = new ArrayList<>();
     boolean alive = true;
 
@@ -163,8 +166,13 @@
     }
 
     void request(long tokens) {
+      request(CUSTOMER, tokens);
+    }
+
+    void request(String customer, long tokens) {
+      Instant began = clock.instant();
       book.reserve(
-          CUSTOMER,
+          customer,
           tokens,
           clock.instant().plus(CALLER_LEAVES),
           clock.instant().plus(DEADLINE),
@@ -172,6 +180,7 @@
             @Override
             public void onReserved(Reservation reservation) {
               granted++;
+              waits.add(Duration.between(began, clock.instant()));
               reserved.add(reservation);
               given += reservation.tokens();
             }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeSharedLog.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeSharedLog.java
@@ -1,10 +1,12 @@
 package org.teaseldeal.gateway.fake;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.teaseldeal.gateway.log.KeyedRecord;
@@ -35,16 +37,33 @@
   private static final int ROUNDS_SLOW = 3;
   private static final int ROUNDS_LATE = 50;
 
+  /** Rounds of appends that may wait in line; the log refuses those that would wait longer. */
+  private static final int LONGEST_LINE_ROUNDS = 200;
+
   private final List<PositionedRecord> records = new ArrayList<>();
   private final Map<String, Writer> writers = new HashMap<>();
+  private final Queue<Runnable> inLine = new ArrayDeque<>();
   private long firstKept;
   private int appends;
+  private int appendsInRound;
 
   /** Drops all history but the newest record of each key. */
   public void forgetHistory() {
     firstKept = records.size();
   }
 
+  /** From now on all writers' appends are done one after the other, {@code count} in a round. */
+  public void appendsInRound(int count) {
+    appendsInRound = count;
+  }
+
+  /** Does the appends of one round. */
+  public void round() {
+    for (int i = 0; i < appendsInRound && !inLine.isEmpty(); i++) {
+      inLine.remove().run();
+    }
+  }
+
   /** Appends that were done. */
   public int appends() {
     return appends;
@@ -86,10 +105,7 @@
       Supplier<AppendOutcome> append = () -> appendNow(producer, epoch, sequence, batch);
       AppendOutcome unknown = new AppendOutcome.Unknown(line.name());
       switch (line) {
-        case OPEN -> {
-          AppendOutcome done = append.get();
-          answers.add(() -> outcome.accept(done));
-        }
+        case OPEN -> open(append, outcome);
         case CUT -> answers.add(() -> outcome.accept(unknown));
         case ANSWERS_LOST -> {
           AppendOutcome lost = append.get();
@@ -104,6 +120,21 @@
       }
     }
 
+    private void open(Supplier<AppendOutcome> append, Consumer<AppendOutcome> outcome) {
+      Runnable take =
+          () -> {
+            AppendOutcome done = append.get();
+            answers.add(() -> outcome.accept(done));
+          };
+      if (appendsInRound == 0) {
+        take.run();
+      } else if (inLine.size() < LONGEST_LINE_ROUNDS * appendsInRound) {
+        inLine.add(take);
+      } else {
+        answers.add(() -> outcome.accept(new AppendOutcome.Unknown("busy")));
+      }
+    }
+
     @Override
     public void read(long offset, Consumer<ReadOutcome> outcome) {
       ReadOutcome result = reads() ? readNow(offset) : failed();
