Ask at most eight relays in a round

Callers saw late answers of plain services too while all instances of a large fleet were cut off from the store.

Cause: each store call of an instance that the store doesn't answer goes to all other instances in turn, 67 calls, three readers each, again after 0.8 s.

The turn goes on from round to round, so every relay is tried in time.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RelayChoice.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RelayChoice.java
@@ -14,7 +14,7 @@
  *
  * <p>Load pattern: nobody reaches the service, or an instance reaches nobody. Relays help nothing
  * then, and each call that waits for one delays the moment in which the service is found to be
- * back. So once each relay has failed in turn, calls go straight for a while.
+ * back. So once some relays have failed in turn, calls go straight for a while.
  */
 public final class RelayChoice {
   /** How often a call is made directly while relays work: how late its return is noticed. */
@@ -23,6 +23,12 @@
   /** Direct calls only, after all relays failed: two or three of them, at their usual pauses. */
   private static final Duration RELAYS_REST = Duration.ofMillis(800);
 
+  /**
+   * Relays that fail in turn before calls go straight. Where the service serves half of the
+   * instances, eight in a row fail once in 256 times; the next round goes on with others.
+   */
+  private static final int MOST_IN_A_ROUND = 8;
+
   private boolean directWorks = true;
   private Instant nextProbe = Instant.MIN;
   private Instant relaysRestUntil = Instant.MIN;
@@ -75,7 +81,7 @@
     }
     turn++;
     failedInTurn++;
-    if (failedInTurn >= relays) {
+    if (failedInTurn >= Math.min(relays, MOST_IN_A_ROUND)) {
       failedInTurn = 0;
       relaysRestUntil = now.plus(RELAYS_REST);
     }
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/RelayChoiceTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/RelayChoiceTests.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import java.util.List;
 import java.util.Optional;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 class RelayChoiceTests {
@@ -73,6 +74,25 @@
     assertEquals(Optional.of("h"), choice.next(relays, now));
   }
 
+  /**
+   * Guards against a storm of calls: while nobody reaches the service, each instance of a large
+   * fleet asks all others in turn, and the instances have no time left for their callers.
+   */
+  @Test
+  void asksFewOfManyRelaysInARound() {
+    List<String> relays = IntStream.range(0, 67).mapToObj(i -> "instance-" + i).toList();
+    choice.onDirect(false, now);
+    int relayed = 0;
+    for (Instant end = now.plusSeconds(1); now.isBefore(end); now = now.plusMillis(2)) {
+      if (choice.next(relays, now).isPresent()) {
+        relayed++;
+        choice.onRelayed(false, relays.size(), now);
+      }
+    }
+    assertTrue(
+        relayed <= 16, "%d calls in a second, expected two rounds of eight".formatted(relayed));
+  }
+
   /** Makes a call each {@link #STEP}; returns how many went straight. */
   private int calls(Duration time, boolean directReached, boolean relayReached) {
     int direct = 0;
