Keep the sums of others' notes instead of adding them up anew

Each note heard added up six sums over all instances: with 68 instances and some thousand notes a second a million additions a second at each instance. Now a note's part is taken out and put in. Counts of a note are bounded, so that the sum over a fleet stays a number whatever another writer puts there.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/OthersNotes.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/OthersNotes.java
@@ -4,11 +4,12 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.ToLongFunction;
 import org.teaseldeal.gateway.log.SharedNote;
 
 /** What other instances have said of their parts of one customer's total, and its sums. */
 final class OthersNotes {
+  private static final long MOST_OF_A_NOTE = Long.MAX_VALUE >> 16;
+
   private final Map<String, SharedNote.Account> byInstance = new HashMap<>();
   private final Set<String> unknown = new HashSet<>();
   private long taken;
@@ -20,8 +21,11 @@
 
   void hear(SharedNote.Account note) {
     unknown.remove(note.instance());
-    byInstance.put(note.instance(), note);
-    addUp();
+    SharedNote.Account before = byInstance.put(note.instance(), note);
+    if (before != null) {
+      add(before, -1);
+    }
+    add(note, 1);
   }
 
   /**
@@ -77,20 +81,17 @@
     return tokensPerSecond;
   }
 
-  private void addUp() {
-    taken = sum(SharedNote.Account::taken);
-    lost = sum(SharedNote.Account::lost);
-    idle = sum(SharedNote.Account::idle);
-    inUse = sum(note -> note.spent() + note.held() - note.idle());
-    lacking = sum(note -> Math.max(0, note.wanted() - note.asked()));
-    tokensPerSecond = sum(SharedNote.Account::tokensPerSecond);
+  private void add(SharedNote.Account note, int sign) {
+    taken += sign * clamped(note.spent(), note.lost(), note.held(), note.asked());
+    lost += sign * clamped(note.lost());
+    idle += sign * clamped(note.idle());
+    inUse += sign * (clamped(note.spent(), note.held()) - clamped(note.idle()));
+    lacking += sign * clamped(Math.max(0, note.wanted() - note.asked()));
+    tokensPerSecond += sign * clamped(note.tokensPerSecond());
   }
 
-  private long sum(ToLongFunction<SharedNote.Account> part) {
-    long sum = 0;
-    for (SharedNote.Account note : byInstance.values()) {
-      sum = Saturated.sum(sum, part.applyAsLong(note));
-    }
-    return sum;
+  /** More than any total, and so little that the sum over a fleet stays a number. */
+  private static long clamped(long... counts) {
+    return Math.min(MOST_OF_A_NOTE, Saturated.sum(counts));
   }
 }
