Let few instances of a large fleet hold each customer's total

Cause: a customer's total is divided among all instances. With 68 each part is less than one large request (12,000 tokens of 150,000 to 2,200,000 in all), so most requests wait for an append of their own; all instances write, and when the log is away nobody's part covers anything.

Change: up to 16 instances all hold, as before. In a larger fleet nine instances hold each group of customers; the others hold nothing and ask a holder for the tokens of each request, who counts them as spent as for a request of its own. If no holder can be reached, an instance takes the old way. Safety: gifts are bound by the giver's notes; AccountBookTests.neverGivesMoreThanTheTotalByHolders plays kills, losses of power, cuts and lost answers of holders.

--- /dev/null
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/TokenHolderChoiceTests.java
@@ -0,0 +1,78 @@
+package org.teaseldeal.decisions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class TokenHolderChoiceTests {
+  private static final List<String> CUSTOMERS = names("customer", 200);
+
+  @Test
+  void letsAllInstancesOfASmallFleetHold() {
+    Set<String> fleet = Set.copyOf(names("instance", 9));
+    CUSTOMERS.forEach(customer -> assertEquals(fleet, TokenHolderChoice.of(customer, fleet)));
+  }
+
+  @Test
+  void choosesTheSameHoldersWhateverTheOrder() {
+    List<String> fleet = names("instance", 68);
+    for (String customer : CUSTOMERS) {
+      assertEquals(
+          TokenHolderChoice.of(customer, fleet), TokenHolderChoice.of(customer, fleet.reversed()));
+    }
+  }
+
+  /**
+   * Guards against a log that takes up all of its time with notes: whoever holds renews its notes
+   * five times a second, and the log takes 500 appends a second.
+   */
+  @Test
+  void keepsTheNumberOfHoldersBoundedInALargeFleet() {
+    for (int size : List.of(17, 68, 90, 420)) {
+      List<String> fleet = names("instance", size);
+      Set<String> all =
+          CUSTOMERS.stream()
+              .flatMap(customer -> TokenHolderChoice.of(customer, fleet).stream())
+              .collect(Collectors.toSet());
+      assertTrue(
+          all.size() <= 50, "%d of %d hold, expected at most 50".formatted(all.size(), size));
+    }
+  }
+
+  /** Guards against a fleet whose holders all change when one instance joins: leases would move. */
+  @Test
+  void keepsMostHoldersWhenAnInstanceJoins() {
+    List<String> before = names("instance", 68);
+    List<String> after = names("instance", 69);
+    int kept = 0;
+    for (String customer : CUSTOMERS) {
+      Set<String> both = new HashSet<>(TokenHolderChoice.of(customer, before));
+      both.retainAll(TokenHolderChoice.of(customer, after));
+      kept += both.size();
+    }
+    assertTrue(kept >= 8 * CUSTOMERS.size(), "%d holders of %d stay".formatted(kept, 9 * 200));
+  }
+
+  @Test
+  void spreadsThoseWhoAskOverAllHolders() {
+    Set<String> holders = TokenHolderChoice.of("customer-1", names("instance", 68));
+    Map<String, Integer> first = new HashMap<>();
+    for (String asker : names("asker", 900)) {
+      first.merge(TokenHolderChoice.order(asker, holders).getFirst(), 1, Integer::sum);
+    }
+    assertEquals(holders, first.keySet());
+    first.forEach((holder, count) -> assertTrue(count <= 150, holder + " is asked by " + count));
+  }
+
+  private static List<String> names(String kind, int count) {
+    return IntStream.range(0, count).mapToObj(i -> kind + "-" + i).toList();
+  }
+}
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -10,7 +10,6 @@
 import java.util.OptionalLong;
 import java.util.TreeMap;
 import java.util.function.Function;
-import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -51,7 +50,7 @@
 
   private final String instance;
   private final Function<String, OptionalLong> prepaid;
-  private final IntSupplier instances;
+  private final TokenHolders holders;
   private final EventSink events;
   private final InstantSource clock;
   private final Supplier<ClockReading> machineClock;
@@ -71,7 +70,7 @@
    * Creates the book of {@code instance}.
    *
    * @param prepaid gives a customer's total in force; none for a customer without a bound
-   * @param instances how many there are, this one included
+   * @param holders of each customer's total
    * @param started the machine's clocks when this process began
    * @param machineClock reads them now
    * @param heartbeats of backend servers so far; empty while none are known
@@ -79,7 +78,7 @@
   public AccountBook(
       String instance,
       Function<String, OptionalLong> prepaid,
-      IntSupplier instances,
+      TokenHolders holders,
       EventSink events,
       InstantSource clock,
       ClockReading started,
@@ -87,7 +86,7 @@
       Supplier<Optional<HeartbeatCount>> heartbeats) {
     this.instance = instance;
     this.prepaid = prepaid;
-    this.instances = instances;
+    this.holders = holders;
     this.events = events;
     this.clock = clock;
     this.machineClock = machineClock;
@@ -127,6 +126,31 @@
     refuseHopeless(account, total.getAsLong());
   }
 
+  /**
+   * Sets aside {@code tokens} if they are at hand, or if the customer has no bound; returns whether
+   * it did.
+   */
+  boolean reserveAtHand(String customer, long tokens, ReservationListener listener) {
+    OptionalLong total = prepaid.apply(customer);
+    if (total.isEmpty()) {
+      listener.onReserved(Reservation.NONE);
+      return true;
+    }
+    Instant now = clock.instant();
+    WaitingRequest request = new WaitingRequest(tokens, now, now, now, listener);
+    return log.loaded() && account(customer).take(request, total.getAsLong(), now);
+  }
+
+  /** Tokens that other instances have given and no request has. */
+  long drawn(String customer) {
+    return account(customer).drawn();
+  }
+
+  /** Whether a customer's spending is bound by a total. */
+  public boolean hasTotal(String customer) {
+    return prepaid.apply(customer).isPresent();
+  }
+
   /** Tokens of a customer that this instance has at hand. */
   public long idle(String customer) {
     return account(customer).idle();
@@ -351,7 +375,7 @@
     List<SharedNote> notes = new ArrayList<>();
     for (CustomerAccount account : accounts.values()) {
       account
-          .nextNote(instance, total(account), instances.getAsInt(), refill, reading, counted, now)
+          .nextNote(instance, total(account), part(account), refill, reading, counted, now)
           .ifPresent(notes::add);
     }
     if (notes.isEmpty()) {
@@ -364,6 +388,11 @@
     return notes;
   }
 
+  private CustomerAccount.Part part(CustomerAccount account) {
+    String customer = account.customer();
+    return new CustomerAccount.Part(holders.holds(customer), holders.count(customer));
+  }
+
   private void refuseHopeless(CustomerAccount account, long total) {
     if (account.waiting().isEmpty()) {
       return;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -41,6 +41,14 @@
    */
   private static final Duration SETTLED_NOTE_AGE = Duration.ofSeconds(1);
 
+  /**
+   * What part of the total this instance is to hold.
+   *
+   * @param held whether it holds any
+   * @param holders among whom the total is divided
+   */
+  record Part(boolean held, int holders) {}
+
   private final String customer;
   private final OthersNotes others = new OthersNotes();
   private final Demand demand = new Demand();
@@ -67,6 +75,7 @@
   private long asked;
   private boolean noteDue;
   private boolean closing;
+  private Part part = new Part(true, 1);
 
   private final NotedRelease released = new NotedRelease();
 
@@ -104,6 +113,10 @@
     return idle;
   }
 
+  long drawn() {
+    return drawn;
+  }
+
   long tokensPerSecond() {
     return Math.round(demand.tokensPerSecond());
   }
@@ -329,8 +342,9 @@
     idle += taken;
   }
 
+  /** A holder's gift stays for the next request of an instance that holds nothing itself. */
   private long drawnToTakeIn() {
-    return Math.min(drawn, spent);
+    return part.held() || closing ? Math.min(drawn, spent) : 0;
   }
 
   /** Tokens that waiting requests lack beyond what is at hand for them now. */
@@ -347,7 +361,7 @@
   Optional<SharedNote> nextNote(
       String instance,
       long total,
-      int instances,
+      Part present,
       boolean refill,
       ClockReading reading,
       long heartbeats,
@@ -355,8 +369,9 @@
     if (pastUnknown) {
       return Optional.empty();
     }
+    part = present;
     long remaining = free(total);
-    long target = closing ? 0 : target(total, instances);
+    long target = keepsNothing() ? 0 : target(total);
     long wish = waitingThatFits(remaining);
     boolean urgent = wish > 0 || waits(total, now);
     boolean scarce = othersLack(remaining) > 0;
@@ -388,8 +403,12 @@
         : Optional.of(compose(instance, total, reading, heartbeats, now));
   }
 
-  private long target(long total, int instances) {
-    return new PrepaidLease(total, pool(total), instances)
+  private boolean keepsNothing() {
+    return closing || !part.held();
+  }
+
+  private long target(long total) {
+    return new PrepaidLease(total, pool(total), part.holders())
         .target(demand.tokensPerSecond(), rateOfAll(), demand.largest());
   }
 
@@ -416,7 +435,7 @@
     if (!waiting.isEmpty()) {
       return 0;
     }
-    return closing ? idle : Math.min(idle, othersLack(remaining));
+    return keepsNothing() ? idle : Math.min(idle, othersLack(remaining));
   }
 
   private boolean stale(Instant now) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
@@ -7,7 +7,7 @@
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.BackendServerId;
-import org.teaseldeal.gateway.account.AccountBook;
+import org.teaseldeal.gateway.account.TokenRequests;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.peer.OthersLoad;
 import org.teaseldeal.gateway.plan.GatewayPlan;
@@ -26,7 +26,7 @@
 public record GatewayParts(
     Supplier<@Nullable GatewayPlan> plan,
     ServerDirectory servers,
-    AccountBook accounts,
+    TokenRequests tokens,
     RequestQuarantine quarantine,
     Dialect dialect,
     BackendPort backends,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -10,9 +10,9 @@
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
-import org.teaseldeal.gateway.account.AccountBook;
 import org.teaseldeal.gateway.account.Reservation;
 import org.teaseldeal.gateway.account.ReservationListener;
+import org.teaseldeal.gateway.account.TokenRequests;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.plan.PrepaidCustomer;
 import org.teaseldeal.gateway.plan.Route;
@@ -129,15 +129,15 @@
   }
 
   private void reserve(String name, long tokens) {
-    AccountBook accounts = parts.accounts();
+    TokenRequests requests = parts.tokens();
     Instant leaves = arrived.plus(route.silenceBorne(Duration.between(arrived, deadline)));
-    accounts.reserve(name, tokens, leaves, deadline, this);
+    requests.reserve(name, tokens, leaves, deadline, this);
     if (stage == Stage.TOKENS) {
       parts
           .events()
           .accept(
               new GatewayEvent.WaitsForTokens(
-                  request.id(), name, tokens, accounts.idle(name), accounts.asksForMore()));
+                  request.id(), name, tokens, requests.idle(name), requests.asksForMore()));
     }
   }
 
@@ -459,12 +459,12 @@
 
   private void end(String outcome, int status, String detail) {
     if (stage == Stage.TOKENS && customer.isPresent()) {
-      parts.accounts().withdraw(customer.get().name(), this);
+      parts.tokens().withdraw(customer.get().name(), this);
     }
     stage = Stage.ENDED;
     attempt = null;
     long used = use.tokens(answer.eventsSent());
-    parts.accounts().settle(reservation, used);
+    parts.tokens().settle(reservation, used);
     desk.onEnded(this);
     parts
         .events()
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetView.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetView.java
@@ -4,18 +4,26 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.TreeMap;
 
 /** The instances that have ever joined, by the notes that each leaves once. */
 public final class FleetView implements LogParticipant {
   private final SharedNote.Presence own;
   private final Map<String, String> addresses = new TreeMap<>();
+  private Set<String> names;
   private boolean written;
 
   /** Creates the view of {@code instance}, which others reach at {@code peerAddress}. */
   public FleetView(String instance, String peerAddress) {
     this.own = new SharedNote.Presence(instance, peerAddress);
     addresses.put(instance, peerAddress);
+    names = Set.of(instance);
+  }
+
+  /** The names of all, this one's among them; another set after each change. */
+  public Set<String> names() {
+    return names;
   }
 
   /** How many instances there may be, this one included; those gone for good count too. */
@@ -42,13 +50,19 @@
       return;
     }
     if (!ownNote) {
-      addresses.put(presence.instance(), presence.peerAddress());
+      join(presence);
     } else if (!presence.equals(own)) {
       // Somebody else's under the own key: the others would call the wrong address until a restart.
       written = false;
     }
   }
 
+  private void join(SharedNote.Presence presence) {
+    if (addresses.put(presence.instance(), presence.peerAddress()) == null) {
+      names = Set.copyOf(addresses.keySet());
+    }
+  }
+
   @Override
   public void onLoaded(List<SharedNote> notes, boolean first) {
     notes.forEach(note -> onNote(note, note.instance().equals(own.instance())));
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
@@ -0,0 +1,131 @@
+package org.teaseldeal.gateway.peer;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import org.jspecify.annotations.Nullable;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.teaseldeal.api.Problem;
+import org.teaseldeal.gateway.account.AccountBook;
+import org.teaseldeal.gateway.account.HolderPort;
+import org.teaseldeal.gateway.account.Reservation;
+import org.teaseldeal.gateway.account.ReservationListener;
+import org.teaseldeal.net.HttpAnswer;
+import org.teaseldeal.net.HttpCallRequest;
+import org.teaseldeal.net.HttpExchange;
+import org.teaseldeal.net.HttpHandler;
+
+/** Asks holders for tokens, and answers as one. */
+public final class HolderCalls implements HolderPort, HttpHandler {
+  /** Where an instance answers as a holder. */
+  public static final String PATH = "/reservations";
+
+  private static final Logger LOG = LoggerFactory.getLogger(HolderCalls.class);
+
+  /** For the way to the holder and back, beyond the wait there. */
+  private static final Duration WAY = Duration.ofMillis(150);
+
+  private static final int OK = 200;
+  private static final int BAD_REQUEST = 400;
+  private static final int UNAVAILABLE = 503;
+
+  private final Function<String, Optional<String>> addresses;
+  private final RelayedCalls.Caller caller;
+  private final AccountBook accounts;
+  private final InstantSource clock;
+
+  /** Creates the calls of an instance; {@code addresses} gives those of others by their names. */
+  public HolderCalls(
+      Function<String, Optional<String>> addresses,
+      RelayedCalls.Caller caller,
+      AccountBook accounts,
+      InstantSource clock) {
+    this.addresses = addresses;
+    this.caller = caller;
+    this.accounts = accounts;
+    this.clock = clock;
+  }
+
+  @Override
+  public void ask(
+      String holder,
+      String customer,
+      long tokens,
+      Duration wait,
+      Duration deadline,
+      Consumer<Answer> answer) {
+    Optional<String> address = addresses.apply(holder);
+    if (address.isEmpty()) {
+      answer.accept(new Answer.Unreachable("its address isn't known"));
+      return;
+    }
+    byte[] body = new HolderMessages.Ask(customer, tokens, wait, deadline).encode();
+    caller
+        .call(new HttpCallRequest(address.get(), "POST", PATH, Map.of(), body, wait.plus(WAY)))
+        .whenComplete((got, failure) -> answer.accept(read(got, failure)));
+  }
+
+  private static Answer read(@Nullable HttpAnswer answer, @Nullable Throwable failure) {
+    if (failure != null || answer == null) {
+      return new Answer.Unreachable(failure == null ? "" : String.valueOf(failure.getMessage()));
+    }
+    if (answer.status() != OK) {
+      return new Answer.Unreachable("status " + answer.status());
+    }
+    try {
+      return HolderMessages.answer(answer.body());
+    } catch (IllegalArgumentException e) {
+      return new Answer.Unreachable(String.valueOf(e.getMessage()));
+    }
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    HolderMessages.Ask ask;
+    try {
+      ask = HolderMessages.Ask.decode(exchange.body());
+    } catch (IllegalArgumentException e) {
+      LOG.warn("what is asked of a holder can't be read: {}", e.getMessage());
+      exchange.respond(BAD_REQUEST, Map.of(), new byte[0]);
+      return;
+    }
+    if (!accounts.hasTotal(ask.customer())) {
+      // No plan is known yet, or an older one: another holder can say more.
+      exchange.respond(UNAVAILABLE, Map.of(), new byte[0]);
+      return;
+    }
+    Instant now = clock.instant();
+    Asked request = new Asked(exchange, ask.tokens());
+    exchange.onCallerGone(() -> accounts.withdraw(ask.customer(), request));
+    accounts.reserve(
+        ask.customer(), ask.tokens(), now.plus(ask.patience()), now.plus(ask.deadline()), request);
+  }
+
+  /** One request of another instance. */
+  private final class Asked implements ReservationListener {
+    private final HttpExchange exchange;
+    private final long tokens;
+
+    Asked(HttpExchange exchange, long tokens) {
+      this.exchange = exchange;
+      this.tokens = tokens;
+    }
+
+    /** Whatever the asker makes of them, they are spent here: its answer may be lost. */
+    @Override
+    public void onReserved(Reservation reservation) {
+      accounts.settle(reservation, tokens);
+      exchange.respond(OK, Map.of(), HolderMessages.granted());
+    }
+
+    @Override
+    public void onRefused(Problem problem) {
+      exchange.respond(OK, Map.of(), HolderMessages.refused(problem));
+    }
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderMessages.java
@@ -0,0 +1,131 @@
+package org.teaseldeal.gateway.peer;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.Optional;
+import org.teaseldeal.api.ErrorKind;
+import org.teaseldeal.api.Preconditions;
+import org.teaseldeal.api.Problem;
+import org.teaseldeal.gateway.account.HolderPort;
+
+/** What instances say to holders of a total, and what those answer. */
+final class HolderMessages {
+  private static final byte LAYOUT = 1;
+  private static final byte GRANTED = 0;
+  private static final byte REFUSED = 1;
+  private static final long NO_RETRY = -1;
+
+  private HolderMessages() {}
+
+  /**
+   * A request's tokens are asked for.
+   *
+   * @param patience how long the request may wait for them
+   * @param deadline how long its answer is of use
+   */
+  record Ask(String customer, long tokens, Duration patience, Duration deadline) {
+    Ask {
+      Preconditions.requireText(customer, "customer");
+      Preconditions.require(tokens > 0, "tokens were %d, expected more".formatted(tokens));
+    }
+
+    byte[] encode() {
+      return written(
+          out -> {
+            out.writeUTF(customer);
+            out.writeLong(tokens);
+            out.writeLong(patience.toMillis());
+            out.writeLong(deadline.toMillis());
+          });
+    }
+
+    /**
+     * Reads a message.
+     *
+     * @throws IllegalArgumentException if it is none of this layout
+     */
+    static Ask decode(byte[] message) {
+      return read(
+          message,
+          in ->
+              new Ask(
+                  in.readUTF(),
+                  in.readLong(),
+                  Duration.ofMillis(in.readLong()),
+                  Duration.ofMillis(in.readLong())));
+    }
+  }
+
+  static byte[] granted() {
+    return written(out -> out.writeByte(GRANTED));
+  }
+
+  static byte[] refused(Problem problem) {
+    return written(
+        out -> {
+          out.writeByte(REFUSED);
+          out.writeUTF(problem.kind().name());
+          out.writeUTF(problem.detail());
+          out.writeLong(problem.retryAfter().map(Duration::toMillis).orElse(NO_RETRY));
+        });
+  }
+
+  /**
+   * Reads an answer.
+   *
+   * @throws IllegalArgumentException if it is none of this layout
+   */
+  static HolderPort.Answer answer(byte[] message) {
+    return read(
+        message,
+        in ->
+            in.readByte() == GRANTED
+                ? new HolderPort.Answer.Granted()
+                : new HolderPort.Answer.Refused(problem(in)));
+  }
+
+  private static Problem problem(DataInputStream in) throws IOException {
+    ErrorKind kind = ErrorKind.valueOf(in.readUTF());
+    String detail = in.readUTF();
+    long retryMillis = in.readLong();
+    Optional<Duration> retry =
+        retryMillis < 0 ? Optional.empty() : Optional.of(Duration.ofMillis(retryMillis));
+    return new Problem(kind, detail, retry, kind.runStatus());
+  }
+
+  private interface Writer {
+    void write(DataOutputStream out) throws IOException;
+  }
+
+  private interface Reader<T> {
+    T read(DataInputStream in) throws IOException;
+  }
+
+  private static byte[] written(Writer writer) {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      out.writeByte(LAYOUT);
+      writer.write(out);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  private static <T> T read(byte[] message, Reader<T> reader) {
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(message))) {
+      byte layout = in.readByte();
+      if (layout != LAYOUT) {
+        throw new IllegalArgumentException("layout was %d, expected %d".formatted(layout, LAYOUT));
+      }
+      return reader.read(in);
+    } catch (IOException e) {
+      throw new IllegalArgumentException("the message is too short", e);
+    }
+  }
+}
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -83,12 +83,22 @@
    */
   @Test
   void neverGivesMoreThanTheTotal() {
-    for (int seed = 0; seed < 60; seed++) {
+    assertNeverGivesMoreThanTheTotal(4, 60);
+  }
+
+  /** The same where most instances hold nothing and ask holders, whose answers may be lost too. */
+  @Test
+  void neverGivesMoreThanTheTotalByHolders() {
+    assertNeverGivesMoreThanTheTotal(18, 20);
+  }
+
+  private static void assertNeverGivesMoreThanTheTotal(int size, int seeds) {
+    for (int seed = 0; seed < seeds; seed++) {
       Random random = new Random(seed);
-      AccountFleet fleet = new AccountFleet(4, 400_000);
+      AccountFleet fleet = new AccountFleet(size, 400_000);
       for (int step = 0; step < 120; step++) {
         disturb(fleet, random);
-        AccountFleet.Instance instance = fleet.instance(random.nextInt(4));
+        AccountFleet.Instance instance = fleet.instance(random.nextInt(size));
         instance.request(1 + random.nextInt(9_000));
         if (random.nextBoolean() && !instance.reserved.isEmpty()) {
           instance.settle(random.nextInt((int) instance.reserved.getFirst().tokens()));
@@ -103,7 +113,7 @@
   }
 
   private static void disturb(AccountFleet fleet, Random random) {
-    AccountFleet.Instance instance = fleet.instance(random.nextInt(4));
+    AccountFleet.Instance instance = fleet.instance(random.nextInt(fleet.instances.size()));
     switch (random.nextInt(30)) {
       case 0 -> fleet.kill(Duration.ofMillis(random.nextInt(3_000)));
       case 1 -> fleet.powerLoss(Duration.ofMillis(random.nextInt(3_000)));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -1,5 +1,7 @@
 package org.teaseldeal.gateway.account;
 
+import static java.util.stream.Collectors.toUnmodifiableSet;
+
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -7,7 +9,9 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.IntStream;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.gateway.fake.FakeSharedLog;
 import org.teaseldeal.gateway.fake.ManualClock;
@@ -26,12 +30,14 @@
   final FakeSharedLog log = new FakeSharedLog();
   final List<Instance> instances = new ArrayList<>();
   long total;
+  private final Set<String> names;
   private long bootedAt;
   private long timeOfDaySetBy;
   private long epochs;
 
   AccountFleet(int size, long total) {
     this.total = total;
+    names = IntStream.range(0, size).mapToObj(i -> "instance-" + i).collect(toUnmodifiableSet());
     for (int i = 0; i < size; i++) {
       instances.add(new Instance("instance-" + i));
     }
@@ -109,6 +115,44 @@
     given.accept(peers == Peers.ANSWERS_LOST ? OptionalLong.empty() : OptionalLong.of(gift));
   }
 
+  /** A holder answers in the same moment if it has the tokens at hand, or once it has. */
+  private void ask(
+      String holder,
+      String customer,
+      long tokens,
+      Duration wait,
+      Duration deadline,
+      Consumer<HolderPort.Answer> answer) {
+    Optional<Instance> asked =
+        instances.stream().filter(each -> each.name.equals(holder) && each.alive).findFirst();
+    if (asked.isEmpty() || peers == Peers.UNREACHABLE) {
+      answer.accept(new HolderPort.Answer.Unreachable("down"));
+      return;
+    }
+    Instant now = clock.instant();
+    AccountBook book = asked.get().book;
+    book.reserve(
+        customer,
+        tokens,
+        now.plus(wait),
+        now.plus(deadline),
+        new ReservationListener() {
+          @Override
+          public void onReserved(Reservation reservation) {
+            book.settle(reservation, tokens);
+            answer.accept(
+                peers == Peers.ANSWERS_LOST
+                    ? new HolderPort.Answer.Unreachable("no answer")
+                    : new HolderPort.Answer.Granted());
+          }
+
+          @Override
+          public void onRefused(Problem problem) {
+            answer.accept(new HolderPort.Answer.Refused(problem));
+          }
+        });
+  }
+
   /** One process ends, as by a kill. */
   void end(int index) {
     instance(index).alive = false;
@@ -141,6 +185,7 @@
     final FakeSharedLog.Port port;
     final AccountBook book;
     final FleetLog fleetLog;
+    final TokenRequests requests;
     final TokenDraws draws;
     final List<Reservation> reserved = new ArrayList<>();
     int granted;
@@ -151,17 +196,19 @@
     Instance(String name) {
       this.name = name;
       this.port = log.port(name);
+      TokenHolders holders = new TokenHolders(name, () -> names);
       this.book =
           new AccountBook(
               name,
               customer -> OptionalLong.of(total),
-              () -> instances.size(),
+              holders,
               event -> {},
               clock,
               machineClock(),
               AccountFleet.this::machineClock,
               () -> Optional.of(heartbeats()));
       this.fleetLog = new FleetLog(port, name, ++epochs, clock, List.of(book));
+      this.requests = new TokenRequests(book, holders, AccountFleet.this::ask, clock);
       this.draws = new TokenDraws(book, AccountFleet.this::draw, event -> {}, clock, new Random(1));
     }
 
@@ -171,7 +218,7 @@
 
     void request(String customer, long tokens) {
       Instant began = clock.instant();
-      book.reserve(
+      requests.reserve(
           customer,
           tokens,
           clock.instant().plus(CALLER_LEAVES),
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -8,9 +8,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Random;
+import java.util.Set;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.account.AccountBook;
 import org.teaseldeal.gateway.account.ClockReading;
+import org.teaseldeal.gateway.account.TokenHolders;
+import org.teaseldeal.gateway.account.TokenRequests;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.fake.FakeDialect;
 import org.teaseldeal.gateway.fake.FakeExchange;
@@ -64,6 +67,8 @@
   /** Whether the configuration has been read. */
   boolean configured = true;
 
+  private static final Set<String> ALONE = Set.of("instance-1");
+
   GatewayFixture() {
     GatewayPlan plan =
         new GatewayPlan(
@@ -75,11 +80,12 @@
             List.of(),
             CallerLimits.untilPublished());
     ClockReading reading = new ClockReading(0, 0);
+    TokenHolders holders = new TokenHolders("instance-1", () -> ALONE);
     AccountBook accounts =
         new AccountBook(
             "instance-1",
             customer -> OptionalLong.empty(),
-            () -> 1,
+            holders,
             events::add,
             clock,
             reading,
@@ -92,7 +98,11 @@
             new GatewayParts(
                 () -> configured ? plan : null,
                 servers,
-                accounts,
+                new TokenRequests(
+                    accounts,
+                    holders,
+                    (holder, customer, tokens, wait, deadline, answer) -> {},
+                    clock),
                 quarantine,
                 new FakeDialect(),
                 (request, listener) -> {
