Answer what newly accepted callers send while the router stops listening

Callers saw: a connection that is closed with no byte of an answer during a rolling restart (FleetFaultTests.rollingRestartLosesNoAnswer, once beside load, in KNOWN-RED).

Cause: as it stops listening, the router takes the connections that the system had accepted, and then waits for unanswered requests only. A connection whose first request hasn't been read counts as nothing, so the process closed it. The class is that of the stops of the platform's instances: what is taken and when the process may end were decided apart.

Evidence: CallerAnswersTests.answersTheFirstRequestOfAConnectionThatItAccepted fails before (the request never reaches the instance) and passes now. The rolling restart itself has not failed again here, so that it was this is likely and not shown.

Change: the server counts connections without a first request; the router waits for them half a second at most, then reads nothing more, then lets the last answers leave.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
@@ -36,6 +36,7 @@
   private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final AtomicInteger open = new AtomicInteger();
   private final AtomicInteger unanswered = new AtomicInteger();
+  private final AtomicInteger newcomers = new AtomicInteger();
   private final ByteBudget bodies;
   private volatile HttpServerConfig config;
   private final HttpHandler handler;
@@ -96,6 +97,11 @@
     return unanswered.get();
   }
 
+  /** How many connections are open whose first request hasn't been read. */
+  public int newcomers() {
+    return newcomers.get();
+  }
+
   /**
    * Closes each connection after its next answer from now on; new ones are still taken. Callers
    * thus move to other servers without losing a request that is on its way.
@@ -184,7 +190,15 @@
     channel.closeFuture().addListener(closed -> open.decrementAndGet());
     ServerConnection connection =
         new ServerConnection(
-            channel, config, handler, rejectionAnswer, excess, unanswered, bodies, () -> stopping);
+            channel,
+            config,
+            handler,
+            rejectionAnswer,
+            excess,
+            unanswered,
+            newcomers,
+            bodies,
+            () -> stopping);
     channel
         .pipeline()
         .addLast(connection.firstByteDetector())
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -68,6 +68,7 @@
   private final HttpRejectionAnswer rejectionAnswer;
   private final int excess;
   private final AtomicInteger unanswered;
+  private final AtomicInteger newcomers;
   private final ByteBudget bodies;
   private final BooleanSupplier stopping;
 
@@ -79,6 +80,9 @@
   private @Nullable ServerExchange exchange;
   private boolean pipelined;
 
+  /** Whether the connection is open and no request of it has been taken. */
+  private boolean newcomer;
+
   /** Bytes of the body that is arriving or being answered. */
   private int held;
 
@@ -91,6 +95,7 @@
       HttpRejectionAnswer rejectionAnswer,
       int excess,
       AtomicInteger unanswered,
+      AtomicInteger newcomers,
       ByteBudget bodies,
       BooleanSupplier stopping) {
     this.channel = channel;
@@ -99,6 +104,7 @@
     this.rejectionAnswer = rejectionAnswer;
     this.excess = excess;
     this.unanswered = unanswered;
+    this.newcomers = newcomers;
     this.bodies = bodies;
     this.stopping = stopping;
   }
@@ -131,9 +137,18 @@
       reject(HttpRejection.TOO_MANY_CONNECTIONS);
       return;
     }
+    newcomer = true;
+    newcomers.incrementAndGet();
     startIdle();
   }
 
+  private void leaveNewcomers() {
+    if (newcomer) {
+      newcomer = false;
+      newcomers.decrementAndGet();
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
@@ -147,6 +162,7 @@
   public void channelInactive(ChannelHandlerContext ctx) {
     cancelTimer();
     state = State.CLOSING;
+    leaveNewcomers();
     releaseBody();
     callerGone();
   }
@@ -240,6 +256,7 @@
     cancelTimer();
     state = State.ANSWERING;
     unanswered.incrementAndGet();
+    leaveNewcomers();
     ServerExchange current = new ServerExchange(this, channel, head, body.toByteArray(), headNanos);
     exchange = current;
     request = null;
@@ -317,6 +334,7 @@
     body = new ByteArrayOutputStream(0);
     releaseBody();
     unanswered.incrementAndGet();
+    leaveNewcomers();
     channel
         .writeAndFlush(ServerExchange.wholeAnswer(answer, false))
         .addListener(done -> unanswered.decrementAndGet());
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/Router.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/Router.java
@@ -43,6 +43,10 @@
 final class Router implements AutoCloseable {
   private static final Duration FAREWELL_BOUND = Duration.ofSeconds(1);
   private static final Duration FLUSH_POLL = Duration.ofMillis(5);
+
+  /** Callers send their request as soon as they are connected. */
+  private static final Duration LAST_CALL = Duration.ofMillis(500);
+
   private static final int ADMIN_CONNECTIONS = 64;
 
   private final RouterSettings settings;
@@ -205,6 +209,8 @@
     sleepUntil(Math.min(end, start + settings.limits().leave().toNanos()));
     leaveList();
     callers.stopAccepting();
+    awaitNewcomers(Math.min(end, System.nanoTime() + LAST_CALL.toNanos()));
+    callers.stopReading();
     whole = awaitLastAnswers(end) && whole;
     close();
     LogLine.of(whole ? "stopped" : "stopped with requests in flight").info();
@@ -234,6 +240,16 @@
     }
   }
 
+  /**
+   * Connections that the system had accepted were taken as the instance stopped listening; their
+   * callers get an answer to what they are sending.
+   */
+  private void awaitNewcomers(long endNanos) throws InterruptedException {
+    while (callers.newcomers() > 0 && System.nanoTime() < endNanos) {
+      Thread.sleep(FLUSH_POLL);
+    }
+  }
+
   /** The instance is done when it has given its last answers away; they still have to leave. */
   private boolean awaitLastAnswers(long endNanos) throws InterruptedException {
     while (callers.unanswered() > 0) {
--- a/teaseldeal-router/src/test/java/org/teaseldeal/router/CallerAnswersTests.java
+++ b/teaseldeal-router/src/test/java/org/teaseldeal/router/CallerAnswersTests.java
@@ -378,6 +378,30 @@
       }
     }
 
+    /**
+     * Guards against a caller that gets no byte of an answer: its connection was accepted as the
+     * process stopped listening, and was closed before its request was read.
+     */
+    @Test
+    void answersTheFirstRequestOfAConnectionThatItAccepted() throws Exception {
+      try (RawConnection caller = connect()) {
+        Thread drain = Thread.ofVirtual().start(this::drain);
+        instance.await(InstanceEvent.DrainRequested.class);
+        instance.give(new InstanceCommand.Stop());
+        Await.until(this::refusesConnections);
+        sendChat(caller, STREAMED_BODY);
+        drain.interrupt();
+      }
+    }
+
+    private boolean refusesConnections() {
+      try (RawConnection probe = connect()) {
+        return false;
+      } catch (IOException e) {
+        return true;
+      }
+    }
+
     private boolean whole;
 
     private void drain() {
