Serve each waiting request once

Cause: a holder settles a request of another instance as soon as it is served; that looks for the next to serve, while the request is still in line, and it is served again until nothing is at hand. Log: 'step accounts fails: the request has been answered', with take within settle within take. Tokens were lost, none given twice.

Test first: AccountBookTests.servesARequestOnceThatSettlesAtOnce (served five times before). Change: a request leaves the line before it is told.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -252,24 +252,33 @@
 
   void serveWaiting(long total, Instant now) {
     for (WaitingRequest request : List.copyOf(waiting)) {
-      if (take(request, total, now)) {
-        waiting.remove(request);
+      // One that is served may settle at once, and so have others served before this look is over.
+      if (atHand(request, total, now) && waiting.remove(request)) {
+        give(request);
       }
     }
   }
 
   /** Gives a request its tokens if they are at hand. */
   boolean take(WaitingRequest request, long total, Instant now) {
-    long fromDrawn = Math.min(drawn, request.tokens());
-    long own = request.tokens() - fromDrawn;
-    if (own > ownAtHand(total, now)) {
+    if (!atHand(request, total, now)) {
       return false;
     }
+    give(request);
+    return true;
+  }
+
+  private boolean atHand(WaitingRequest request, long total, Instant now) {
+    return request.tokens() - Math.min(drawn, request.tokens()) <= ownAtHand(total, now);
+  }
+
+  private void give(WaitingRequest request) {
+    long fromDrawn = Math.min(drawn, request.tokens());
+    long own = request.tokens() - fromDrawn;
     drawn -= fromDrawn;
     useIdle(own);
     reserved += own;
     request.listener().onReserved(new Reservation(customer, request.tokens(), fromDrawn));
-    return true;
   }
 
   /** Gives a request its tokens if other instances have given as many. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountBookTests.java
@@ -4,11 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.ErrorKind;
+import org.teaseldeal.api.Problem;
 import org.teaseldeal.gateway.fake.FakeSharedLog.Line;
 
 class AccountBookTests {
@@ -76,6 +79,35 @@
     assertEquals(ErrorKind.BUDGET_EXHAUSTED, fleet.instance(2).refused.getFirst().kind());
   }
 
+  /**
+   * Guards against tokens that are lost as one request gets them several times: a request that
+   * settles as soon as it is served is still in line while the account looks who is next.
+   */
+  @Test
+  void servesARequestOnceThatSettlesAtOnce() {
+    AccountFleet fleet = new AccountFleet(3, 1_000_000);
+    AccountFleet.Instance instance = fleet.instance(0);
+    List<Reservation> served = new ArrayList<>();
+    ReservationListener settling =
+        new ReservationListener() {
+          @Override
+          public void onReserved(Reservation reservation) {
+            served.add(reservation);
+            instance.book.settle(reservation, reservation.tokens());
+          }
+
+          @Override
+          public void onRefused(Problem problem) {
+            throw new AssertionError(problem);
+          }
+        };
+    Instant leaves = fleet.clock.instant().plusSeconds(5);
+    instance.book.reserve(AccountFleet.CUSTOMER, 100_000, leaves, leaves, settling);
+    assertEquals(List.of(), served, "at once, expected to wait for the log");
+    instance.book.receive(AccountFleet.CUSTOMER, 500_000);
+    assertEquals(1, served.size());
+  }
+
   /**
    * What callers are given never exceeds the total, whatever is lost. Instances are cut off from
    * the log, lose the answers of their appends, are killed or lose power and start again on the
