--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
@@ -7,14 +7,27 @@
 import org.teaseldeal.net.HttpExchange;
 import org.teaseldeal.net.ResponseStream;
 
-/** A caller's request without a body, and the status of its whole answer. */
+/** A caller's request, and its whole answer. */
 public final class FakeExchange implements HttpExchange {
   private final String path;
+  private final byte[] body;
   private int status;
+  private byte[] answer = new byte[0];
 
-  /** Creates a request for {@code path}. */
+  /** Creates a request for {@code path} without a body. */
   public FakeExchange(String path) {
+    this(path, new byte[0]);
+  }
+
+  /** Creates a request for {@code path}. */
+  public FakeExchange(String path, byte[] body) {
     this.path = path;
+    this.body = body.clone();
+  }
+
+  /** The answer's body; empty while there is none. */
+  public byte[] answer() {
+    return answer.clone();
   }
 
   /** The answer's status; 0 while there is none. */
@@ -44,7 +57,7 @@
 
   @Override
   public byte[] body() {
-    return new byte[0];
+    return body.clone();
   }
 
   @Override
@@ -58,11 +71,12 @@
   }
 
   @Override
-  public void respond(int answerStatus, Map<String, String> headers, byte[] body) {
+  public void respond(int answerStatus, Map<String, String> headers, byte[] answerBody) {
     if (status != 0) {
       throw new IllegalStateException("a second answer: " + answerStatus);
     }
     status = answerStatus;
+    answer = answerBody.clone();
   }
 
   @Override
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/HolderCallsTests.java
@@ -0,0 +1,154 @@
+package org.teaseldeal.gateway.peer;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.ErrorKind;
+import org.teaseldeal.gateway.account.AccountBook;
+import org.teaseldeal.gateway.account.ClockReading;
+import org.teaseldeal.gateway.account.HeartbeatCount;
+import org.teaseldeal.gateway.account.HolderPort;
+import org.teaseldeal.gateway.account.TokenHolders;
+import org.teaseldeal.gateway.fake.FakeExchange;
+import org.teaseldeal.gateway.fake.FakeSharedLog;
+import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.log.FleetLog;
+import org.teaseldeal.net.HttpAnswer;
+import org.teaseldeal.net.HttpCallRequest;
+
+class HolderCallsTests {
+  private static final String HOLDER = "instance-1";
+  private static final Set<String> FLEET = Set.of(HOLDER);
+  private static final String CUSTOMER = "trawler";
+  private static final long TOTAL = 1_000_000;
+  private static final Duration WAIT = Duration.ofMillis(600);
+  private static final Duration DEADLINE = Duration.ofSeconds(10);
+
+  private final ManualClock clock = new ManualClock();
+  private final FakeSharedLog.Port log = new FakeSharedLog().port(HOLDER);
+  private final AccountBook book =
+      new AccountBook(
+          HOLDER,
+          customer -> customer.equals(CUSTOMER) ? OptionalLong.of(TOTAL) : OptionalLong.empty(),
+          new TokenHolders(HOLDER, () -> FLEET),
+          event -> {},
+          clock,
+          new ClockReading(0, 0),
+          () -> new ClockReading(0, 0),
+          () -> Optional.of(new HeartbeatCount(0, 1)));
+  private final FleetLog fleetLog =
+      new FleetLog(log, HOLDER, 1, clock, Duration.ofMillis(300), List.of(book));
+  private final List<FakeExchange> exchanges = new ArrayList<>();
+  private final List<CompletableFuture<HttpAnswer>> calls = new ArrayList<>();
+  private final HolderCalls holder = calls();
+  private final HolderCalls asker = calls();
+  private final List<HolderPort.Answer> answers = new ArrayList<>();
+
+  @Test
+  void givesARequestItsTokensOnceTheyAreAtHand() {
+    ask(CUSTOMER, 50_000);
+    run(Duration.ofSeconds(1));
+    assertEquals(List.of(new HolderPort.Answer.Granted()), answers);
+  }
+
+  @Test
+  void saysWhyARequestCannotHaveItsTokens() {
+    ask(CUSTOMER, TOTAL + 1);
+    run(Duration.ofSeconds(2));
+    HolderPort.Answer.Refused refused =
+        assertInstanceOf(HolderPort.Answer.Refused.class, answers.getFirst());
+    assertEquals(ErrorKind.BUDGET_EXHAUSTED, refused.problem().kind());
+  }
+
+  @Test
+  void givesAgainWhatCameBack() {
+    ask(CUSTOMER, TOTAL);
+    run(Duration.ofSeconds(1));
+    asker.giveBack(HOLDER, CUSTOMER, TOTAL);
+    ask(CUSTOMER, TOTAL);
+    run(Duration.ofSeconds(1));
+    HolderPort.Answer granted = new HolderPort.Answer.Granted();
+    assertEquals(List.of(granted, granted), answers);
+  }
+
+  /** Guards against tokens that are taken as given by an instance that knows of no total yet. */
+  @Test
+  void saysNothingOfACustomerThatItDoesNotKnow() {
+    ask("stranger", 10);
+    run(Duration.ofSeconds(1));
+    assertInstanceOf(HolderPort.Answer.Unreachable.class, answers.getFirst());
+  }
+
+  @Test
+  void countsAsUnreachableWithoutAnAnswerThatCanBeRead() {
+    ask(CUSTOMER, 10);
+    ask(CUSTOMER, 10);
+    ask(CUSTOMER, 10);
+    calls.get(0).completeExceptionally(new CompletionException("connection refused", null));
+    calls.get(1).complete(new HttpAnswer(404, Map.of(), new byte[0]));
+    calls.get(2).complete(new HttpAnswer(200, Map.of(), new byte[] {9}));
+    assertEquals(3, answers.size());
+    answers.forEach(each -> assertInstanceOf(HolderPort.Answer.Unreachable.class, each));
+  }
+
+  @Test
+  void refusesWhatItCannotRead() {
+    FakeExchange garbage = new FakeExchange(HolderCalls.PATH, new byte[] {1, 2, 3});
+    holder.handle(garbage);
+    assertEquals(400, garbage.status());
+    FakeExchange back = new FakeExchange(HolderCalls.RETURNS, new byte[] {9});
+    holder.handleReturn(back);
+    assertEquals(400, back.status());
+  }
+
+  private HolderCalls calls() {
+    return new HolderCalls(name -> Optional.of("10.0.0.1:7000"), this::call, book, clock);
+  }
+
+  /** What is called arrives at once; it is answered as time goes on. */
+  private CompletableFuture<HttpAnswer> call(HttpCallRequest request) {
+    FakeExchange exchange = new FakeExchange(request.path(), request.body());
+    CompletableFuture<HttpAnswer> call = new CompletableFuture<>();
+    exchanges.add(exchange);
+    calls.add(call);
+    if (request.path().equals(HolderCalls.RETURNS)) {
+      holder.handleReturn(exchange);
+    } else {
+      holder.handle(exchange);
+    }
+    return call;
+  }
+
+  private void ask(String customer, long tokens) {
+    asker.ask(HOLDER, customer, tokens, WAIT, DEADLINE, answers::add);
+  }
+
+  private void run(Duration time) {
+    for (long passed = 0; passed < time.toMillis(); passed += 10) {
+      clock.advance(Duration.ofMillis(10));
+      log.answer();
+      fleetLog.tick();
+      book.tick();
+      passOnAnswers();
+    }
+  }
+
+  private void passOnAnswers() {
+    for (int i = 0; i < calls.size(); i++) {
+      FakeExchange exchange = exchanges.get(i);
+      if (exchange.status() != 0) {
+        calls.get(i).complete(new HttpAnswer(exchange.status(), Map.of(), exchange.answer()));
+      }
+    }
+  }
+}
