Give up sooner on holders that can't be reached, and on those that stop

Three are asked now. An instance that stops sends those that ask to another holder (HolderCallsTests.givesNothingWhileTheInstanceStops), so that it doesn't wait for their tokens to come back. What waits at a holder is no longer a line of the log for each request.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -62,6 +62,7 @@
   private ClockReading lastReading;
   private Instant clockSetAt = Instant.EPOCH;
   private boolean recovered;
+  private boolean closing;
   private Instant nextRefill = Instant.MIN;
   private Instant nextRate = Instant.MIN;
   private Instant nextReport = Instant.MIN;
@@ -164,9 +165,9 @@
     account.serveWaiting(total(account), clock.instant());
   }
 
-  /** Whether a customer's spending is bound by a total. */
-  public boolean hasTotal(String customer) {
-    return prepaid.apply(customer).isPresent();
+  /** Whether other instances may be given tokens of a customer here. */
+  public boolean servesOthers(String customer) {
+    return !closing && prepaid.apply(customer).isPresent();
   }
 
   /** Tokens of a customer that this instance has at hand. */
@@ -240,6 +241,7 @@
    * at the end: the log may be away by then, and what is held at the end is lost to the customer.
    */
   public void close() {
+    closing = true;
     accounts.values().forEach(CustomerAccount::close);
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -22,9 +22,15 @@
  * holds a part itself, which needs the shared log.
  */
 public final class TokenRequests {
-  /** How long a request waits at one holder: two others can be asked after it. */
+  /** How long a request waits at one holder, so that others can be asked after it. */
   private static final Duration LONGEST_WAIT = Duration.ofMillis(600);
 
+  /**
+   * Holders asked for a request. An instance that reaches none of them is likely to be cut off, and
+   * each of them takes a quarter of a second to find that out.
+   */
+  private static final int MOST_ASKED = 3;
+
   /** A holder that can't be reached is left out for about the time that a restart takes. */
   private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(2);
 
@@ -77,6 +83,11 @@
     accounts.settle(reservation, used);
   }
 
+  /** Whether requests of a customer wait here for their tokens, and not at a holder. */
+  public boolean waitHere(String customer) {
+    return holders.holds(customer);
+  }
+
   /** Tokens of a customer that this instance has at hand. */
   public long idle(String customer) {
     return accounts.idle(customer);
@@ -132,7 +143,11 @@
       this.leaves = leaves;
       this.deadline = deadline;
       this.listener = listener;
-      this.left = holders.others(customer).iterator();
+      this.left =
+          holders.others(customer).stream()
+              .filter(TokenRequests.this::reachable)
+              .limit(MOST_ASKED)
+              .iterator();
     }
 
     boolean isFor(String wanted) {
@@ -140,15 +155,12 @@
     }
 
     void askNext() {
-      while (left.hasNext()) {
-        String holder = left.next();
-        if (reachable(holder)) {
-          ask(holder);
-          return;
-        }
+      if (left.hasNext()) {
+        ask(left.next());
+      } else {
+        asking.remove(this);
+        accounts.reserve(customer, tokens, leaves, deadline, listener);
       }
-      asking.remove(this);
-      accounts.reserve(customer, tokens, leaves, deadline, listener);
     }
 
     private void ask(String holder) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -132,7 +132,7 @@
     TokenRequests requests = parts.tokens();
     Instant leaves = arrived.plus(route.silenceBorne(Duration.between(arrived, deadline)));
     requests.reserve(name, tokens, leaves, deadline, this);
-    if (stage == Stage.TOKENS) {
+    if (stage == Stage.TOKENS && requests.waitHere(name)) {
       parts
           .events()
           .accept(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
@@ -115,8 +115,8 @@
       exchange.respond(BAD_REQUEST, Map.of(), new byte[0]);
       return;
     }
-    if (!accounts.hasTotal(ask.customer())) {
-      // No plan is known yet, or an older one: another holder can say more.
+    if (!accounts.servesOthers(ask.customer())) {
+      // The instance stops, or knows no plan of this customer yet: another holder can say more.
       exchange.respond(UNAVAILABLE, Map.of(), new byte[0]);
       return;
     }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/HolderCallsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/HolderCallsTests.java
@@ -81,6 +81,15 @@
     assertEquals(List.of(granted, granted), answers);
   }
 
+  /** Guards against a stop that takes long, and callers elsewhere who wait for it. */
+  @Test
+  void givesNothingWhileTheInstanceStops() {
+    book.close();
+    ask(CUSTOMER, 10);
+    run(Duration.ofSeconds(1));
+    assertInstanceOf(HolderPort.Answer.Unreachable.class, answers.getFirst());
+  }
+
   /** Guards against tokens that are taken as given by an instance that knows of no total yet. */
   @Test
   void saysNothingOfACustomerThatItDoesNotKnow() {
