Name what is asked of a holder once

One record for the tokens of a request in place of four arguments that stood in five places. Behaviour unchanged.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -377,7 +377,7 @@
     idle += taken;
   }
 
-  /** A holder's gift stays for the next request of an instance that holds nothing itself. */
+  /** An instance that holds nothing gives such tokens back to holders instead. */
   private long drawnToTakeIn() {
     return part.held() || closing ? Math.min(drawn, spent) : 0;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderPort.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderPort.java
@@ -2,10 +2,24 @@
 
 import java.time.Duration;
 import java.util.function.Consumer;
+import org.teaseldeal.api.Preconditions;
 import org.teaseldeal.api.Problem;
 
 /** Asks instances that hold parts of a customer's total for tokens, and gives back what is left. */
 public interface HolderPort {
+  /**
+   * The tokens of one request.
+   *
+   * @param patience how long the request may wait for them at the holder
+   * @param deadline how long the request's answer is of use
+   */
+  record Ask(String customer, long tokens, Duration patience, Duration deadline) {
+    public Ask {
+      Preconditions.requireText(customer, "customer");
+      Preconditions.require(tokens > 0, "tokens were %d, expected more".formatted(tokens));
+    }
+  }
+
   /** What a holder says. */
   sealed interface Answer {
     /** It has counted the tokens as spent; the asker may use them. */
@@ -19,19 +33,11 @@
   }
 
   /**
-   * Asks {@code holder} for {@code tokens} of a customer.
+   * Asks {@code holder} for tokens.
    *
-   * @param wait how long the request may wait for them there
-   * @param deadline until when its answer is of use
-   * @param answer is told once, soon after {@code wait} at the latest
+   * @param answer is told once, soon after the ask's patience at the latest
    */
-  void ask(
-      String holder,
-      String customer,
-      long tokens,
-      Duration wait,
-      Duration deadline,
-      Consumer<Answer> answer);
+  void ask(String holder, Ask ask, Consumer<Answer> answer);
 
   /**
    * Gives tokens back that a holder gave and no request has used. It is told once: if that doesn't
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -166,14 +166,10 @@
     private void ask(String holder) {
       Instant now = clock.instant();
       long lack = tokens - Math.min(accounts.drawn(customer), tokens - 1);
-      Duration wait = shorter(LONGEST_WAIT, Duration.between(now, leaves));
-      port.ask(
-          holder,
-          customer,
-          lack,
-          wait,
-          Duration.between(now, deadline),
-          answer -> onAnswer(holder, lack, answer));
+      Duration patience = shorter(LONGEST_WAIT, Duration.between(now, leaves));
+      HolderPort.Ask ask =
+          new HolderPort.Ask(customer, lack, patience, Duration.between(now, deadline));
+      port.ask(holder, ask, answer -> onAnswer(holder, lack, answer));
     }
 
     private void onAnswer(String holder, long asked, HolderPort.Answer answer) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
@@ -55,21 +55,16 @@
   }
 
   @Override
-  public void ask(
-      String holder,
-      String customer,
-      long tokens,
-      Duration wait,
-      Duration deadline,
-      Consumer<Answer> answer) {
+  public void ask(String holder, Ask ask, Consumer<Answer> answer) {
     Optional<String> address = addresses.apply(holder);
     if (address.isEmpty()) {
       answer.accept(new Answer.Unreachable("its address isn't known"));
       return;
     }
-    byte[] body = new HolderMessages.Ask(customer, tokens, wait, deadline).encode();
+    byte[] body = HolderMessages.encode(ask);
+    Duration timeout = ask.patience().plus(WAY);
     caller
-        .call(new HttpCallRequest(address.get(), "POST", PATH, Map.of(), body, wait.plus(WAY)))
+        .call(new HttpCallRequest(address.get(), "POST", PATH, Map.of(), body, timeout))
         .whenComplete((got, failure) -> answer.accept(read(got, failure)));
   }
 
@@ -107,9 +102,9 @@
 
   @Override
   public void handle(HttpExchange exchange) {
-    HolderMessages.Ask ask;
+    Ask ask;
     try {
-      ask = HolderMessages.Ask.decode(exchange.body());
+      ask = HolderMessages.decodeAsk(exchange.body());
     } catch (IllegalArgumentException e) {
       LOG.warn("what is asked of a holder can't be read: {}", e.getMessage());
       exchange.respond(BAD_REQUEST, Map.of(), new byte[0]);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderMessages.java
@@ -22,43 +22,30 @@
 
   private HolderMessages() {}
 
+  static byte[] encode(HolderPort.Ask ask) {
+    return written(
+        out -> {
+          out.writeUTF(ask.customer());
+          out.writeLong(ask.tokens());
+          out.writeLong(ask.patience().toMillis());
+          out.writeLong(ask.deadline().toMillis());
+        });
+  }
+
   /**
-   * A request's tokens are asked for.
+   * Reads what is asked.
    *
-   * @param patience how long the request may wait for them
-   * @param deadline how long its answer is of use
+   * @throws IllegalArgumentException if it is none of this layout
    */
-  record Ask(String customer, long tokens, Duration patience, Duration deadline) {
-    Ask {
-      Preconditions.requireText(customer, "customer");
-      Preconditions.require(tokens > 0, "tokens were %d, expected more".formatted(tokens));
-    }
-
-    byte[] encode() {
-      return written(
-          out -> {
-            out.writeUTF(customer);
-            out.writeLong(tokens);
-            out.writeLong(patience.toMillis());
-            out.writeLong(deadline.toMillis());
-          });
-    }
-
-    /**
-     * Reads a message.
-     *
-     * @throws IllegalArgumentException if it is none of this layout
-     */
-    static Ask decode(byte[] message) {
-      return read(
-          message,
-          in ->
-              new Ask(
-                  in.readUTF(),
-                  in.readLong(),
-                  Duration.ofMillis(in.readLong()),
-                  Duration.ofMillis(in.readLong())));
-    }
+  static HolderPort.Ask decodeAsk(byte[] message) {
+    return read(
+        message,
+        in ->
+            new HolderPort.Ask(
+                in.readUTF(),
+                in.readLong(),
+                Duration.ofMillis(in.readLong()),
+                Duration.ofMillis(in.readLong())));
   }
 
   /** Tokens that no request has used. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -119,13 +119,7 @@
   /** Holders answer in the same moment if they have the tokens at hand, or once they have. */
   private final class Holders implements HolderPort {
     @Override
-    public void ask(
-        String holder,
-        String customer,
-        long tokens,
-        Duration wait,
-        Duration deadline,
-        Consumer<Answer> answer) {
+    public void ask(String holder, Ask ask, Consumer<Answer> answer) {
       Optional<Instance> asked = reached(holder);
       if (asked.isEmpty()) {
         answer.accept(new Answer.Unreachable("down"));
@@ -134,14 +128,14 @@
       Instant now = clock.instant();
       AccountBook book = asked.get().book;
       book.reserve(
-          customer,
-          tokens,
-          now.plus(wait),
-          now.plus(deadline),
+          ask.customer(),
+          ask.tokens(),
+          now.plus(ask.patience()),
+          now.plus(ask.deadline()),
           new ReservationListener() {
             @Override
             public void onReserved(Reservation reservation) {
-              book.settle(reservation, tokens);
+              book.settle(reservation, ask.tokens());
               answer.accept(
                   peers == Peers.ANSWERS_LOST
                       ? new Answer.Unreachable("no answer")
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -153,13 +153,7 @@
   /** For an instance alone, which holds all itself. */
   private static final class NoHolders implements HolderPort {
     @Override
-    public void ask(
-        String holder,
-        String customer,
-        long tokens,
-        Duration wait,
-        Duration deadline,
-        Consumer<Answer> answer) {
+    public void ask(String holder, Ask ask, Consumer<Answer> answer) {
       throw new AssertionError("asked " + holder);
     }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/HolderCallsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/HolderCallsTests.java
@@ -139,7 +139,7 @@
   }
 
   private void ask(String customer, long tokens) {
-    asker.ask(HOLDER, customer, tokens, WAIT, DEADLINE, answers::add);
+    asker.ask(HOLDER, new HolderPort.Ask(customer, tokens, WAIT, DEADLINE), answers::add);
   }
 
   private void run(Duration time) {
