--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
@@ -0,0 +1,168 @@
+package org.teaseldeal.gateway.account;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.function.Consumer;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.ErrorKind;
+import org.teaseldeal.api.Problem;
+import org.teaseldeal.gateway.fake.ManualClock;
+
+class TokenRequestsTests {
+  private static final String CUSTOMER = "trawler";
+  private static final long TOKENS = 12_000;
+  private static final Set<String> FLEET =
+      IntStream.range(0, 68).mapToObj(i -> "instance-" + i).collect(Collectors.toSet());
+
+  /** One that holds no part of the customer's total. */
+  private static final String ASKER =
+      FLEET.stream()
+          .filter(name -> !new TokenHolders(name, () -> FLEET).holds(CUSTOMER))
+          .sorted()
+          .findFirst()
+          .orElseThrow();
+
+  private record Asked(String holder, HolderPort.Ask ask, Consumer<HolderPort.Answer> answer) {}
+
+  private record Returned(String holder, long tokens) {}
+
+  private final ManualClock clock = new ManualClock();
+  private final List<Asked> asked = new ArrayList<>();
+  private final List<Returned> returned = new ArrayList<>();
+  private final List<Reservation> reserved = new ArrayList<>();
+  private final List<Problem> refused = new ArrayList<>();
+  private final TokenHolders holders = new TokenHolders(ASKER, () -> FLEET);
+  private final AccountBook book =
+      new AccountBook(
+          ASKER,
+          customer -> OptionalLong.of(1_000_000),
+          holders,
+          event -> {},
+          clock,
+          new ClockReading(0, 0),
+          () -> new ClockReading(0, 0),
+          Optional::empty);
+  private final TokenRequests requests = new TokenRequests(book, holders, new Port(), clock);
+  private final ReservationListener listener = new Listener();
+
+  @Test
+  void asksAHolderForTheTokensOfARequest() {
+    request();
+    assertEquals(TOKENS, last().ask().tokens());
+    answer(new HolderPort.Answer.Granted());
+    assertEquals(List.of(new Reservation(CUSTOMER, TOKENS, TOKENS)), reserved);
+  }
+
+  /** Guards against callers that are refused because one instance is down. */
+  @Test
+  void asksTheNextHolderWhereOneCannotBeReached() {
+    request();
+    String down = last().holder();
+    answer(new HolderPort.Answer.Unreachable("down"));
+    assertNotEquals(down, last().holder());
+    answer(new HolderPort.Answer.Granted());
+    request();
+    assertNotEquals(down, last().holder());
+    assertEquals(1, reserved.size());
+  }
+
+  /** Guards against callers who wait long at an instance that is cut off from all others. */
+  @Test
+  void asksFewHoldersWhereNoneCanBeReached() {
+    request();
+    for (int i = 0; i < 3; i++) {
+      answer(new HolderPort.Answer.Unreachable("down"));
+    }
+    assertEquals(3, asked.size());
+    assertEquals(1, book.lacking(clock.instant()).size(), "waits in the own account");
+  }
+
+  @Test
+  void asksAnotherHolderWhereOneHasNoneAtHand() {
+    request();
+    answer(new HolderPort.Answer.Refused(noLease()));
+    assertEquals(2, asked.size());
+    assertTrue(refused.isEmpty());
+  }
+
+  @Test
+  void refusesAtOnceWhatTheTotalCannotCover() {
+    request();
+    Problem unpaid = Problem.of(ErrorKind.BUDGET_EXHAUSTED, "less remain");
+    answer(new HolderPort.Answer.Refused(unpaid));
+    assertEquals(List.of(unpaid), refused);
+  }
+
+  /** Guards against tokens that stay with a caller who has left. */
+  @Test
+  void givesBackWhatAGoneRequestWasGiven() {
+    request();
+    requests.withdraw(CUSTOMER, listener);
+    answer(new HolderPort.Answer.Granted());
+    requests.tick();
+    assertEquals(List.of(), reserved);
+    assertEquals(TOKENS, returned.getFirst().tokens());
+    assertTrue(holders.others(CUSTOMER).contains(returned.getFirst().holder()));
+  }
+
+  @Test
+  void asksOnlyForWhatItLacks() {
+    request();
+    answer(new HolderPort.Answer.Granted());
+    requests.settle(reserved.getFirst(), TOKENS - 2_000);
+    request();
+    assertEquals(TOKENS - 2_000, last().ask().tokens());
+  }
+
+  private void request() {
+    Instant leaves = clock.instant().plus(Duration.ofSeconds(3));
+    requests.reserve(CUSTOMER, TOKENS, leaves, leaves, listener);
+  }
+
+  private Asked last() {
+    return asked.getLast();
+  }
+
+  private void answer(HolderPort.Answer answer) {
+    last().answer().accept(answer);
+  }
+
+  private static Problem noLease() {
+    return Problem.retryable(ErrorKind.NO_LEASE, "not at hand", Duration.ofMillis(500));
+  }
+
+  private final class Port implements HolderPort {
+    @Override
+    public void ask(String holder, Ask ask, Consumer<Answer> answer) {
+      asked.add(new Asked(holder, ask, answer));
+    }
+
+    @Override
+    public void giveBack(String holder, String customer, long tokens) {
+      returned.add(new Returned(holder, tokens));
+    }
+  }
+
+  private final class Listener implements ReservationListener {
+    @Override
+    public void onReserved(Reservation reservation) {
+      reserved.add(reservation);
+    }
+
+    @Override
+    public void onRefused(Problem problem) {
+      refused.add(problem);
+    }
+  }
+}
