Take a reserve of repeats that is no whole number

Callers would have seen: nobody listens. The platform's bounds may be fractions.

Durations with fractions (a grace of 8.5 s) are still refused; no site has them.

--- a/teaseldeal-settings/src/main/java/org/teaseldeal/settings/toml/TomlReader.java
+++ b/teaseldeal-settings/src/main/java/org/teaseldeal/settings/toml/TomlReader.java
@@ -108,6 +108,11 @@
     return Math.toIntExact(integer(key, byDefault, min, max));
   }
 
+  /** A number from {@code min} to {@code max}. */
+  public double fraction(String key, double min, double max) {
+    return required(key, min, ValueRule.fraction(min, max));
+  }
+
   /** A number from {@code min} to {@code max}, or {@code byDefault}. */
   public double fraction(String key, double byDefault, double min, double max) {
     return optional(key, byDefault, ValueRule.fraction(min, max));
