--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/TokenHolderChoice.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/TokenHolderChoice.java
@@ -33,7 +33,7 @@
 
   /**
    * Holders renew their notes five times a second, and the shared log takes 500 appends a second:
-   * so many groups take up half of it.
+   * so many groups take up a third of it.
    */
   private static final int MOST_GROUPS = 5;
 
