Ask no holder once the caller is about to leave

Found by reading: a second or third holder could be asked with a wait below zero, and the request then hung until its deadline. The request goes to the own account instead, which decides at once.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -155,7 +155,7 @@
     }
 
     void askNext() {
-      if (left.hasNext()) {
+      if (left.hasNext() && clock.instant().isBefore(leaves)) {
         ask(left.next());
       } else {
         asking.remove(this);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
@@ -88,6 +88,15 @@
     assertEquals(1, book.lacking(clock.instant()).size(), "waits in the own account");
   }
 
+  /** Guards against a wait below zero, with which no holder can be asked. */
+  @Test
+  void asksNobodyOnceTheCallerIsAboutToLeave() {
+    request();
+    clock.advance(Duration.ofSeconds(4));
+    answer(new HolderPort.Answer.Unreachable("down"));
+    assertEquals(1, asked.size());
+  }
+
   @Test
   void asksAnotherHolderWhereOneHasNoneAtHand() {
     request();
