Let a few instances collect and tell what a large fleet has outstanding

Each instance told all others its loads ten times a second, so 95 instances sent and heard 940 datagrams a second each, whatever callers asked for, and a fleet four times as large would send sixteen times as many.

Change: above 16 instances as many as the square root of the fleet collect; an instance reports what has changed to one of them, collectors tell each other their groups' sums and each instance of the group what all others have. Sums are added up once for each message heard and not for each choice. Which servers hold which beginnings of prompts goes the same way.

--- /dev/null
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/LoadCollectorChoiceTests.java
@@ -0,0 +1,58 @@
+package org.teaseldeal.decisions;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+
+class LoadCollectorChoiceTests {
+  @Test
+  void letsAllInstancesOfASmallFleetCollect() {
+    Set<String> fleet = Set.copyOf(names("instance", 9));
+    assertEquals(fleet, LoadCollectorChoice.of(fleet));
+  }
+
+  @Test
+  void choosesTheSameCollectorsWhateverTheOrder() {
+    List<String> fleet = names("instance", 95);
+    assertEquals(LoadCollectorChoice.of(fleet), LoadCollectorChoice.of(fleet.reversed()));
+  }
+
+  /** Guards against collectors that grow with the fleet, as each tells all others. */
+  @Test
+  void growsWithTheSquareRootOfTheFleet() {
+    assertEquals(10, LoadCollectorChoice.of(names("instance", 95)).size());
+    assertEquals(21, LoadCollectorChoice.of(names("instance", 420)).size());
+  }
+
+  /** Guards against a fleet whose instances all turn elsewhere when one joins. */
+  @Test
+  void keepsMostCollectorsWhenAnInstanceJoins() {
+    Set<String> before = LoadCollectorChoice.of(names("instance", 95));
+    Set<String> kept = new HashSet<>(LoadCollectorChoice.of(names("instance", 96)));
+    kept.retainAll(before);
+    assertTrue(kept.size() >= before.size() - 1, kept + " of " + before);
+  }
+
+  @Test
+  void spreadsInstancesOverAllCollectors() {
+    Set<String> collectors = LoadCollectorChoice.of(names("instance", 95));
+    Map<String, Integer> first = new HashMap<>();
+    for (String instance : names("reporter", 950)) {
+      first.merge(LoadCollectorChoice.order(instance, collectors).getFirst(), 1, Integer::sum);
+    }
+    assertEquals(collectors, first.keySet());
+    first.forEach(
+        (collector, count) -> assertTrue(count <= 140, collector + " has " + count + " of 950"));
+  }
+
+  private static List<String> names(String kind, int count) {
+    return IntStream.range(0, count).mapToObj(i -> kind + "-" + i).toList();
+  }
+}
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -6,9 +6,14 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Function;
 import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaseldeal.api.BackendServerId;
@@ -21,81 +26,217 @@
  * Tells the other instances what this one has outstanding at each backend server, and adds up what
  * they tell.
  *
- * <p>An instance sees a seventh of an engine's work. Without the rest, an engine that reads a long
- * prompt for another instance looks idle, and callers whose prompts are sent there wait behind it.
- * What is missing for a moment costs a worse choice, nothing else, so datagrams serve.
+ * <p>An instance sees a small part of an engine's work. Without the rest, an engine that reads a
+ * long prompt for another instance looks idle, and callers whose prompts are sent there wait behind
+ * it. What is missing for a moment costs a worse choice, nothing else, so datagrams serve.
+ *
+ * <p>An instance reports to one collector, which tells the other collectors what its group has
+ * outstanding, and each instance of its group what all others have ({@link LoadCollectors}). In a
+ * small fleet all collect, and no group has more than its collector.
  */
 public final class LoadExchange {
   private static final Logger LOG = LoggerFactory.getLogger(LoadExchange.class);
 
-  /** Between messages: about the time in which an instance sends two prompts. */
-  private static final Duration INTERVAL = Duration.ofMillis(100);
+  /** Each message repeats what was sent since; one of two may be lost. */
+  private static final int REPEATED_INTERVALS = 2;
+
+  /** Between messages of a collector to its group, each of which has news of most servers. */
+  private static final Duration GROUP_INTERVAL = Duration.ofMillis(80);
 
-  /** Each message repeats what was sent since; two of three may be lost. */
-  private static final Duration REPEATED = Duration.ofMillis(300);
+  /** Between messages that tell all servers, so that what was lost is told again. */
+  private static final Duration COMPLETE_PERIOD = Duration.ofMillis(500);
 
   /** News older than this say nothing: most prompts were read since. */
   private static final Duration STALE = Duration.ofSeconds(1);
 
-  /** Bounds what a starting instance is told to some ten kilobytes. */
-  private static final int MOST_COPIES = 4_096;
+  /** A collector tells an instance for so long after its last report. */
+  private static final Duration MEMBER_KEPT = Duration.ofSeconds(2);
 
-  /** Bounds memory over many restarts; a fleet has some hundreds, which are soon hashed anew. */
-  private static final int MOST_HASHES = 4_096;
+  /** Sums are added up anew after this at the latest, without what has become stale. */
+  private static final Duration SUMS_KEPT = Duration.ofMillis(100);
 
-  private record Heard(LoadNews news, Instant at) {}
+  /** Bounds what a starting instance is told to some ten kilobytes. */
+  private static final int MOST_COPIES = 4_096;
 
   private final String instance;
   private final ServerDirectory servers;
   private final CachedPrompts cached;
-  private final Supplier<List<String>> others;
+  private final LoadCollectors collectors;
+  private final Function<String, Optional<String>> addresses;
   private final PeerPort port;
   private final InstantSource clock;
-  private final Map<String, Heard> heard = new HashMap<>();
-  private final Map<ServerIncarnation, Long> hashes = new HashMap<>();
+
+  private final HeardLoads reports = new HeardLoads(STALE);
+  private final HeardLoads groups = new HeardLoads(STALE);
+  private final HeardLoads others = new HeardLoads(STALE);
+  private final RecentParts groupParts = new RecentParts();
+  private final RecentParts othersParts = new RecentParts();
+  private final ChangedLoads ownChanges = new ChangedLoads();
+  private final ChangedLoads groupChanges = new ChangedLoads();
+  private final ChangedLoads allChanges = new ChangedLoads();
+  private final Map<Integer, BackendServer> byHash = new HashMap<>();
+  private long hashedChanges = -1;
+  private Map<BackendServerId, OthersLoad> sums = Map.of();
+  private Instant sumsUntil = Instant.MIN;
   private Instant next = Instant.MIN;
+  private Instant nextToGroup = Instant.MIN;
+  private Instant groupToldAt = Instant.MIN;
+  private Instant nextComplete = Instant.MIN;
   private long sequence;
   private boolean idleTold;
+  private long messagesDropped;
 
-  /** Creates the exchange of {@code instance}; {@code others} gives the other peers' addresses. */
+  /**
+   * Creates the exchange of {@code instance}.
+   *
+   * @param fleet the names of all instances; an unmodifiable set, another one after each change
+   * @param addresses where an instance can be reached
+   */
   public LoadExchange(
       String instance,
       ServerDirectory servers,
       CachedPrompts cached,
-      Supplier<List<String>> others,
+      Supplier<Set<String>> fleet,
+      Function<String, Optional<String>> addresses,
       PeerPort port,
       InstantSource clock) {
     this.instance = instance;
     this.servers = servers;
     this.cached = cached;
-    this.others = others;
+    this.collectors = new LoadCollectors(instance, fleet);
+    this.addresses = addresses;
     this.port = port;
     this.clock = clock;
     // A process that starts anew goes on above its predecessor.
     this.sequence = clock.instant().toEpochMilli() << 16;
   }
 
+  /** Messages that could not be read, since the start. */
+  public long messagesDropped() {
+    return messagesDropped;
+  }
+
   /** Tells the others if it is time to. */
   public void tick() {
     Instant now = clock.instant();
     if (now.isBefore(next)) {
       return;
     }
-    next = now.plus(INTERVAL);
-    List<LoadNews.ServerLoad> loads = ownLoads();
-    if (loads.isEmpty() && idleTold) {
+    collectors.follow(now);
+    next = now.plus(collectors.interval());
+    followServers();
+    boolean complete = !now.isBefore(nextComplete);
+    if (complete) {
+      nextComplete = now.plus(COMPLETE_PERIOD);
+    }
+    if (!collectors.own()) {
+      report(complete, now);
+      return;
+    }
+    tellCollectors(complete, now);
+    if (complete || !now.isBefore(nextToGroup)) {
+      nextToGroup = now.plus(GROUP_INTERVAL);
+      tellGroup(complete, now);
+    }
+  }
+
+  /** Since when changes are told, by one who tells them each {@code interval}. */
+  private static Instant repeatedSince(Instant now, Duration interval) {
+    return now.minus(interval.multipliedBy(REPEATED_INTERVALS));
+  }
+
+  private List<LoadNews.SentPart> ownParts(Instant since) {
+    return sentParts(cached.sentSince(since));
+  }
+
+  /** Tells this instance's collector what has changed, or that it is there. */
+  private void report(boolean complete, Instant now) {
+    LoadSums own = ownLoads();
+    ownChanges.update(own.asMap(), now);
+    Instant since = repeatedSince(now, collectors.interval());
+    Set<Integer> changed = ownChanges.since(since);
+    List<LoadNews.SentPart> parts = ownParts(since);
+    if (complete || !changed.isEmpty() || !parts.isEmpty()) {
+      List<LoadNews.ServerLoad> loads = complete ? own.toList() : ownChanges.loadsOf(changed);
+      send(collectors.collector(), news(LoadNews.Scope.INSTANCE, complete, loads, parts));
+    }
+  }
+
+  private void tellCollectors(boolean complete, Instant now) {
+    LoadSums group = ownLoads();
+    reports.addTo(group, now);
+    groupChanges.update(group.asMap(), now);
+    Instant since = repeatedSince(now, collectors.interval());
+    Set<Integer> changed = groupChanges.since(since);
+    List<LoadNews.SentPart> parts = new ArrayList<>(ownParts(since));
+    parts.addAll(groupParts.since(since));
+    boolean idle = group.asMap().isEmpty() && parts.isEmpty() && changed.isEmpty();
+    if ((idle && idleTold) || (!complete && changed.isEmpty() && parts.isEmpty())) {
+      return;
+    }
+    idleTold = idle;
+    List<LoadNews.ServerLoad> loads = complete ? group.toList() : groupChanges.loadsOf(changed);
+    byte[] message = news(LoadNews.Scope.GROUP, complete, loads, parts);
+    collectors.others().forEach(name -> send(name, message));
+  }
+
+  private void tellGroup(boolean complete, Instant now) {
+    List<String> members = reports.heardSince(now.minus(MEMBER_KEPT));
+    if (members.isEmpty()) {
       return;
     }
-    idleTold = loads.isEmpty();
-    byte[] message =
-        new LoadNews(instance, ++sequence, loads, sentParts(cached.sentSince(now.minus(REPEATED))))
-            .encode();
-    others.get().forEach(address -> port.send(address, message));
+    LoadSums all = ownLoads();
+    reports.addTo(all, now);
+    groups.addTo(all, now);
+    allChanges.update(all.asMap(), now);
+    Set<Integer> changed = allChanges.since(repeatedSince(now, GROUP_INTERVAL));
+    List<LoadNews.SentPart> parts = new ArrayList<>(ownParts(groupToldAt));
+    parts.addAll(groupParts.since(groupToldAt));
+    parts.addAll(othersParts.since(groupToldAt));
+    groupToldAt = now;
+    for (String member : members) {
+      Map<Integer, LoadNews.ServerLoad> reported = reports.of(member, now);
+      Set<Integer> told = new HashSet<>(complete ? all.asMap().keySet() : changed);
+      List<LoadNews.ServerLoad> loads =
+          told.stream().map(server -> without(reported.get(server), server, all)).toList();
+      send(member, news(LoadNews.Scope.OTHERS, complete, loads, parts));
+    }
+  }
+
+  /** What all have outstanding at a server, without what one of them has reported. */
+  private static LoadNews.ServerLoad without(
+      LoadNews.@Nullable ServerLoad reported, int server, LoadSums all) {
+    OthersLoad sum = all.of(server);
+    if (reported == null) {
+      return new LoadNews.ServerLoad(server, sum.running(), sum.promptTokensAhead());
+    }
+    return new LoadNews.ServerLoad(
+        server,
+        Math.max(0, sum.running() - reported.running()),
+        Math.max(0, sum.promptTokensAhead() - reported.promptTokensAhead()));
+  }
+
+  private byte[] news(
+      LoadNews.Scope scope,
+      boolean complete,
+      List<LoadNews.ServerLoad> loads,
+      List<LoadNews.SentPart> parts) {
+    return new LoadNews(scope, instance, ++sequence, complete, loads, parts).encode();
+  }
+
+  private void send(String name, byte[] message) {
+    addresses.apply(name).ifPresent(address -> port.send(address, message));
   }
 
   /** What is known of the servers' caches, for an instance that has just started. */
   byte[] cachedPrompts() {
-    return new LoadNews(instance, sequence, List.of(), sentParts(cached.newest(MOST_COPIES)))
+    return new LoadNews(
+            LoadNews.Scope.INSTANCE,
+            instance,
+            sequence,
+            false,
+            List.of(),
+            sentParts(cached.newest(MOST_COPIES)))
         .encode();
   }
 
@@ -114,14 +255,33 @@
     try {
       news = LoadNews.decode(message);
     } catch (IllegalArgumentException e) {
+      messagesDropped++;
       LOG.debug("a message of a peer is dropped: {}", e.getMessage());
       return;
     }
-    Heard before = heard.get(news.instance());
-    if (before == null || before.news().sequence() < news.sequence()) {
-      heard.put(news.instance(), new Heard(news, clock.instant()));
+    Instant now = clock.instant();
+    boolean heard =
+        switch (news.scope()) {
+          case INSTANCE -> reports.hear(news, now);
+          case GROUP -> groups.hear(news, now);
+          case OTHERS -> others.hear(news, now);
+        };
+    if (heard) {
+      sumsUntil = Instant.MIN;
+      if (news.scope() == LoadNews.Scope.OTHERS) {
+        collectors.heard(news.sender(), now);
+      }
     }
     noteCached(news.sentParts());
+    passOn(news, now);
+  }
+
+  private void passOn(LoadNews news, Instant now) {
+    switch (news.scope()) {
+      case INSTANCE -> news.sentParts().forEach(part -> groupParts.add(part, now));
+      case GROUP -> news.sentParts().forEach(part -> othersParts.add(part, now));
+      case OTHERS -> {}
+    }
   }
 
   private List<LoadNews.SentPart> sentParts(List<CachedPrompts.Copy> copies) {
@@ -134,66 +294,75 @@
     if (sent.isEmpty()) {
       return;
     }
-    Map<Long, ServerIncarnation> byHash = new HashMap<>();
-    servers.all().forEach(each -> byHash.put(hash(each.incarnation()), each.incarnation()));
+    followServers();
     for (LoadNews.SentPart each : sent) {
-      ServerIncarnation server = byHash.get(each.server());
+      BackendServer server = byHash.get(each.server());
       if (server != null) {
-        cached.onHeard(new CachedPrompts.Copy(server, each.part()));
+        cached.onHeard(new CachedPrompts.Copy(server.incarnation(), each.part()));
       }
     }
   }
 
+  private void followServers() {
+    if (hashedChanges != servers.changes()) {
+      hashedChanges = servers.changes();
+      byHash.clear();
+      servers.all().forEach(each -> byHash.put(hash(each.incarnation()), each));
+      sumsUntil = Instant.MIN;
+    }
+  }
+
   /** What the others have outstanding, by server; servers without any are left out. */
   public Map<BackendServerId, OthersLoad> others() {
-    Instant oldest = clock.instant().minus(STALE);
-    Map<Long, OthersLoad> sums = new HashMap<>();
-    for (Heard each : heard.values()) {
-      if (each.at().isBefore(oldest)) {
-        continue;
-      }
-      for (LoadNews.ServerLoad load : each.news().loads()) {
-        sums.merge(
-            load.server(),
-            new OthersLoad(load.running(), load.promptTokensAhead()),
-            OthersLoad::plus);
-      }
+    Instant now = clock.instant();
+    followServers();
+    if (!now.isBefore(sumsUntil)) {
+      sums = addUp(now);
+      sumsUntil = now.plus(SUMS_KEPT);
     }
-    Map<BackendServerId, OthersLoad> byServer = new HashMap<>();
-    for (BackendServer server : servers.all()) {
-      OthersLoad sum = sums.get(hash(server.incarnation()));
-      if (sum != null) {
-        byServer.put(server.id(), sum);
-      }
+    return sums;
+  }
+
+  private Map<BackendServerId, OthersLoad> addUp(Instant now) {
+    LoadSums heard = new LoadSums();
+    boolean told = !collectors.own() && !others.of(collectors.collector(), now).isEmpty();
+    if (told) {
+      heard.add(others.of(collectors.collector(), now).values());
+    } else {
+      reports.addTo(heard, now);
+      groups.addTo(heard, now);
     }
+    Map<BackendServerId, OthersLoad> byServer = new HashMap<>();
+    heard
+        .asMap()
+        .forEach(
+            (hash, load) -> {
+              BackendServer server = byHash.get(hash);
+              if (server != null) {
+                byServer.put(server.id(), load);
+              }
+            });
     return byServer;
   }
 
-  private List<LoadNews.ServerLoad> ownLoads() {
-    List<LoadNews.ServerLoad> loads = new ArrayList<>();
-    for (BackendServer server : servers.all()) {
-      if (server.running() > 0) {
-        int ahead = (int) Math.clamp(server.promptTokensAhead(), 0, Integer.MAX_VALUE);
-        loads.add(new LoadNews.ServerLoad(hash(server.incarnation()), server.running(), ahead));
-      }
-    }
-    return loads;
+  private LoadSums ownLoads() {
+    LoadSums own = new LoadSums();
+    byHash.forEach(
+        (hash, server) -> {
+          if (server.running() > 0) {
+            long ahead = Math.max(0, server.promptTokensAhead());
+            own.add(List.of(new LoadNews.ServerLoad(hash, server.running(), ahead)));
+          }
+        });
+    return own;
   }
 
   /**
    * Differs with the start, so that what a peer still has at an earlier process isn't taken for the
    * load of the one that runs.
    */
-  private long hash(ServerIncarnation incarnation) {
-    if (hashes.size() >= MOST_HASHES) {
-      hashes.clear();
-    }
-    return hashes.computeIfAbsent(
-        incarnation, each -> Hashing.komihash5_0().hashCharsToLong(hashedName(each)));
-  }
-
-  private static String hashedName(ServerIncarnation incarnation) {
+  private static int hash(ServerIncarnation incarnation) {
     String start = incarnation.startedAt().map(at -> "\n" + at.toEpochMilli()).orElse("");
-    return incarnation.id().name() + start;
+    return (int) Hashing.komihash5_0().hashCharsToLong(incarnation.id().name() + start);
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/CachedPrompts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/CachedPrompts.java
@@ -3,7 +3,6 @@
 import com.dynatrace.hash4j.hashing.Hashing;
 import java.time.Instant;
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -74,12 +73,7 @@
 
   /** What this instance has sent for the first time since {@code earliest}. */
   public List<Copy> sentSince(Instant earliest) {
-    while (!news.isEmpty() && news.getFirst().since().isBefore(earliest)) {
-      news.removeFirst();
-    }
-    List<Copy> sent = new ArrayList<>();
-    news.forEach(each -> sent.add(each.copy()));
-    return sent;
+    return news.stream().filter(each -> !each.since().isBefore(earliest)).map(News::copy).toList();
   }
 
   /** The copies that were used last, {@code most} of them. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.fake.ManualClock;
@@ -19,6 +20,7 @@
 
 class LoadExchangeTests {
   private static final BackendServerId ENGINE = new BackendServerId("i-1");
+  private static final Set<String> BOTH = Set.of("a", "b");
   private static final Instant FIRST = Instant.ofEpochMilli(1_700_000_000_000L);
 
   private final ManualClock clock = new ManualClock();
@@ -31,12 +33,20 @@
           "a",
           teller,
           told,
-          () -> List.of("10.0.0.2:7"),
+          () -> BOTH,
+          name -> Optional.of(name + ":7"),
           (to, message) -> sent.add(message),
           clock);
   private final ServerDirectory listener = directory();
   private final LoadExchange hearing =
-      new LoadExchange("b", listener, heard, List::of, (to, message) -> {}, clock);
+      new LoadExchange(
+          "b",
+          listener,
+          heard,
+          () -> BOTH,
+          name -> Optional.of(name + ":7"),
+          (to, message) -> {},
+          clock);
 
   @Test
   void addsUpWhatOthersHaveOutstanding() {
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadFleet.java
@@ -0,0 +1,181 @@
+package org.teaseldeal.gateway.peer;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Queue;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.decisions.LoadCollectorChoice;
+import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.CachedPrompts;
+import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerListing;
+
+/** Instances that exchange their loads by datagrams, in virtual time; a hop takes a step. */
+final class LoadFleet {
+  static final Duration STEP = Duration.ofMillis(20);
+  static final long PROMPT_TOKENS = 5_000;
+
+  /** Of which prompts share a beginning, and the servers that it is sent to. */
+  private static final int SUBJECTS = 2_000;
+
+  private static final int HOMES = 3;
+
+  private record Datagram(String to, byte[] message) {}
+
+  /** One instance and what it has exchanged. */
+  final class Instance {
+    final String name;
+    final ServerDirectory servers = new ServerDirectory();
+    final CachedPrompts cached = new CachedPrompts();
+    final LoadExchange exchange;
+    private final Queue<BackendServer> running = new ArrayDeque<>();
+    boolean down;
+    long messages;
+    long octets;
+
+    private Instance(String name, int serverCount) {
+      this.name = name;
+      for (int i = 0; i < serverCount; i++) {
+        servers.put(listing(i));
+      }
+      exchange =
+          new LoadExchange(name, servers, cached, () -> names, Optional::of, this::send, clock);
+    }
+
+    private void send(String to, byte[] message) {
+      count(message);
+      onTheWay.add(new Datagram(to, message));
+    }
+
+    private void count(byte[] message) {
+      messages++;
+      octets += message.length;
+    }
+
+    private void receive(byte[] message) {
+      count(message);
+      exchange.receive(message);
+    }
+
+    BackendServer server(int index) {
+      return servers.find(id(index)).orElseThrow();
+    }
+
+    /** What it knows of the other instances' requests at a server. */
+    int othersAt(int index) {
+      return exchange.others().getOrDefault(id(index), OthersLoad.NONE).running();
+    }
+
+    /** Sends a prompt with the beginning {@code part}. */
+    void start(int index, String part) {
+      BackendServer server = server(index);
+      server.started(PROMPT_TOKENS);
+      cached.onSent(server.incarnation(), List.of(part), clock.instant());
+      running.add(server);
+    }
+
+    void endOldest() {
+      BackendServer server = running.remove();
+      server.promptRead(PROMPT_TOKENS);
+      server.ended();
+    }
+  }
+
+  final ManualClock clock = new ManualClock();
+  final List<Instance> instances = new ArrayList<>();
+  private final Set<String> names;
+  private final Map<String, Instance> byName = new HashMap<>();
+  private final List<Datagram> onTheWay = new ArrayList<>();
+  private final Random random = new Random(5);
+
+  LoadFleet(int size, int serverCount) {
+    names =
+        IntStream.range(0, size)
+            .mapToObj(i -> "front-" + i)
+            .collect(Collectors.toUnmodifiableSet());
+    for (String name : new ArrayList<>(names).stream().sorted().toList()) {
+      Instance instance = new Instance(name, serverCount);
+      instances.add(instance);
+      byName.put(name, instance);
+    }
+    run(Duration.ofSeconds(1));
+  }
+
+  void run(Duration time) {
+    run(time, 0);
+  }
+
+  /** Lets time pass, with so many prompts a second over the whole fleet, each for two seconds. */
+  void run(Duration time, double promptsPerSecond) {
+    double perStep = promptsPerSecond * STEP.toMillis() / 1000;
+    for (long passed = 0; passed < time.toMillis(); passed += STEP.toMillis()) {
+      clock.advance(STEP);
+      deliver();
+      int due = (int) perStep + (random.nextDouble() < perStep % 1 ? 1 : 0);
+      for (int i = 0; i < due; i++) {
+        Instance instance = instances.get(random.nextInt(instances.size()));
+        int subject = random.nextInt(SUBJECTS);
+        int home = (subject + random.nextInt(HOMES)) % instance.servers.all().size();
+        instance.start(home, "subject-" + subject);
+      }
+      instances.forEach(this::endSome);
+      instances.stream().filter(each -> !each.down).forEach(each -> each.exchange.tick());
+    }
+  }
+
+  private void endSome(Instance instance) {
+    if (!instance.running.isEmpty()
+        && random.nextDouble() < instance.running.size() * STEP.toMillis() / 2000.0) {
+      instance.endOldest();
+    }
+  }
+
+  private void deliver() {
+    List<Datagram> due = List.copyOf(onTheWay);
+    onTheWay.clear();
+    for (Datagram each : due) {
+      Instance to = byName.get(each.to());
+      if (to != null && !to.down) {
+        to.receive(each.message());
+      }
+    }
+  }
+
+  void forgetCounts() {
+    for (Instance each : instances) {
+      each.messages = 0;
+      each.octets = 0;
+    }
+  }
+
+  /** The instances that others report to: those that are sent most. */
+  Set<String> collectors() {
+    return LoadCollectorChoice.of(names);
+  }
+
+  private static BackendServerId id(int index) {
+    return new BackendServerId("engine-" + index);
+  }
+
+  private static ServerListing listing(int index) {
+    return new ServerListing(
+        id(index),
+        "models",
+        "10.0.0.9:" + (8000 + index),
+        "hall-a",
+        16,
+        false,
+        Optional.of(Instant.EPOCH));
+  }
+}
