Log what late answers waited for, and what a placement rested on

Nobody could say from an instance's logs why an answer was late: a line told when a request ended, not when its answer began, whether a pause broke it up or where it waited; seven in eight lines of served requests were left out also at an instance with three requests a second, so a refused request that came back and was served looked lost; and which server was chosen stood there without what was believed of it.

Added: AnsweredLate (wait for tokens, until it was sent, until its answer began, longest pause), LoopStalled, HolderUnreachable (a plain warning before); Placed says what others were thought to have there, tokens to be read before it and again, and how old that was; Placed and RequestEnded carry a fingerprint, the same when the caller comes back. Lines of served requests are kept up to 32 a second before they are sampled.

Served requests don't change.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -8,10 +8,10 @@
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
+import org.teaseldeal.gateway.event.EventSink;
+import org.teaseldeal.gateway.event.GatewayEvent;
 
 /**
  * Gets the tokens of each request: from the own account if this instance holds a part of the
@@ -37,11 +37,10 @@
   /** Between returns; a holder that lacks these tokens meanwhile refuses what they would cover. */
   private static final Duration RETURN_PERIOD = Duration.ofMillis(200);
 
-  private static final Logger LOG = LoggerFactory.getLogger(TokenRequests.class);
-
   private final AccountBook accounts;
   private final TokenHolders holders;
   private final HolderPort port;
+  private final EventSink events;
   private final InstantSource clock;
   private final Set<Asking> asking = new HashSet<>();
   private final Map<String, Instant> unreachableUntil = new HashMap<>();
@@ -49,10 +48,15 @@
 
   /** Creates requests that {@code accounts} serves where this instance holds a part. */
   public TokenRequests(
-      AccountBook accounts, TokenHolders holders, HolderPort port, InstantSource clock) {
+      AccountBook accounts,
+      TokenHolders holders,
+      HolderPort port,
+      EventSink events,
+      InstantSource clock) {
     this.accounts = accounts;
     this.holders = holders;
     this.port = port;
+    this.events = events;
     this.clock = clock;
   }
 
@@ -177,7 +181,7 @@
         case HolderPort.Answer.Granted granted -> onGranted(holder, asked);
         case HolderPort.Answer.Refused refused -> onRefused(refused.problem());
         case HolderPort.Answer.Unreachable lost -> {
-          LOG.info("holder {} isn't asked for {}: {}", holder, UNREACHABLE_PAUSE, lost.detail());
+          events.accept(new GatewayEvent.HolderUnreachable(customer, holder, lost.detail()));
           unreachableUntil.put(holder, clock.instant().plus(UNREACHABLE_PAUSE));
           goOn(this::askNext);
         }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
@@ -22,8 +22,9 @@
  * callers must not wait for it. Lines that don't fit are dropped and counted, and the count is
  * written as soon as there is room.
  *
- * <p>Under load, the lines of a request that was answered at once are kept for one in {@link
- * #SAMPLED} requests, the same at every instance; those of all others are always kept.
+ * <p>The lines of requests that were answered at once are kept up to {@link #ALL_KEPT} a second;
+ * beyond it, for one in {@link #SAMPLED} requests, the same at every instance. Those of all others
+ * are always kept.
  */
 public final class EventLog implements EventSink {
   /** Lines that wait: about a second of a busy instance with every line kept. */
@@ -32,6 +33,9 @@
   /** One in eight leaves some two lines a second of a busy instance's served requests. */
   private static final int SAMPLED = 8;
 
+  /** A second's lines of which none is left out: some hundred octets each. */
+  private static final int ALL_KEPT = 32;
+
   private static final Duration IDLE_WAIT = Duration.ofMillis(500);
 
   /**
@@ -50,6 +54,8 @@
   private final String instance;
   private final Thread writer = new Thread(this::writeAll, "event-log");
   private volatile boolean closed;
+  private long second;
+  private int keptInSecond;
 
   private EventLog(PrintStream out, InstantSource clock, String instance) {
     this.out = out;
@@ -67,10 +73,11 @@
 
   @Override
   public void accept(GatewayEvent event) {
-    if (sampledOut(event)) {
+    Instant now = clock.instant();
+    if (ofServedRequest(event) && beyondAllKept(now) && sampledOut(event)) {
       return;
     }
-    if (!lines.offer(new Line(clock.instant(), event))) {
+    if (!lines.offer(new Line(now, event))) {
       dropped.incrementAndGet();
     }
   }
@@ -111,18 +118,35 @@
     }
   }
 
-  private static boolean sampledOut(GatewayEvent event) {
+  private static boolean ofServedRequest(GatewayEvent event) {
     return switch (event) {
-      case GatewayEvent.Placed placed -> placed.attempt() == 1 && isSampledOut(placed.request());
+      case GatewayEvent.Placed placed -> placed.attempt() == 1;
       case GatewayEvent.RequestEnded ended ->
-          ended.outcome().equals("answered")
-              && ended.attempts() == 1
-              && isSampledOut(ended.request());
+          ended.outcome().equals("answered") && ended.attempts() == 1;
       default -> false;
     };
   }
 
-  private static boolean isSampledOut(String request) {
+  /**
+   * Counts a line, and says whether the second has had all those that are kept whatever they say.
+   */
+  private boolean beyondAllKept(Instant now) {
+    long current = now.getEpochSecond();
+    if (second != current) {
+      second = current;
+      keptInSecond = 0;
+    }
+    keptInSecond++;
+    return keptInSecond > ALL_KEPT;
+  }
+
+  private static boolean sampledOut(GatewayEvent event) {
+    String request =
+        switch (event) {
+          case GatewayEvent.Placed placed -> placed.request();
+          case GatewayEvent.RequestEnded ended -> ended.request();
+          default -> "";
+        };
     return Math.floorMod(request.hashCode(), SAMPLED) != 0;
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -25,8 +25,13 @@
    *
    * @param attempt counts from 1
    * @param running this instance's requests at the server before this one
+   * @param othersRunning what other instances were thought to have there
+   * @param tokensAhead prompt tokens that the server was thought to read before this prompt
+   * @param readAgain tokens that it has to read though prompts before shared them
+   * @param heardAgo how old the news of the other instances was
    * @param candidates servers that it was chosen among
    * @param resumeAfter the last event that the caller has; empty for a start from the beginning
+   * @param fingerprint the same for each attempt of the caller
    */
   record Placed(
       String request,
@@ -34,10 +39,39 @@
       String server,
       int attempt,
       int running,
+      int othersRunning,
+      long tokensAhead,
+      long readAgain,
+      Duration heardAgo,
       int candidates,
-      String resumeAfter)
+      String resumeAfter,
+      String fingerprint)
       implements GatewayEvent {}
 
+  /**
+   * A request's answer began or went on later than is on time; its end follows.
+   *
+   * @param waited for tokens of its customer's total
+   * @param placed from its arrival until it was sent to the server that answered
+   * @param began from its arrival until its answer did
+   * @param longestPause between parts of the answer
+   * @param pauseAim the longest that is on time
+   */
+  record AnsweredLate(
+      String request,
+      Duration waited,
+      Duration placed,
+      Duration began,
+      Duration longestPause,
+      Duration pauseAim)
+      implements GatewayEvent {}
+
+  /** The event loop stood still, so that nothing was sent or heard for a while. */
+  record LoopStalled(Duration late) implements GatewayEvent {}
+
+  /** A holder of a customer's total did not answer; it isn't asked for a while. */
+  record HolderUnreachable(String customer, String holder, String detail) implements GatewayEvent {}
+
   /** A backend server did not give its whole answer. */
   record AttemptFailed(
       String request, String server, int attempt, String failure, String detail, Duration after)
@@ -51,6 +85,9 @@
    * @param chargedTokens to its customer; 0 for one without a total
    * @param plan version of the plan that routed it; 0 if there was none
    * @param waited for tokens of its customer's total
+   * @param kind of its route
+   * @param aim until when its answer was to begin
+   * @param fingerprint the same for each attempt of the caller
    */
   record RequestEnded(
       String request,
@@ -63,7 +100,10 @@
       long chargedTokens,
       long plan,
       Duration waited,
-      Duration took)
+      Duration took,
+      String kind,
+      Duration aim,
+      String fingerprint)
       implements GatewayEvent {}
 
   /** A plan came in force. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayParts.java
@@ -1,15 +1,13 @@
 package org.teaseldeal.gateway.flow;
 
 import java.time.InstantSource;
-import java.util.Map;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
-import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.account.TokenRequests;
 import org.teaseldeal.gateway.event.EventSink;
-import org.teaseldeal.gateway.peer.OthersLoad;
+import org.teaseldeal.gateway.peer.FleetLoad;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.quarantine.RequestQuarantine;
 import org.teaseldeal.gateway.server.CachedPrompts;
@@ -30,7 +28,7 @@
     RequestQuarantine quarantine,
     Dialect dialect,
     BackendPort backends,
-    Supplier<Map<BackendServerId, OthersLoad>> othersLoad,
+    Supplier<FleetLoad> othersLoad,
     CachedPrompts cachedPrompts,
     IntSupplier instances,
     GatewayLimits limits,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -235,7 +235,17 @@
                 0,
                 plan == null ? 0 : plan.version(),
                 Duration.ZERO,
-                Duration.between(arrived, parts.clock().instant())));
+                Duration.between(arrived, parts.clock().instant()),
+                "",
+                Duration.ZERO,
+                fingerprint(exchange)));
+  }
+
+  private String fingerprint(HttpExchange exchange) {
+    return switch (parts.dialect().read(exchange)) {
+      case Result.Ok<RoutedRequest> read -> read.value().fingerprint();
+      case Result.Err<RoutedRequest> malformed -> "";
+    };
   }
 
   /** How long a request may take at most: as its caller waits, and its route allows. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -43,6 +43,9 @@
 
   private static final int FIRST_SERVER_ERROR = 500;
 
+  /** The outcome of a request that got a backend server's answer. */
+  private static final String ANSWERED = "answered";
+
   /** A server that can't be reached is left out for about the time that a crashed one is away. */
   private static final Duration UNREACHABLE_PAUSE = Duration.ofSeconds(1);
 
@@ -81,6 +84,8 @@
   private Stage stage = Stage.TOKENS;
   private Reservation reservation = Reservation.NONE;
   private Duration waited = Duration.ZERO;
+  private Duration placed = Duration.ZERO;
+  private @Nullable String fingerprint;
   private int sends;
   private int unreachable;
   private boolean mayHaveRun;
@@ -92,7 +97,7 @@
     this.parts = parts;
     this.desk = desk;
     this.exchange = exchange;
-    this.answer = new CallerAnswer(exchange);
+    this.answer = new CallerAnswer(exchange, parts.clock());
     this.request = admitted.request();
     this.route = admitted.route();
     this.customer = admitted.customer();
@@ -207,17 +212,8 @@
     BackendServer server = chosen.get().server();
     stage = Stage.ANSWER;
     sends++;
-    parts
-        .events()
-        .accept(
-            new GatewayEvent.Placed(
-                request.id(),
-                service,
-                server.id().name(),
-                sends,
-                server.running(),
-                chosen.get().candidates(),
-                answer.lastEventId()));
+    placed = Duration.between(arrived, now());
+    parts.events().accept(placedAt(chosen.get()));
     parts.cachedPrompts().onSent(server.incarnation(), sharedPartIds(), now());
     Attempt next =
         new Attempt(this, parts, server, chosen.get().uncachedTokens(), route.kind().streamed());
@@ -232,6 +228,31 @@
             answer.lastEventId().isEmpty() ? Optional.empty() : Optional.of(answer.lastEventId())));
   }
 
+  private GatewayEvent.Placed placedAt(ServerChoice.Chosen chosen) {
+    BackendServer server = chosen.server();
+    long unshared = request.prompt().map(PromptTerms::unsharedTokens).orElse(0L);
+    return new GatewayEvent.Placed(
+        request.id(),
+        service,
+        server.id().name(),
+        sends,
+        server.running(),
+        chosen.others().running(),
+        Math.max(0, server.promptTokensAhead()) + chosen.others().promptTokensAhead(),
+        Math.max(0, chosen.uncachedTokens() - unshared),
+        chosen.heardAgo(),
+        chosen.candidates(),
+        answer.lastEventId(),
+        fingerprint());
+  }
+
+  private String fingerprint() {
+    if (fingerprint == null) {
+      fingerprint = request.fingerprint();
+    }
+    return fingerprint;
+  }
+
   private List<String> sharedPartIds() {
     return request.prompt().map(PromptTerms::sharedPartIds).orElse(List.of());
   }
@@ -283,7 +304,7 @@
     }
     answered();
     answer.finish(status, headers, rest);
-    end("answered", status, "");
+    end(ANSWERED, status, "");
   }
 
   void onWholeAnswer(int status, Map<String, String> headers, byte[] body) {
@@ -303,14 +324,14 @@
     }
     answered();
     answer.whole(new HttpAnswer(status, headers, body));
-    end("answered", status, "");
+    end(ANSWERED, status, "");
   }
 
   private void answered() {
     mayHaveRun = true;
     desk.onAnswered(route, Duration.between(arrived, now()));
     if (parts.quarantine().active()) {
-      parts.quarantine().onAnswered(request.fingerprint());
+      parts.quarantine().onAnswered(fingerprint());
     }
     Attempt whole = attempt;
     if (whole != null) {
@@ -376,7 +397,7 @@
     boolean outOfTime = !now().isBefore(deadline.minus(TIMER_GRAIN));
     if (!outOfTime || overdue(failed)) {
       desk.choice().onFailed(failed.server());
-      parts.quarantine().onBrokenOff(request.fingerprint(), failed.server().incarnation());
+      parts.quarantine().onBrokenOff(fingerprint(), failed.server().incarnation());
     }
     if (outOfTime) {
       fail(Problem.of(ErrorKind.DEADLINE_PASSED, detail));
@@ -466,6 +487,9 @@
     long used = use.tokens(answer.eventsSent());
     parts.tokens().settle(reservation, used);
     desk.onEnded(this);
+    if (outcome.equals(ANSWERED)) {
+      tellIfLate();
+    }
     parts
         .events()
         .accept(
@@ -480,7 +504,23 @@
                 reservation.tokens() == 0 ? 0 : used,
                 planVersion,
                 waited,
-                Duration.between(arrived, now())));
+                Duration.between(arrived, now()),
+                route.kind().label(),
+                route.aim(),
+                fingerprint()));
+  }
+
+  private void tellIfLate() {
+    Duration began = Duration.between(arrived, answer.firstSent().orElse(now()));
+    boolean paused =
+        route.kind().streamed() && answer.longestPause().compareTo(route.pauseAim()) > 0;
+    if (paused || began.compareTo(route.aim()) > 0) {
+      parts
+          .events()
+          .accept(
+              new GatewayEvent.AnsweredLate(
+                  request.id(), waited, placed, began, answer.longestPause(), route.pauseAim()));
+    }
   }
 
   private Instant now() {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -13,6 +13,7 @@
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.decisions.PromptPlacement;
 import org.teaseldeal.decisions.ServerHealth;
+import org.teaseldeal.gateway.peer.FleetLoad;
 import org.teaseldeal.gateway.peer.OthersLoad;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.CachedPrompts;
@@ -31,12 +32,19 @@
    * What was chosen.
    *
    * @param candidates among which
+   * @param others what other instances were thought to have at the server
    * @param uncachedTokens of the prompt that the server has to read
+   * @param heardAgo how old the news of the other instances was
    */
-  record Chosen(BackendServer server, int candidates, long uncachedTokens) {}
+  record Chosen(
+      BackendServer server,
+      int candidates,
+      OthersLoad others,
+      long uncachedTokens,
+      Duration heardAgo) {}
 
   private final ServerDirectory servers;
-  private final Supplier<Map<BackendServerId, OthersLoad>> load;
+  private final Supplier<FleetLoad> load;
   private final CachedPrompts cached;
   private final RandomGenerator random;
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
@@ -45,7 +53,7 @@
 
   ServerChoice(
       ServerDirectory servers,
-      Supplier<Map<BackendServerId, OthersLoad>> load,
+      Supplier<FleetLoad> load,
       CachedPrompts cached,
       RandomGenerator random) {
     this.servers = servers;
@@ -122,15 +130,20 @@
             .filter(server -> !server.avoided(now) && health.isIn(server.id(), now))
             .toList();
     List<BackendServer> candidates = fit.isEmpty() ? untried : fit;
-    Map<BackendServerId, OthersLoad> others = load.get();
+    FleetLoad fleet = load.get();
     List<PromptPlacement.Candidate> views =
-        candidates.stream()
-            .map(server -> view(server, others.getOrDefault(server.id(), OthersLoad.NONE), prompt))
-            .toList();
+        candidates.stream().map(server -> view(server, fleet.at(server.id()), prompt)).toList();
     String beginning = prompt.map(PromptTerms::sharedBeginning).orElse("");
     return PromptPlacement.choose(views, new PromptPlacement.Prompt(beginning, aim), random)
         .flatMap(servers::find)
-        .map(server -> new Chosen(server, candidates.size(), uncached(server, prompt)));
+        .map(
+            server ->
+                new Chosen(
+                    server,
+                    candidates.size(),
+                    fleet.at(server.id()),
+                    uncached(server, prompt),
+                    fleet.heardAgo()));
   }
 
   private PromptPlacement.Candidate view(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -63,6 +63,9 @@
       case GatewayEvent.TokensDrawn drawn -> registry.counter("tokens_drawn").inc(drawn.tokens());
       case GatewayEvent.FleetTraffic traffic -> onFleetTraffic(traffic);
       case GatewayEvent.RequestQuarantined quarantined -> count("requests_quarantined");
+      case GatewayEvent.AnsweredLate late -> count("requests_answered_late");
+      case GatewayEvent.LoopStalled stalled -> count("loop_stalls");
+      case GatewayEvent.HolderUnreachable unreachable -> count("holders_unreachable");
       case GatewayEvent.LinesDropped dropped ->
           registry.counter("log_lines_dropped").inc(dropped.count());
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -78,6 +78,7 @@
   private long hashedChanges = -1;
   private Map<BackendServerId, OthersLoad> sums = Map.of();
   private Instant sumsUntil = Instant.MIN;
+  private @Nullable Instant heardAt;
   private Instant next = Instant.MIN;
   private Instant nextToGroup = Instant.MIN;
   private Instant groupToldAt = Instant.MIN;
@@ -267,6 +268,7 @@
           case OTHERS -> others.hear(news, now);
         };
     if (heard) {
+      heardAt = now;
       sumsUntil = Instant.MIN;
       if (news.scope() == LoadNews.Scope.OTHERS) {
         collectors.heard(news.sender(), now);
@@ -312,15 +314,15 @@
     }
   }
 
-  /** What the others have outstanding, by server; servers without any are left out. */
-  public Map<BackendServerId, OthersLoad> others() {
+  /** What the others have outstanding. */
+  public FleetLoad others() {
     Instant now = clock.instant();
     followServers();
     if (!now.isBefore(sumsUntil)) {
       sums = addUp(now);
       sumsUntil = now.plus(SUMS_KEPT);
     }
-    return sums;
+    return new FleetLoad(sums, heardAt == null ? Duration.ZERO : Duration.between(heardAt, now));
   }
 
   private Map<BackendServerId, OthersLoad> addUp(Instant now) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/RouteKind.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/RouteKind.java
@@ -1,5 +1,7 @@
 package org.teaseldeal.gateway.plan;
 
+import java.util.Locale;
+
 /** What may be repeated of a route's requests, and how they are answered. */
 public enum RouteKind {
   /** Idempotent: may run more than once. */
@@ -15,6 +17,11 @@
     this.streamed = streamed;
   }
 
+  /** The name in logs: lower case with hyphens. */
+  public String label() {
+    return name().toLowerCase(Locale.ROOT).replace('_', '-');
+  }
+
   /** Whether the answer is a stream of server-sent events. */
   public boolean streamed() {
     return streamed;
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
@@ -53,7 +53,8 @@
           new ClockReading(0, 0),
           () -> new ClockReading(0, 0),
           Optional::empty);
-  private final TokenRequests requests = new TokenRequests(book, holders, new Port(), clock);
+  private final TokenRequests requests =
+      new TokenRequests(book, holders, new Port(), event -> {}, clock);
   private final ReservationListener listener = new Listener();
 
   @Test
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -20,6 +20,7 @@
 import org.teaseldeal.gateway.fake.FakeDialect;
 import org.teaseldeal.gateway.fake.FakeExchange;
 import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.peer.FleetLoad;
 import org.teaseldeal.gateway.plan.CallerLimits;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.plan.PlannedService;
@@ -100,14 +101,14 @@
             new GatewayParts(
                 () -> configured ? plan : null,
                 servers,
-                new TokenRequests(accounts, holders, new NoHolders(), clock),
+                new TokenRequests(accounts, holders, new NoHolders(), events::add, clock),
                 quarantine,
                 new FakeDialect(),
                 (request, listener) -> {
                   sent.add(new Sent(request, listener));
                   return () -> {};
                 },
-                Map::of,
+                () -> FleetLoad.NONE,
                 new CachedPrompts(),
                 () -> 1,
                 new GatewayLimits(0.2, 50, Duration.ofSeconds(10)),
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerChoiceTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerChoiceTests.java
@@ -4,13 +4,13 @@
 
 import java.time.Duration;
 import java.time.Instant;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
 import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.peer.FleetLoad;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
@@ -24,7 +24,7 @@
 
   private final ServerDirectory servers = new ServerDirectory();
   private final ServerChoice choice =
-      new ServerChoice(servers, Map::of, new CachedPrompts(), new Random(1));
+      new ServerChoice(servers, () -> FleetLoad.NONE, new CachedPrompts(), new Random(1));
 
   @BeforeEach
   void list() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -53,7 +53,7 @@
     teller.find(ENGINE).orElseThrow().started(700);
     telling.tick();
     hearing.receive(sent.getFirst());
-    assertEquals(Map.of(ENGINE, new OthersLoad(1, 700)), hearing.others());
+    assertEquals(Map.of(ENGINE, new OthersLoad(1, 700)), hearing.others().byServer());
   }
 
   @Test
@@ -62,7 +62,7 @@
     telling.tick();
     hearing.receive(sent.getFirst());
     clock.advance(Duration.ofSeconds(2));
-    assertEquals(Map.of(), hearing.others());
+    assertEquals(Map.of(), hearing.others().byServer());
   }
 
   @Test
@@ -74,7 +74,7 @@
     telling.tick();
     hearing.receive(sent.get(1));
     hearing.receive(sent.get(0));
-    assertEquals(Map.of(ENGINE, new OthersLoad(2, 1000)), hearing.others());
+    assertEquals(Map.of(ENGINE, new OthersLoad(2, 1000)), hearing.others().byServer());
   }
 
   /**
@@ -88,14 +88,14 @@
     teller.find(ENGINE).orElseThrow().started(700);
     telling.tick();
     hearing.receive(sent.getFirst());
-    assertEquals(Map.of(), hearing.others());
+    assertEquals(Map.of(), hearing.others().byServer());
 
     teller.put(listing(Optional.of(FIRST.plusMillis(1))));
     teller.find(ENGINE).orElseThrow().started(300);
     clock.advance(Duration.ofMillis(200));
     telling.tick();
     hearing.receive(sent.getLast());
-    assertEquals(Map.of(ENGINE, new OthersLoad(1, 300)), hearing.others());
+    assertEquals(Map.of(ENGINE, new OthersLoad(1, 300)), hearing.others().byServer());
   }
 
   /** A prompt goes where another instance has sent its beginning, also if a message was lost. */
@@ -123,7 +123,7 @@
   void ignoresWhatIsNoMessage() {
     hearing.receive(new byte[] {9, 9, 9});
     hearing.receive(new byte[0]);
-    assertEquals(Map.of(), hearing.others());
+    assertEquals(Map.of(), hearing.others().byServer());
   }
 
   private static ServerDirectory directory() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadFleet.java
@@ -74,7 +74,7 @@
 
     /** What it knows of the other instances' requests at a server. */
     int othersAt(int index) {
-      return exchange.others().getOrDefault(id(index), OthersLoad.NONE).running();
+      return exchange.others().at(id(index)).running();
     }
 
     /** Sends a prompt with the beginning {@code part}. */
