Count from instances' logs why requests were not answered in time

What callers saw and no log has is a row of its own, so that the rows add up to what was owed.

LossesCommandTests has one small log for each cause.

--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/CommandLine.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/CommandLine.java
@@ -23,6 +23,7 @@
 import org.teaseldeal.operator.command.Instances;
 import org.teaseldeal.operator.command.LeaseRelease;
 import org.teaseldeal.operator.command.LeaseShow;
+import org.teaseldeal.operator.command.Losses;
 import org.teaseldeal.operator.command.SettingsCheck;
 import org.teaseldeal.operator.command.SettingsDiff;
 import org.teaseldeal.operator.command.SettingsHistory;
@@ -73,6 +74,7 @@
     commands.put("dump", new Dump());
     commands.put("drain", new Drain());
     commands.put("explain", new Explain());
+    commands.put("losses", new Losses());
   }
 
   Asked parse(String... arguments) {
--- /dev/null
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/command/Losses.java
@@ -0,0 +1,76 @@
+package org.teaseldeal.operator.command;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import com.beust.jcommander.Parameters;
+import com.beust.jcommander.ParametersDelegate;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.teaseldeal.cli.ExitStatus;
+import org.teaseldeal.operator.losses.Dimension;
+import org.teaseldeal.operator.losses.LossCount;
+import org.teaseldeal.operator.losses.LossPlot;
+import org.teaseldeal.operator.losses.LossReport;
+import org.teaseldeal.operator.losses.Owed;
+import org.teaseldeal.operator.report.CommandResult;
+
+/** Counts from instances' logs why requests weren't answered in time. */
+@Parameters(
+    commandNames = "losses",
+    commandDescription = "Count from instances' logs why requests were not answered in time")
+public final class Losses implements Command {
+  @Parameter(description = "FILE|DIRECTORY|-...")
+  private List<String> sources = new ArrayList<>();
+
+  @Parameter(
+      names = "--by",
+      description = "Columns: kind, customer, second, data_centre or instance")
+  private Dimension by = Dimension.KIND;
+
+  @Parameter(
+      names = "--owed",
+      description = "JSON file with the requests that were owed and their worth, by kind")
+  private @Nullable String owed;
+
+  @Parameter(
+      names = "--against",
+      description = "File or directory of an earlier day, to be compared with")
+  private @Nullable String against;
+
+  @Parameter(names = "--plot", description = "SVG file to write the worth lost by second to")
+  private @Nullable String plot;
+
+  @ParametersDelegate private final CommonOptions common = new CommonOptions();
+
+  @Override
+  public CommandResult run(CommandContext context) {
+    if (sources.isEmpty()) {
+      throw new ParameterException("no logs were named, expected FILE, DIRECTORY or -");
+    }
+    try {
+      Owed known = owed == null ? Owed.UNKNOWN : Owed.read(owed);
+      LossReport report = LossCount.of(sources, System.in, known, by);
+      if (report.lines() == 0) {
+        return CommandResult.failed(
+            ExitStatus.WRONG_COMMAND_LINE, "no line of %s is an event".formatted(sources));
+      }
+      if (plot != null) {
+        LossPlot.write(report, plot);
+      }
+      if (against == null) {
+        return CommandResult.ok(report);
+      }
+      LossReport before = LossCount.of(List.of(against), System.in, known, by);
+      return CommandResult.ok(report.against(before));
+    } catch (IOException e) {
+      return CommandResult.failed(ExitStatus.WRONG_FILE, String.valueOf(e.getMessage()));
+    }
+  }
+
+  @Override
+  public CommonOptions common() {
+    return common;
+  }
+}
--- /dev/null
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/Dimension.java
@@ -0,0 +1,26 @@
+package org.teaseldeal.operator.losses;
+
+import java.time.Duration;
+import java.time.Instant;
+import java.util.function.BiFunction;
+
+/** By what the losses are divided into columns. */
+public enum Dimension {
+  KIND((request, start) -> request.kind().isEmpty() ? "not known" : request.kind()),
+  CUSTOMER((request, start) -> request.customer().isEmpty() ? "none" : request.customer()),
+  SECOND(
+      (request, start) -> "%3d".formatted(Duration.between(start, request.arrived()).toSeconds())),
+  DATA_CENTRE((request, start) -> request.dataCentre()),
+  INSTANCE((request, start) -> request.instance());
+
+  private final BiFunction<AttemptRecord, Instant, String> column;
+
+  Dimension(BiFunction<AttemptRecord, Instant, String> column) {
+    this.column = column;
+  }
+
+  /** The column of a request; seconds are those since {@code start}. */
+  String column(AttemptRecord request, Instant start) {
+    return column.apply(request, start);
+  }
+}
--- /dev/null
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/LogLines.java
@@ -0,0 +1,149 @@
+package org.teaseldeal.operator.losses;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.ObjectReader;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.UncheckedIOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.InvalidPathException;
+import java.nio.file.Path;
+import java.time.DateTimeException;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+
+/**
+ * Reads instances' logs line by line; none of them is kept.
+ *
+ * <p>A collector may have put the seconds since the start of the load and a name before each line.
+ * Its clock is then taken for the instance's own, which may be set.
+ */
+final class LogLines {
+  /** An event of an instance. */
+  record Line(Instant time, String instance, String event, JsonNode fields) {
+    String text(String field) {
+      return fields.path(field).asText();
+    }
+
+    double number(String field) {
+      return fields.path(field).asDouble();
+    }
+  }
+
+  private static final String STDIN = "-";
+
+  /** How many lines that can't be read are named; all are counted. */
+  private static final int MOST_NAMED = 10;
+
+  private static final Pattern PREFIX = Pattern.compile("\\s*(-?\\d+\\.\\d+)\\s.*");
+  private static final ObjectReader READER = new ObjectMapper().readerFor(JsonNode.class);
+
+  private final Consumer<Line> consumer;
+  private final List<String> unreadable = new ArrayList<>();
+  private long read;
+  private long unreadableCount;
+
+  LogLines(Consumer<Line> consumer) {
+    this.consumer = consumer;
+  }
+
+  /** Lines that were events. */
+  long read() {
+    return read;
+  }
+
+  /** Lines that look like events and aren't. */
+  long unreadableCount() {
+    return unreadableCount;
+  }
+
+  /** The first of those, as file and line. */
+  List<String> unreadable() {
+    return unreadable;
+  }
+
+  /**
+   * Reads files, all files of directories, or standard input for a dash.
+   *
+   * @throws IOException with its name, if one can't be read
+   */
+  void readAll(List<String> sources, InputStream standardInput) throws IOException {
+    for (String source : sources) {
+      try {
+        if (source.equals(STDIN)) {
+          read("standard input", standardInput);
+        } else {
+          for (Path file : files(Path.of(source))) {
+            try (InputStream in = Files.newInputStream(file)) {
+              read(file.toString(), in);
+            }
+          }
+        }
+      } catch (IOException | UncheckedIOException | InvalidPathException e) {
+        throw new IOException("log '%s' can't be read: %s".formatted(source, e.getMessage()), e);
+      }
+    }
+  }
+
+  private static List<Path> files(Path source) throws IOException {
+    if (!Files.isDirectory(source)) {
+      return List.of(source);
+    }
+    try (Stream<Path> entries = Files.list(source)) {
+      return entries.filter(Files::isRegularFile).sorted().toList();
+    }
+  }
+
+  private void read(String name, InputStream in) throws IOException {
+    BufferedReader lines =
+        new BufferedReader(new InputStreamReader(in, StandardCharsets.ISO_8859_1));
+    long number = 0;
+    for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+      number++;
+      int start = line.indexOf("{\"time\"");
+      if (start >= 0) {
+        take(name, number, line.substring(0, start), line.substring(start));
+      }
+    }
+  }
+
+  private void take(String name, long number, String prefix, String json) {
+    Line line;
+    try {
+      line = parse(prefix, json);
+    } catch (JsonProcessingException | DateTimeException | IllegalArgumentException e) {
+      unreadableCount++;
+      if (unreadable.size() < MOST_NAMED) {
+        unreadable.add(name + ", line " + number);
+      }
+      return;
+    }
+    read++;
+    consumer.accept(line);
+  }
+
+  private static Line parse(String prefix, String json) throws JsonProcessingException {
+    JsonNode fields = READER.readTree(json);
+    String instance = fields.path("instance").asText();
+    String event = fields.path("event").asText();
+    if (instance.isEmpty() || event.isEmpty()) {
+      throw new IllegalArgumentException("instance or event is missing");
+    }
+    Matcher seconds = PREFIX.matcher(prefix);
+    Instant time =
+        seconds.matches()
+            ? Instant.EPOCH.plusNanos(Math.round(Double.parseDouble(seconds.group(1)) * 1e9))
+            : Instant.parse(fields.path("time").asText());
+    return new Line(time, instance, event, fields);
+  }
+}
--- /dev/null
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/Owed.java
@@ -0,0 +1,102 @@
+package org.teaseldeal.operator.losses;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * What callers were owed, as somebody counted it who saw all of them.
+ *
+ * @param byKind by the kind's name in the logs, such as {@code stream 400 ms}
+ */
+public record Owed(Map<String, Kind> byKind) {
+  /** Nothing is known; each request counts as one. */
+  public static final Owed UNKNOWN = new Owed(Map.of());
+
+  /**
+   * One kind of request.
+   *
+   * @param name that people use
+   * @param requests that were owed an answer
+   * @param inTime of them, answered in time
+   * @param worth of an answer in time
+   * @param lateWorth of a late one
+   */
+  public record Kind(String name, long requests, long inTime, double worth, double lateWorth) {}
+
+  private static final Kind EACH = new Kind("", 0, 0, 1, 0);
+
+  public Owed {
+    byKind = Map.copyOf(byKind);
+  }
+
+  /**
+   * Reads a file: {@code {"kinds":[{"kind":"stream 400 ms","name":…,"requests":…,"in_time":…,
+   * "worth":…,"late_worth":…}]}}.
+   *
+   * @throws IOException with the file's name and the field, if it can't be read
+   */
+  public static Owed read(String file) throws IOException {
+    try {
+      JsonNode root = new ObjectMapper().readTree(Files.readAllBytes(Path.of(file)));
+      Map<String, Kind> kinds = new LinkedHashMap<>();
+      for (JsonNode kind : root.path("kinds")) {
+        kinds.put(
+            text(kind, "kind"),
+            new Kind(
+                text(kind, "name"),
+                (long) number(kind, "requests"),
+                (long) number(kind, "in_time"),
+                number(kind, "worth"),
+                number(kind, "late_worth")));
+      }
+      if (kinds.isEmpty()) {
+        throw new IllegalArgumentException("field kinds was empty, expected a kind of request");
+      }
+      return new Owed(kinds);
+    } catch (IOException | IllegalArgumentException e) {
+      throw new IOException("file '%s' can't be read: %s".formatted(file, e.getMessage()), e);
+    }
+  }
+
+  private static String text(JsonNode kind, String field) {
+    if (!kind.path(field).isTextual()) {
+      throw new IllegalArgumentException("field kinds.%s is missing".formatted(field));
+    }
+    return kind.path(field).asText();
+  }
+
+  private static double number(JsonNode kind, String field) {
+    if (!kind.path(field).isNumber()) {
+      throw new IllegalArgumentException("field kinds.%s is missing".formatted(field));
+    }
+    return kind.path(field).asDouble();
+  }
+
+  /** The worth that is lost with a request of {@code kind}. */
+  double lost(String kind, Verdict verdict) {
+    Kind known = byKind.getOrDefault(kind, EACH);
+    return switch (verdict) {
+      case IN_TIME -> 0;
+      case LATE -> known.worth() - known.lateWorth();
+      case REFUSED, FAILED -> known.worth();
+    };
+  }
+
+  /** The name of a kind for people. */
+  String name(String kind) {
+    return Optional.ofNullable(byKind.get(kind)).map(Kind::name).orElse(kind);
+  }
+
+  /** Requests that were owed and not answered in time; empty if it isn't known. */
+  Optional<Long> unserved() {
+    return byKind.isEmpty()
+        ? Optional.empty()
+        : Optional.of(byKind.values().stream().mapToLong(k -> k.requests() - k.inTime()).sum());
+  }
+}
