Play fleets of hundreds of instances in virtual time

The tests of accounts and of the exchange each play one part of an instance; nothing played requests, choice of servers, tokens, notes and loads together at size.

teaseldeal-model plays the gateway's real parts in 9 to hundreds of instances on one thread and one virtual clock, with callers, engines, plain servers, the log and the links as hand-written stand-ins, from checked scenario files; size, seed and mechanisms are parameters. It checks that totals aren't overspent, that what may run once runs once, and that no answer comes under a configuration that isn't out. `experiment` compares a mechanism with its absence, paired by seed.

Eleven scenarios; in the build five seeds of each at 95 instances. ModuleOrderTests: the module stands above the gateway and is used by nobody.

--- /dev/null
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -0,0 +1,98 @@
+package org.teaseldeal.model;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.teaseldeal.api.Problem;
+import org.teaseldeal.api.Result;
+import org.teaseldeal.gateway.flow.AnswerVerdict;
+import org.teaseldeal.gateway.flow.Dialect;
+import org.teaseldeal.gateway.flow.Handover;
+import org.teaseldeal.gateway.flow.PromptTerms;
+import org.teaseldeal.gateway.flow.RoutedRequest;
+import org.teaseldeal.net.HttpAnswer;
+import org.teaseldeal.net.HttpCallRequest;
+import org.teaseldeal.net.HttpExchange;
+
+/** What callers and servers of the model say; nothing of it can be malformed. */
+final class ModelDialect implements Dialect {
+  static final String HOST = "model";
+
+  /** Header of a refusal: milliseconds after which to come back. */
+  static final String COME_BACK = "come-back-ms";
+
+  /** Header of a server's answer that has not run the request. */
+  static final String FULL = "full";
+
+  /** Header that names the request to the server. */
+  static final String REQUEST = "request";
+
+  @Override
+  public Result<RoutedRequest> read(HttpExchange exchange) {
+    ModelExchange call = (ModelExchange) exchange;
+    ModelRequest request = call.request();
+    Optional<PromptTerms> prompt =
+        request.kind().streamed()
+            ? Optional.of(
+                new PromptTerms(request.inputTokens(), request.maxOutputTokens(), request.parts()))
+            : Optional.empty();
+    return Result.ok(
+        new RoutedRequest(
+            call.attemptId(),
+            "POST",
+            HOST,
+            path(request.kind()) + request.number(),
+            List.of(),
+            new byte[0],
+            Optional.of(call.timeLeft()),
+            Optional.of(request.customer()),
+            prompt));
+  }
+
+  static String path(Scenario.Kind kind) {
+    return "/" + kind.name() + "/";
+  }
+
+  @Override
+  public String requestId(HttpExchange exchange) {
+    return ((ModelExchange) exchange).attemptId();
+  }
+
+  @Override
+  public HttpCallRequest forward(RoutedRequest request, Handover handover) {
+    return new HttpCallRequest(
+        handover.address(),
+        request.method(),
+        request.target(),
+        Map.of(REQUEST, request.id()),
+        request.body(),
+        handover.timeLeft());
+  }
+
+  @Override
+  public boolean isAnswerTo(RoutedRequest request, Map<String, String> headers) {
+    return true;
+  }
+
+  @Override
+  public AnswerVerdict verdict(int status, Map<String, String> headers) {
+    return headers.containsKey(FULL) ? AnswerVerdict.NOT_RUN : AnswerVerdict.GENUINE;
+  }
+
+  @Override
+  public Map<String, String> answerHeaders(Map<String, String> headers) {
+    return headers;
+  }
+
+  @Override
+  public HttpAnswer refuse(Problem problem) {
+    Map<String, String> headers =
+        problem
+            .retryAfter()
+            .map(Duration::toMillis)
+            .map(millis -> Map.of(COME_BACK, String.valueOf(millis)))
+            .orElse(Map.of());
+    return new HttpAnswer(problem.kind().status(), headers, new byte[0]);
+  }
+}
--- /dev/null
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/PlayCommand.java
@@ -0,0 +1,43 @@
+package org.teaseldeal.model;
+
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.Parameters;
+import java.io.PrintStream;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import org.teaseldeal.cli.Command;
+import org.teaseldeal.cli.CommandException;
+import org.teaseldeal.cli.ExitStatus;
+
+@Parameters(
+    commandDescription = "Play a scenario once in virtual time, and check what was promised")
+final class PlayCommand extends Command {
+  @Parameter(description = "SCENARIO.toml ...", required = true)
+  private List<Path> scenarios = new ArrayList<>();
+
+  @Parameter(names = "--size", description = "Instances; 0 for as many as the scenario has")
+  private int size;
+
+  @Parameter(names = "--seed", description = "Seed of all that is drawn")
+  private long seed = 1;
+
+  @Parameter(names = "--without", description = "A mechanism to switch off: draws, loads, caches")
+  private List<Mechanism> without = new ArrayList<>();
+
+  @Override
+  protected ExitStatus run(PrintStream out, PrintStream err) throws CommandException {
+    boolean kept = true;
+    for (Path file : scenarios) {
+      Scenario scenario = ScenarioFiles.read(file);
+      EnumSet<Mechanism> off = EnumSet.noneOf(Mechanism.class);
+      off.addAll(without);
+      PlayResult result =
+          ModelFleet.play(scenario, size == 0 ? scenario.instances() : size, seed, off);
+      out.print(result.text());
+      kept &= result.broken().isEmpty();
+    }
+    return kept ? ExitStatus.OK : ExitStatus.REFUSED;
+  }
+}
--- /dev/null
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/ScenarioParserTests.java
@@ -0,0 +1,45 @@
+package org.teaseldeal.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.teaseldeal.settings.SettingsParser.Parsed;
+
+class ScenarioParserTests {
+  private static final String LEAST =
+      """
+      name = "quiet"
+      title = "A quiet load"
+
+      [kinds.draft]
+      answer = "stream"
+      """;
+
+  @Test
+  void fillsInWhatIsNotSaid() {
+    Parsed.Valid<Scenario> valid =
+        assertInstanceOf(Parsed.Valid.class, ScenarioParser.parse(LEAST));
+    assertEquals(9, valid.settings().instances());
+  }
+
+  /** Guards against a scenario that is played as something else than its file says. */
+  @ParameterizedTest
+  @CsvSource({
+    "instances = 0, instances",
+    "colour = 1, colour",
+    "duration = \"soon\", duration",
+    "links.loss = 2.0, loss",
+    "faults.one.kind = \"rain\", kind"
+  })
+  void saysWhatIsWrongAndWhere(String line, String field) {
+    Parsed.Invalid<Scenario> invalid =
+        assertInstanceOf(Parsed.Invalid.class, ScenarioParser.parse(line + "\n" + LEAST));
+    String problem = String.valueOf(invalid.problems().getFirst());
+    assertTrue(problem.contains(field), problem);
+    assertEquals(1, invalid.problems().getFirst().line(), problem);
+  }
+}
--- /dev/null
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.model;
+
+import org.jspecify.annotations.NullMarked;
