Ask no holder at an instance that hears no other

Callers of an instance that is cut off from the other instances, and reaches the store, waited until three holders in turn had not answered (a quarter of a second each, anew each two seconds), and then until the shared log had been read for the first time, and many were refused for want of tokens while the log could have given them.

An instance of a large fleet hears its collector each 80 ms, and a collector the others each half second, so silence of a second tells the cut before any request does. From then on requests go to the own account at once, and the log is read before they come. Collectors tell each other that they are there also when nothing is outstanding.

TokenRequestsTests.asksNobodyWhereNoOtherInstanceIsHeard failed before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/AccountBook.java
@@ -60,6 +60,7 @@
   private final TokenRefusals refusals;
   private final Map<String, CustomerAccount> accounts = new TreeMap<>();
   private ClockReading lastReading;
+  private boolean logNeeded;
   private Instant clockSetAt = Instant.EPOCH;
   private boolean recovered;
   private boolean closing;
@@ -382,10 +383,16 @@
     return accounts.values().stream().anyMatch(account -> !account.wishDecided());
   }
 
+  /** Says whether the log is to be read although nothing is held and nothing waits here. */
+  void needLog(boolean needed) {
+    logNeeded = needed;
+  }
+
   /** An instance that holds nothing asks holders, and knows of the totals what they answer. */
   @Override
   public boolean needsLog() {
-    return holders.holdsAny()
+    return logNeeded
+        || holders.holdsAny()
         || !recovered
         || accounts.values().stream().anyMatch(CustomerAccount::needsLog);
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -3,11 +3,13 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.gateway.event.EventSink;
@@ -40,22 +42,29 @@
   private final AccountBook accounts;
   private final TokenHolders holders;
   private final HolderPort port;
+  private final BooleanSupplier othersHeard;
   private final EventSink events;
   private final InstantSource clock;
   private final Set<Asking> asking = new HashSet<>();
   private final Map<String, Instant> unreachableUntil = new HashMap<>();
   private Instant nextReturn = Instant.MIN;
 
-  /** Creates requests that {@code accounts} serves where this instance holds a part. */
+  /**
+   * Creates requests that {@code accounts} serves where this instance holds a part.
+   *
+   * @param othersHeard whether any other instance has been heard lately
+   */
   public TokenRequests(
       AccountBook accounts,
       TokenHolders holders,
       HolderPort port,
+      BooleanSupplier othersHeard,
       EventSink events,
       InstantSource clock) {
     this.accounts = accounts;
     this.holders = holders;
     this.port = port;
+    this.othersHeard = othersHeard;
     this.events = events;
     this.clock = clock;
   }
@@ -102,9 +111,16 @@
     return accounts.asksForMore();
   }
 
-  /** Gives back what holders gave and no request has used. */
+  /**
+   * Gives back what holders gave and no request has used.
+   *
+   * <p>Load pattern: some instances reach the shared log and callers, and no other instance. Each
+   * request would find out anew that no holder answers, and then wait until the log has been read;
+   * so the log is read from the moment on in which nobody is heard any more.
+   */
   public void tick() {
     Instant now = clock.instant();
+    accounts.needLog(!othersHeard.getAsBoolean());
     if (now.isBefore(nextReturn)) {
       return;
     }
@@ -148,10 +164,12 @@
       this.deadline = deadline;
       this.listener = listener;
       this.left =
-          holders.others(customer).stream()
-              .filter(TokenRequests.this::reachable)
-              .limit(MOST_ASKED)
-              .iterator();
+          othersHeard.getAsBoolean()
+              ? holders.others(customer).stream()
+                  .filter(TokenRequests.this::reachable)
+                  .limit(MOST_ASKED)
+                  .iterator()
+              : Collections.emptyIterator();
     }
 
     boolean isFor(String wanted) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -84,7 +84,6 @@
   private Instant groupToldAt = Instant.MIN;
   private Instant nextComplete = Instant.MIN;
   private long sequence;
-  private boolean idleTold;
   private long messagesDropped;
 
   /**
@@ -112,6 +111,17 @@
     this.sequence = clock.instant().toEpochMilli() << 16;
   }
 
+  /**
+   * Whether another instance has been heard lately, or there is none to be heard. One that collects
+   * is told by the other collectors, any other one by its collector, each half second at least.
+   */
+  public boolean othersHeard() {
+    Instant heard = heardAt;
+    return collectors.others().isEmpty()
+        || heard == null
+        || !heard.isBefore(clock.instant().minus(STALE));
+  }
+
   /** Messages that could not be read, since the start. */
   public long messagesDropped() {
     return messagesDropped;
@@ -171,11 +181,9 @@
     Set<Integer> changed = groupChanges.since(since);
     List<LoadNews.SentPart> parts = new ArrayList<>(ownParts(since));
     parts.addAll(groupParts.since(since));
-    boolean idle = group.asMap().isEmpty() && parts.isEmpty() && changed.isEmpty();
-    if ((idle && idleTold) || (!complete && changed.isEmpty() && parts.isEmpty())) {
+    if (!complete && changed.isEmpty() && parts.isEmpty()) {
       return;
     }
-    idleTold = idle;
     List<LoadNews.ServerLoad> loads = complete ? group.toList() : groupChanges.loadsOf(changed);
     byte[] message = news(LoadNews.Scope.GROUP, complete, loads, parts);
     collectors.others().forEach(name -> send(name, message));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -216,7 +216,8 @@
               AccountFleet.this::machineClock,
               () -> Optional.of(heartbeats()));
       this.fleetLog = new FleetLog(port, name, ++epochs, clock, IDLE_READ, List.of(book));
-      this.requests = new TokenRequests(book, holders, new Holders(), event -> {}, clock);
+      this.requests =
+          new TokenRequests(book, holders, new Holders(), () -> true, event -> {}, clock);
       this.draws = new TokenDraws(book, AccountFleet.this::draw, event -> {}, clock, new Random(1));
     }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
@@ -37,6 +37,7 @@
 
   private record Returned(String holder, long tokens) {}
 
+  private boolean othersHeard = true;
   private final ManualClock clock = new ManualClock();
   private final List<Asked> asked = new ArrayList<>();
   private final List<Returned> returned = new ArrayList<>();
@@ -54,7 +55,7 @@
           () -> new ClockReading(0, 0),
           Optional::empty);
   private final TokenRequests requests =
-      new TokenRequests(book, holders, new Port(), event -> {}, clock);
+      new TokenRequests(book, holders, new Port(), () -> othersHeard, event -> {}, clock);
   private final ReservationListener listener = new Listener();
 
   @Test
@@ -89,6 +90,20 @@
     assertEquals(1, book.lacking(clock.instant()).size(), "waits in the own account");
   }
 
+  /**
+   * Guards against callers who wait for each holder in turn, and then for the log, at an instance
+   * that hears no other.
+   */
+  @Test
+  void asksNobodyWhereNoOtherInstanceIsHeard() {
+    othersHeard = false;
+    requests.tick();
+    assertTrue(book.needsLog(), "the log is read before a request comes");
+    request();
+    assertEquals(0, asked.size());
+    assertEquals(1, book.lacking(clock.instant()).size(), "waits in the own account");
+  }
+
   /** Guards against a wait below zero, with which no holder can be asked. */
   @Test
   void asksNobodyOnceTheCallerIsAboutToLeave() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -101,7 +101,8 @@
             new GatewayParts(
                 () -> configured ? plan : null,
                 servers,
-                new TokenRequests(accounts, holders, new NoHolders(), events::add, clock),
+                new TokenRequests(
+                    accounts, holders, new NoHolders(), () -> true, events::add, clock),
                 quarantine,
                 new FakeDialect(),
                 (request, listener) -> {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ExperimentCommand.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ExperimentCommand.java
@@ -28,7 +28,7 @@
   @Parameter(
       names = "--without",
       required = true,
-      description = "Mechanisms, each switched off alone: draws, loads, caches")
+      description = "Mechanisms, each switched off alone: draws, loads, caches, isolation")
   private List<Mechanism> without = new ArrayList<>();
 
   @Override
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/Mechanism.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/Mechanism.java
@@ -7,5 +7,7 @@
   /** Instances know what others have outstanding at the servers. */
   LOADS,
   /** Instances know what others have sent to the servers' caches. */
-  CACHES
+  CACHES,
+  /** Instances that hear no other one don't ask holders. */
+  ISOLATION
 }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -90,7 +90,8 @@
             fleet.machineClock(name),
             () -> fleet.machineClock(name),
             () -> Optional.of(heartbeats()));
-    tokens = new TokenRequests(accounts, holders, new Holders(), this::onEvent, time);
+    tokens =
+        new TokenRequests(accounts, holders, new Holders(), this::othersHeard, this::onEvent, time);
     draws = new TokenDraws(accounts, this::draw, this::onEvent, time, new Random(fleet.nextSeed()));
     accountLog =
         new FleetLog(fleet.log().port(name), name, epoch, time, IDLE_READ, List.of(accounts));
@@ -226,6 +227,10 @@
     }
   }
 
+  private boolean othersHeard() {
+    return !fleet.has(Mechanism.ISOLATION) || loads.othersHeard();
+  }
+
   private void onEvent(GatewayEvent event) {
     fleet.onEvent(name, event);
   }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/PlayCommand.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/PlayCommand.java
@@ -23,7 +23,7 @@
   @Parameter(names = "--seed", description = "Seed of all that is drawn")
   private long seed = 1;
 
-  @Parameter(names = "--without", description = "A mechanism to switch off: draws, loads, caches")
+  @Parameter(names = "--without", description = "A mechanism to switch off: draws, loads, caches, isolation")
   private List<Mechanism> without = new ArrayList<>();
 
   @Override
