Keep most holders of each total as a fleet grows by one instance

The number of groups of customers followed the fleet's size, so that as it passed 20, 40, 60 or 80 instances most customers' holders changed at once: 288 to 680 of 1,200 stayed in the test, which asks for five in six, and all leases would have moved within a moment. With five groups at any size the test passes at all of these sizes. A fleet of 17 then has up to 17 holders, which renew at most 85 notes a second of 500 that the log takes.

Worth isn't expected to differ at the sizes in use, and was not measured. What stays is the step from 16 instances, where all hold, to 17.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/TokenHolderChoice.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/TokenHolderChoice.java
@@ -28,14 +28,13 @@
   /** Enough that the loss of some is borne, and few enough that a lease covers many requests. */
   private static final int HOLDERS = 6;
 
-  /** Customers are divided into groups, so that one instance does not hold for all of them. */
-  private static final int INSTANCES_A_GROUP = 20;
-
   /**
-   * Holders renew their notes five times a second, and the shared log takes 500 appends a second:
-   * so many groups take up a third of it.
+   * Customers are divided into groups, so that one instance does not hold for all of them; into as
+   * many at any size, so that no customer's holders change with the number of groups. Holders renew
+   * their notes five times a second, and the shared log takes 500 appends a second: so many groups
+   * take up a third of it.
    */
-  private static final int MOST_GROUPS = 5;
+  private static final int GROUPS = 5;
 
   private TokenHolderChoice() {}
 
@@ -48,7 +47,7 @@
     if (instances.size() <= ALL_HOLD) {
       return Set.copyOf(instances);
     }
-    return ofGroup(Math.floorMod(hash(customer), groups(instances.size())), instances);
+    return ofGroup(Math.floorMod(hash(customer), GROUPS), instances);
   }
 
   /** The instances that hold parts of any customer's total. */
@@ -56,16 +55,12 @@
     if (instances.size() <= ALL_HOLD) {
       return Set.copyOf(instances);
     }
-    return IntStream.range(0, groups(instances.size()))
+    return IntStream.range(0, GROUPS)
         .mapToObj(group -> ofGroup(group, instances))
         .flatMap(Set::stream)
         .collect(Collectors.toUnmodifiableSet());
   }
 
-  private static int groups(int instances) {
-    return Math.min(MOST_GROUPS, instances / INSTANCES_A_GROUP + 1);
-  }
-
   private static Set<String> ofGroup(long group, Collection<String> instances) {
     return Set.copyOf(ranked("group " + group, instances).subList(0, HOLDERS));
   }
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/TokenHolderChoiceTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/TokenHolderChoiceTests.java
@@ -11,6 +11,8 @@
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class TokenHolderChoiceTests {
   private static final List<String> CUSTOMERS = names("customer", 200);
@@ -48,10 +50,11 @@
   }
 
   /** Guards against a fleet whose holders all change when one instance joins: leases would move. */
-  @Test
-  void keepsMostHoldersWhenAnInstanceJoins() {
-    List<String> before = names("instance", 68);
-    List<String> after = names("instance", 69);
+  @ParameterizedTest
+  @ValueSource(ints = {17, 19, 39, 59, 68, 79, 419})
+  void keepsMostHoldersWhenAnInstanceJoins(int size) {
+    List<String> before = names("instance", size);
+    List<String> after = names("instance", size + 1);
     int all = 0;
     int kept = 0;
     for (String customer : CUSTOMERS) {
@@ -60,7 +63,7 @@
       both.retainAll(TokenHolderChoice.of(customer, after));
       kept += both.size();
     }
-    assertTrue(kept >= 5 * CUSTOMERS.size(), "%d holders of %d stay".formatted(kept, all));
+    assertTrue(6 * kept >= 5 * all, "%d holders of %d stay".formatted(kept, all));
   }
 
   @Test
