--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LoadCollectorChoice.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LoadCollectorChoice.java
@@ -1,8 +1,6 @@
 package org.teaseldeal.decisions;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 
@@ -37,21 +35,11 @@
       return Set.copyOf(instances);
     }
     int collectors = (int) Math.ceil(Math.sqrt(instances.size()));
-    return Set.copyOf(ranked("collector", instances).subList(0, collectors));
+    return Set.copyOf(RendezvousHash.ranked("collector", instances).subList(0, collectors));
   }
 
   /** The order in which {@code instance} turns to collectors, so that each is first for as many. */
   public static List<String> order(String instance, Collection<String> collectors) {
-    return ranked(instance, collectors);
-  }
-
-  private static List<String> ranked(String by, Collection<String> instances) {
-    return instances.stream()
-        .sorted(Comparator.comparingLong(instance -> hash(by + '\n' + instance)))
-        .toList();
-  }
-
-  private static long hash(String text) {
-    return Hashing.komihash5_0().hashCharsToLong(text);
+    return RendezvousHash.ranked(instance, collectors);
   }
 }
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/TokenHolderChoice.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/TokenHolderChoice.java
@@ -1,8 +1,6 @@
 package org.teaseldeal.decisions;
 
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import java.util.stream.Collectors;
@@ -47,7 +45,7 @@
     if (instances.size() <= ALL_HOLD) {
       return Set.copyOf(instances);
     }
-    return ofGroup(Math.floorMod(hash(customer), GROUPS), instances);
+    return ofGroup(Math.floorMod(RendezvousHash.hash(customer), GROUPS), instances);
   }
 
   /** The instances that hold parts of any customer's total. */
@@ -62,21 +60,11 @@
   }
 
   private static Set<String> ofGroup(long group, Collection<String> instances) {
-    return Set.copyOf(ranked("group " + group, instances).subList(0, HOLDERS));
+    return Set.copyOf(RendezvousHash.ranked("group " + group, instances).subList(0, HOLDERS));
   }
 
   /** The order in which {@code asker} asks holders, so that each is asked first by as many. */
   public static List<String> order(String asker, Collection<String> holders) {
-    return ranked(asker, holders);
-  }
-
-  private static List<String> ranked(String by, Collection<String> instances) {
-    return instances.stream()
-        .sorted(Comparator.comparingLong(instance -> hash(by + '\n' + instance)))
-        .toList();
-  }
-
-  private static long hash(String text) {
-    return Hashing.komihash5_0().hashCharsToLong(text);
+    return RendezvousHash.ranked(asker, holders);
   }
 }
--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/LossReport.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/LossReport.java
@@ -31,7 +31,7 @@
 
   /** Requests and the worth that was lost with them. */
   public record Cell(long requests, double worth) {
-    private static final Cell NONE = new Cell(0, 0);
+    static final Cell NONE = new Cell(0, 0);
 
     Cell plus(Cell other) {
       return new Cell(requests + other.requests, worth + other.worth);
