Check that no process of the model goes back to an earlier configuration

The model looked only whether a plan was out. Now a request that began later may not end under an earlier plan than one that began before it, in one process; one that is under way may end under the plan that it began with. The fleet's load and its faults are classes of their own.

--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -15,10 +15,8 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
-import org.teaseldeal.decisions.TokenHolderChoice;
 import org.teaseldeal.gateway.account.ClockReading;
 import org.teaseldeal.gateway.event.GatewayEvent;
-import org.teaseldeal.gateway.flow.PromptPart;
 import org.teaseldeal.gateway.plan.CallerLimits;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.plan.PlannedService;
@@ -63,18 +61,15 @@
   private final Map<String, Long> bootedAt = new HashMap<>();
   private final Map<String, ModelRequest> attempts = new HashMap<>();
   private final Map<String, Integer> runsOfOnce = new HashMap<>();
-  private final Map<String, Long> planOfInstance = new HashMap<>();
+  private final Map<String, PlanOrder> planOrders = new HashMap<>();
   private final Map<String, PlayResult.Tally> tallies = new TreeMap<>();
   private final Map<String, Long> refusals = new TreeMap<>();
   private final List<String> broken = new ArrayList<>();
-  private final double[] customerWeights;
+  private final LoadSource load;
+  private final FaultPlayer faults;
   private Set<String> names = Set.of();
   private long epochs;
-  private long requests;
   private long planVersion = 1;
-  private double burst = 1;
-  private double hotCustomer = 1;
-  private boolean hotBeginning;
 
   private ModelFleet(Scenario scenario, long seed, Set<Mechanism> off) {
     this.scenario = scenario;
@@ -84,10 +79,8 @@
     this.random = new SplittableRandom(seed);
     this.network = new ModelNetwork(time, scenario.links(), random.split());
     this.log = new ModelLog(time, network, scenario.log());
-    this.customerWeights = new double[scenario.customers().count()];
-    for (int i = 0; i < customerWeights.length; i++) {
-      customerWeights[i] = 1 / Math.pow(i + 1, scenario.customers().skew());
-    }
+    this.load = new LoadSource(scenario, random.split());
+    this.faults = new FaultPlayer(this, load, random.split());
   }
 
   /**
@@ -115,10 +108,12 @@
     all.forEach(network::addInstance);
     all.forEach(this::start);
     time.after(LEAD, this::nextArrival);
-    scenario.faults().forEach(fault -> time.after(LEAD.plus(fault.at()), () -> begin(fault)));
+    scenario
+        .faults()
+        .forEach(fault -> time.after(LEAD.plus(fault.at()), () -> faults.begin(fault)));
     Duration end = LEAD.plus(scenario.duration());
     time.runUntil(end);
-    burst = 0;
+    load.end();
     time.runUntil(end.plus(TAIL));
     checkTotals();
     return result();
@@ -134,7 +129,7 @@
     ModelInstance instance = new ModelInstance(name, this, ++epochs);
     instances.put(name, instance);
     time.after(CONFIGURATION_DELAY, () -> instance.configure(plan()));
-    planOfInstance.put(name, 0L);
+    planOrders.remove(name);
   }
 
   // What instances work with.
@@ -183,6 +178,16 @@
     return engine ? scenario.engines().places() : scenario.services().places();
   }
 
+  /** All instances' names, in order. */
+  List<String> instanceNames() {
+    return List.copyOf(instances.keySet());
+  }
+
+  /** All servers' names, in order. */
+  List<String> serverNames() {
+    return List.copyOf(servers.keySet());
+  }
+
   Optional<ModelInstance> running(String name) {
     return Optional.ofNullable(instances.get(name)).filter(ModelInstance::alive);
   }
@@ -216,11 +221,11 @@
                         List.of(new WeightedService(kind.streamed() ? ENGINES : SERVICES, 1))))
             .toList();
     List<PrepaidCustomer> customers = new ArrayList<>();
-    for (int i = 0; i < customerWeights.length; i++) {
+    for (String customer : load.customers()) {
       customers.add(
           new PrepaidCustomer(
-              customer(i),
-              Set.of(customer(i)),
+              customer,
+              Set.of(customer),
               OptionalInt.empty(),
               OptionalLong.of(scenario.customers().prepaid())));
     }
@@ -242,75 +247,15 @@
     };
   }
 
-  private static String customer(int index) {
-    return "customer-%03d".formatted(index);
-  }
-
   // Callers.
 
   private void nextArrival() {
-    double perSecond = scenario.kinds().stream().mapToDouble(Scenario.Kind::perSecond).sum();
-    if (burst == 0) {
-      return;
-    }
-    double pause = -Math.log(1 - random.nextDouble()) / (perSecond * burst);
-    time.afterNanos(Math.round(pause * 1e9), this::nextArrival);
-    new ModelCaller(this, draw()).send();
-  }
-
-  private ModelRequest draw() {
-    Scenario.Kind kind = drawKind();
-    int customer = drawCustomer();
-    long number = ++requests;
-    if (!kind.streamed()) {
-      double work = scenario.services().work().toNanos() * spread(0.5);
-      return new ModelRequest(number, kind, customer(customer), List.of(), 0, 0, Math.round(work));
-    }
-    int subject = hotBeginning && random.nextBoolean() ? 0 : random.nextInt(kind.subjects());
-    long own = Math.max(1, Math.round(kind.ownTokens() * spread(1.0)));
-    long output =
-        Math.max(1, Math.round(kind.events() * spread(0.5))) * scenario.engines().tokensPerEvent();
-    List<PromptPart> parts =
-        List.of(
-            new PromptPart(kind.name() + "-" + subject, kind.sharedTokens()),
-            new PromptPart("own-" + number, own));
-    return new ModelRequest(
-        number, kind, customer(customer), parts, kind.sharedTokens() + own, output, 0);
-  }
-
-  /** A factor around 1, lognormal with {@code sigma}. */
-  private double spread(double sigma) {
-    double normal =
-        Math.sqrt(-2 * Math.log(1 - random.nextDouble()))
-            * Math.cos(2 * Math.PI * random.nextDouble());
-    return Math.exp(sigma * normal - sigma * sigma / 2);
-  }
-
-  private Scenario.Kind drawKind() {
-    double sum = scenario.kinds().stream().mapToDouble(Scenario.Kind::perSecond).sum();
-    double drawn = random.nextDouble() * sum;
-    for (Scenario.Kind kind : scenario.kinds()) {
-      drawn -= kind.perSecond();
-      if (drawn < 0) {
-        return kind;
-      }
-    }
-    return scenario.kinds().getLast();
-  }
-
-  private int drawCustomer() {
-    double sum = hotCustomer - 1;
-    for (double weight : customerWeights) {
-      sum += weight;
-    }
-    double drawn = random.nextDouble() * sum - (hotCustomer - 1);
-    for (int i = 0; i < customerWeights.length; i++) {
-      drawn -= customerWeights[i];
-      if (drawn < 0) {
-        return i;
-      }
-    }
-    return customerWeights.length - 1;
+    load.nextPause()
+        .ifPresent(
+            pause -> {
+              time.after(pause, this::nextArrival);
+              new ModelCaller(this, load.next()).send();
+            });
   }
 
   /** An instance that is ready, any. */
@@ -370,94 +315,34 @@
       if (!ended.outcome().equals("answered")) {
         refusals.merge(ended.outcome(), 1L, Long::sum);
       }
-      long before = planOfInstance.getOrDefault(instance, 0L);
-      if (ended.plan() > 0 && ended.plan() > planVersion) {
+      if (ended.plan() > planVersion) {
         broken.add("%s answered under plan %d, which isn't out".formatted(instance, ended.plan()));
       }
-      planOfInstance.put(instance, Math.max(before, ended.plan()));
-    }
-  }
-
-  private void checkTotals() {
-    for (int i = 0; i < customerWeights.length; i++) {
-      long used = meter.of(customer(i));
-      if (used > scenario.customers().prepaid()) {
-        broken.add(
-            "%s used %d tokens of %d".formatted(customer(i), used, scenario.customers().prepaid()));
+      long began = time.nanos() - ended.took().toNanos();
+      if (ended.plan() > 0 && !planOrder(instance).add(began, ended.plan())) {
+        broken.add("%s went back to plan %d".formatted(instance, ended.plan()));
       }
     }
   }
 
-  // Faults.
+  private PlanOrder planOrder(String instance) {
+    return planOrders.computeIfAbsent(instance, name -> new PlanOrder());
+  }
 
-  private void begin(Scenario.Fault fault) {
-    switch (fault.kind()) {
-      case CUT -> {
-        List<String> some = some(new ArrayList<>(instances.keySet()), fault.share());
-        some.forEach(name -> network.cut(name, true));
-        time.after(fault.lasting(), () -> some.forEach(name -> network.cut(name, false)));
-      }
-      case ISOLATED -> {
-        List<String> some = some(new ArrayList<>(instances.keySet()), fault.share());
-        some.forEach(name -> network.isolate(name, true));
-        time.after(fault.lasting(), () -> some.forEach(name -> network.isolate(name, false)));
-      }
-      case LOG_DOWN -> {
-        log.down(true);
-        time.after(fault.lasting(), () -> log.down(false));
-      }
-      case POWER -> some(new ArrayList<>(instances.keySet()), fault.share()).forEach(this::power);
-      case STOP -> {
-        List<String> some = some(new ArrayList<>(instances.keySet()), fault.share());
-        for (int i = 0; i < some.size(); i++) {
-          String name = some.get(i);
-          time.after(
-              fault.gap().multipliedBy(i), () -> running(name).ifPresent(ModelInstance::stop));
-        }
-      }
-      case ENGINE_CRASH ->
-          some(
-                  servers.keySet().stream().filter(name -> name.startsWith("engine")).toList(),
-                  fault.share())
-              .forEach(name -> crash(server(name), fault.lasting()));
-      case BURST -> {
-        burst = fault.factor();
-        time.after(fault.lasting(), () -> burst = burst == 0 ? 0 : 1);
-      }
-      case HOT_CUSTOMER -> {
-        hotCustomer = fault.factor();
-        time.after(fault.lasting(), () -> hotCustomer = 1);
-      }
-      case HOT_BEGINNING -> {
-        hotBeginning = true;
-        time.after(fault.lasting(), () -> hotBeginning = false);
-      }
-      case CONFIGURATIONS -> {
-        for (int i = 0; i < fault.factor(); i++) {
-          time.after(fault.gap().multipliedBy(i), this::publish);
-        }
-      }
-      case HOLDER_LOST -> {
-        List<String> holders = TokenHolderChoice.of(customer(0), names).stream().sorted().toList();
-        for (int i = 0; i < holders.size() * fault.share(); i++) {
-          String name = holders.get(i);
-          time.after(fault.gap().multipliedBy(i), () -> power(name));
-        }
+  private void checkTotals() {
+    long prepaid = scenario.customers().prepaid();
+    for (String customer : load.customers()) {
+      long used = meter.of(customer);
+      if (used > prepaid) {
+        broken.add("%s used %d tokens of %d".formatted(customer, used, prepaid));
       }
     }
   }
 
-  private List<String> some(List<String> all, double share) {
-    List<String> left = new ArrayList<>(all);
-    List<String> chosen = new ArrayList<>();
-    long count = Math.round(all.size() * share);
-    while (chosen.size() < count) {
-      chosen.add(left.remove(random.nextInt(left.size())));
-    }
-    return chosen;
-  }
+  // What happens to it.
 
-  private void power(String name) {
+  /** An instance loses power, and starts again. */
+  void power(String name) {
     running(name).ifPresent(ModelInstance::kill);
     bootedAt.merge(name, 1_000_000_000_000L, Long::sum);
     time.after(RESTART, () -> start(name));
@@ -468,7 +353,8 @@
     time.after(RESTART, () -> start(name));
   }
 
-  private void crash(ModelServer server, Duration lasting) {
+  /** A server crashes, and starts again with nothing. */
+  void crash(ModelServer server, Duration lasting) {
     server.crash(true);
     time.after(LIST_DELAY, () -> list(server, false));
     time.after(
@@ -488,7 +374,8 @@
     }
   }
 
-  private void publish() {
+  /** A configuration with the next version comes out. */
+  void publish() {
     planVersion++;
     GatewayPlan next = plan();
     for (ModelInstance instance : instances.values()) {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/PlayCommand.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/PlayCommand.java
@@ -23,7 +23,9 @@
   @Parameter(names = "--seed", description = "Seed of all that is drawn")
   private long seed = 1;
 
-  @Parameter(names = "--without", description = "A mechanism to switch off: draws, loads, caches, isolation")
+  @Parameter(
+      names = "--without",
+      description = "A mechanism to switch off: draws, loads, caches, isolation")
   private List<Mechanism> without = new ArrayList<>();
 
   @Override
