--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerChoice.java
@@ -28,6 +28,9 @@
   private static final Duration LONGEST_EJECTION = Duration.ofSeconds(8);
   private static final Duration RAMP = Duration.ofSeconds(1);
 
+  /** Between looks at all servers while none fails: short against the first ejection. */
+  private static final Duration UPDATE_INTERVAL = Duration.ofMillis(100);
+
   /**
    * What was chosen.
    *
@@ -50,6 +53,7 @@
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
   private final Map<BackendServerId, ServerIncarnation> followed = new HashMap<>();
   private long seenChanges = -1;
+  private Instant nextUpdate = Instant.MIN;
 
   ServerChoice(
       ServerDirectory servers,
@@ -65,7 +69,10 @@
   /** Follows the list and leaves out servers that have become unfit. */
   void tick(Instant now) {
     followList(now);
-    healthByService.values().forEach(health -> health.update(now));
+    if (!now.isBefore(nextUpdate)) {
+      nextUpdate = now.plus(UPDATE_INTERVAL);
+      healthByService.values().forEach(health -> health.update(now));
+    }
   }
 
   /** How many servers are left out as unfit. */
@@ -188,6 +195,7 @@
   void onFailed(BackendServer server) {
     if (servers.lists(server.incarnation())) {
       health(server.service()).onFailed(server.id());
+      nextUpdate = Instant.MIN;
     }
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -55,6 +55,9 @@
   /** Sums are added up anew after this at the latest, without what has become stale. */
   private static final Duration SUMS_KEPT = Duration.ofMillis(100);
 
+  /** After a change, reports are made up for so long, as each tells it more than once. */
+  private static final Duration REPORT_KEPT = Duration.ofMillis(100);
+
   /** Bounds what a starting instance is told to some ten kilobytes. */
   private static final int MOST_COPIES = 4_096;
 
@@ -84,6 +87,9 @@
   private Instant groupToldAt = Instant.MIN;
   private Instant nextComplete = Instant.MIN;
   private long sequence;
+  private long reportedWork = -1;
+  private long reportedServers = -1;
+  private Instant reportUntil = Instant.MIN;
   private long messagesDropped;
 
   /**
@@ -160,8 +166,21 @@
     return sentParts(cached.sentSince(since));
   }
 
-  /** Tells this instance's collector what has changed, or that it is there. */
+  /**
+   * Tells this instance's collector what has changed, or that it is there.
+   *
+   * <p>Most of the time nothing has changed, and looking through all servers would be most of what
+   * an idle instance does.
+   */
   private void report(boolean complete, Instant now) {
+    if (reportedWork != servers.workChanges() || hashedChanges != reportedServers) {
+      reportedWork = servers.workChanges();
+      reportedServers = hashedChanges;
+      reportUntil = now.plus(REPORT_KEPT);
+    }
+    if (!complete && now.isAfter(reportUntil)) {
+      return;
+    }
     LoadSums own = ownLoads();
     ownChanges.update(own.asMap(), now);
     Instant since = repeatedSince(now, collectors.interval());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -15,12 +15,15 @@
   private final String address;
   private final String dataCentre;
   private final int places;
+  private final Runnable onWork;
   private boolean leaving;
   private int running;
   private long promptTokensAhead;
   private Instant avoidUntil = Instant.MIN;
 
-  BackendServer(ServerListing listing) {
+  /** Creates a server; {@code onWork} runs after each change of what this instance has there. */
+  BackendServer(ServerListing listing, Runnable onWork) {
+    this.onWork = onWork;
     this.incarnation = listing.incarnation();
     this.service = listing.service();
     this.address = listing.address();
@@ -93,15 +96,18 @@
   public void started(long promptTokens) {
     running++;
     promptTokensAhead += promptTokens;
+    onWork.run();
   }
 
   /** Counts a prompt as read: the answer has begun, or never will. */
   public void promptRead(long promptTokens) {
     promptTokensAhead -= promptTokens;
+    onWork.run();
   }
 
   /** Counts a request as ended. */
   public void ended() {
     running--;
+    onWork.run();
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -23,6 +23,7 @@
   private final DepartedServers departed = new DepartedServers();
   private Consumer<BackendServer> replacedListener = earlier -> {};
   private long changes;
+  private long workChanges;
 
   /** Stays set: good lines may all be gone for a moment while another writer's stay. */
   private boolean startsTold;
@@ -88,7 +89,7 @@
 
   private void add(ServerListing listing) {
     changes++;
-    BackendServer added = new BackendServer(listing);
+    BackendServer added = new BackendServer(listing, () -> workChanges++);
     servers.put(listing.id(), added);
     byService
         .computeIfAbsent(listing.service(), name -> new LinkedHashMap<>())
@@ -228,4 +229,9 @@
   public long changes() {
     return changes;
   }
+
+  /** Counts up with each change of what this instance has outstanding at any server. */
+  public long workChanges() {
+    return workChanges;
+  }
 }
