--- a/teaseldeal-model/src/test/java/org/teaseldeal/model/ModelPromiseTests.java
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/ModelPromiseTests.java
@@ -21,7 +21,7 @@
 /** Each scenario keeps what callers were promised, whatever it does to the fleet. */
 @Execution(ExecutionMode.CONCURRENT)
 class ModelPromiseTests {
-  private static final Path SCENARIOS = Path.of("..", "scenarios", "model");
+  private static final Path SCENARIOS = Path.of("scenarios");
   private static final int LARGE = 95;
   private static final int SEEDS = 5;
 
