Answer as a holder in one place

HolderCalls, the model and the accounts' test fleet each reserved, settled and answered for an asker by themselves. HolderAnswers does it for all three, so that the model plays what runs. Behaviour unchanged; the tests keep their assertions.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
@@ -1,7 +1,6 @@
 package org.teaseldeal.gateway.peer;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.time.InstantSource;
 import java.util.Map;
 import java.util.Optional;
@@ -10,11 +9,9 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.teaseldeal.api.Problem;
 import org.teaseldeal.gateway.account.AccountBook;
+import org.teaseldeal.gateway.account.HolderAnswers;
 import org.teaseldeal.gateway.account.HolderPort;
-import org.teaseldeal.gateway.account.Reservation;
-import org.teaseldeal.gateway.account.ReservationListener;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -40,7 +37,7 @@
   private final Function<String, Optional<String>> addresses;
   private final RelayedCalls.Caller caller;
   private final AccountBook accounts;
-  private final InstantSource clock;
+  private final HolderAnswers answers;
 
   /** Creates the calls of an instance; {@code addresses} gives those of others by their names. */
   public HolderCalls(
@@ -51,7 +48,7 @@
     this.addresses = addresses;
     this.caller = caller;
     this.accounts = accounts;
-    this.clock = clock;
+    this.answers = new HolderAnswers(accounts, clock);
   }
 
   @Override
@@ -115,11 +112,17 @@
       exchange.respond(UNAVAILABLE, Map.of(), new byte[0]);
       return;
     }
-    Instant now = clock.instant();
-    Asked request = new Asked(exchange, ask.tokens());
-    exchange.onCallerGone(() -> accounts.withdraw(ask.customer(), request));
-    accounts.reserve(
-        ask.customer(), ask.tokens(), now.plus(ask.patience()), now.plus(ask.deadline()), request);
+    exchange.onCallerGone(
+        answers.answer(ask, answer -> exchange.respond(OK, Map.of(), encoded(answer))));
+  }
+
+  private static byte[] encoded(Answer answer) {
+    return switch (answer) {
+      case Answer.Granted granted -> HolderMessages.granted();
+      case Answer.Refused refused -> HolderMessages.refused(refused.problem());
+      case Answer.Unreachable lost ->
+          throw new IllegalArgumentException("a holder answers no " + lost);
+    };
   }
 
   /** Takes tokens back that another instance was given. */
@@ -133,27 +136,4 @@
       exchange.respond(BAD_REQUEST, Map.of(), new byte[0]);
     }
   }
-
-  /** One request of another instance. */
-  private final class Asked implements ReservationListener {
-    private final HttpExchange exchange;
-    private final long tokens;
-
-    Asked(HttpExchange exchange, long tokens) {
-      this.exchange = exchange;
-      this.tokens = tokens;
-    }
-
-    /** Whatever the asker makes of them, they are spent here: its answer may be lost. */
-    @Override
-    public void onReserved(Reservation reservation) {
-      accounts.settle(reservation, tokens);
-      exchange.respond(OK, Map.of(), HolderMessages.granted());
-    }
-
-    @Override
-    public void onRefused(Problem problem) {
-      exchange.respond(OK, Map.of(), HolderMessages.refused(problem));
-    }
-  }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -125,28 +125,13 @@
         answer.accept(new Answer.Unreachable("down"));
         return;
       }
-      Instant now = clock.instant();
-      AccountBook book = asked.get().book;
-      book.reserve(
-          ask.customer(),
-          ask.tokens(),
-          now.plus(ask.patience()),
-          now.plus(ask.deadline()),
-          new ReservationListener() {
-            @Override
-            public void onReserved(Reservation reservation) {
-              book.settle(reservation, ask.tokens());
-              answer.accept(
-                  peers == Peers.ANSWERS_LOST
-                      ? new Answer.Unreachable("no answer")
-                      : new Answer.Granted());
-            }
+      new HolderAnswers(asked.get().book, clock)
+          .answer(ask, given -> answer.accept(onTheWay(given)));
+    }
 
-            @Override
-            public void onRefused(Problem problem) {
-              answer.accept(new Answer.Refused(problem));
-            }
-          });
+    private Answer onTheWay(Answer given) {
+      boolean lost = peers == Peers.ANSWERS_LOST && given instanceof Answer.Granted;
+      return lost ? new Answer.Unreachable("no answer") : given;
     }
 
     @Override
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -1,7 +1,6 @@
 package org.teaseldeal.model;
 
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -14,13 +13,11 @@
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.BackendServerId;
-import org.teaseldeal.api.Problem;
 import org.teaseldeal.decisions.DrainPhases;
 import org.teaseldeal.gateway.account.AccountBook;
 import org.teaseldeal.gateway.account.HeartbeatCount;
+import org.teaseldeal.gateway.account.HolderAnswers;
 import org.teaseldeal.gateway.account.HolderPort;
-import org.teaseldeal.gateway.account.Reservation;
-import org.teaseldeal.gateway.account.ReservationListener;
 import org.teaseldeal.gateway.account.TokenDraws;
 import org.teaseldeal.gateway.account.TokenHolders;
 import org.teaseldeal.gateway.account.TokenRequests;
@@ -64,6 +61,7 @@
   private final ServerDirectory servers = new ServerDirectory();
   private final CachedPrompts cached = new CachedPrompts();
   private final AccountBook accounts;
+  private final HolderAnswers holderAnswers;
   private final FleetLog accountLog;
   private final TokenRequests tokens;
   private final TokenDraws draws;
@@ -90,6 +88,7 @@
             fleet.machineClock(name),
             () -> fleet.machineClock(name),
             () -> Optional.of(heartbeats()));
+    holderAnswers = new HolderAnswers(accounts, time);
     tokens =
         new TokenRequests(accounts, holders, new Holders(), this::othersHeard, this::onEvent, time);
     draws = new TokenDraws(accounts, this::draw, this::onEvent, time, new Random(fleet.nextSeed()));
@@ -338,24 +337,7 @@
       reply.accept(new HolderPort.Answer.Unreachable("it doesn't serve others"));
       return;
     }
-    Instant now = time.instant();
-    accounts.reserve(
-        ask.customer(),
-        ask.tokens(),
-        now.plus(ask.patience()),
-        now.plus(ask.deadline()),
-        new ReservationListener() {
-          @Override
-          public void onReserved(Reservation reservation) {
-            accounts.settle(reservation, ask.tokens());
-            reply.accept(new HolderPort.Answer.Granted());
-          }
-
-          @Override
-          public void onRefused(Problem problem) {
-            reply.accept(new HolderPort.Answer.Refused(problem));
-          }
-        });
+    holderAnswers.answer(ask, reply);
   }
 
   /** Sends a request to a backend server. */
