Read each request once, and make up what a group is told once

A refusal read its whole request again for its fingerprint, and a collector copied the same set of servers for each instance of its group. Behaviour unchanged.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDesk.java
@@ -122,9 +122,10 @@
   }
 
   private void handle(HttpExchange exchange, Instant arrived) {
-    switch (admit(exchange, arrived)) {
+    Result<RoutedRequest> read = parts.dialect().read(exchange);
+    switch (admit(read, arrived)) {
       case Result.Ok<Admitted> admitted -> start(exchange, admitted.value());
-      case Result.Err<Admitted> refused -> refuse(exchange, refused.problem(), arrived);
+      case Result.Err<Admitted> refused -> refuse(exchange, read, refused.problem(), arrived);
     }
   }
 
@@ -164,12 +165,12 @@
     flow.begin();
   }
 
-  private Result<Admitted> admit(HttpExchange exchange, Instant arrived) {
+  private Result<Admitted> admit(Result<RoutedRequest> request, Instant arrived) {
     GatewayPlan plan = parts.plan().get();
     if (plan == null) {
       return refusal(ErrorKind.NOT_READY, "no configuration is known yet", COME_BACK_STARTING);
     }
-    return switch (parts.dialect().read(exchange)) {
+    return switch (request) {
       case Result.Err<RoutedRequest> malformed -> Result.err(malformed.problem());
       case Result.Ok<RoutedRequest> read -> admit(plan, read.value(), arrived);
     };
@@ -217,7 +218,8 @@
     return Result.err(Problem.retryable(kind, detail, spread(comeBack)));
   }
 
-  private void refuse(HttpExchange exchange, Problem problem, Instant arrived) {
+  private void refuse(
+      HttpExchange exchange, Result<RoutedRequest> read, Problem problem, Instant arrived) {
     HttpAnswer answer = parts.dialect().refuse(problem);
     exchange.respond(answer.status(), answer.headers(), answer.body());
     GatewayPlan plan = parts.plan().get();
@@ -238,12 +240,12 @@
                 Duration.between(arrived, parts.clock().instant()),
                 "",
                 Duration.ZERO,
-                fingerprint(exchange)));
+                fingerprint(read)));
   }
 
-  private String fingerprint(HttpExchange exchange) {
-    return switch (parts.dialect().read(exchange)) {
-      case Result.Ok<RoutedRequest> read -> read.value().fingerprint();
+  private static String fingerprint(Result<RoutedRequest> read) {
+    return switch (read) {
+      case Result.Ok<RoutedRequest> request -> request.value().fingerprint();
       case Result.Err<RoutedRequest> malformed -> "";
     };
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -6,7 +6,6 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -222,9 +221,9 @@
     parts.addAll(groupParts.since(groupToldAt));
     parts.addAll(othersParts.since(groupToldAt));
     groupToldAt = now;
+    Set<Integer> told = complete ? all.asMap().keySet() : changed;
     for (String member : members) {
       Map<Integer, LoadNews.ServerLoad> reported = reports.of(member, now);
-      Set<Integer> told = new HashSet<>(complete ? all.asMap().keySet() : changed);
       List<LoadNews.ServerLoad> loads =
           told.stream().map(server -> without(reported.get(server), server, all)).toList();
       send(member, news(LoadNews.Scope.OTHERS, complete, loads, parts));
