End an experiment with status 1 if a promise was broken

It looked at a count that is always right, so a broken promise was printed and the command ended with 0. Also a guard that the next call makes needless, and a comment that said what its constant isn't.

--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ExperimentCommand.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ExperimentCommand.java
@@ -31,9 +31,10 @@
       description = "Mechanisms, each switched off alone: draws, loads, caches, isolation")
   private List<Mechanism> without = new ArrayList<>();
 
+  private boolean kept = true;
+
   @Override
   protected ExitStatus run(PrintStream out, PrintStream err) throws CommandException {
-    boolean kept = true;
     out.printf(
         "%-22s %5s %-8s %7s %7s %10s %8s%n",
         "scenario", "size", "without", "with", "off", "difference", "error");
@@ -54,7 +55,6 @@
               difference.mean(),
               difference.standardError());
         }
-        kept &= base.size() == seeds;
       }
     }
     return kept ? ExitStatus.OK : ExitStatus.REFUSED;
@@ -68,6 +68,7 @@
       worths.add(result.worth());
       progress.printf("%s, %d instances, seed %d, without %s%n", scenario.name(), size, seed, off);
       result.broken().forEach(promise -> progress.println("BROKEN: " + promise));
+      kept &= result.broken().isEmpty();
     }
     return worths;
   }
--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/LossCount.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/LossCount.java
@@ -12,7 +12,7 @@
 
 /** Counts the requests of some logs that weren't answered in time, by cause. */
 public final class LossCount {
-  /** A load that starts later than this after the first line has its seconds in the lines. */
+  /** Times before this are seconds since the load began, later ones are times of day. */
   private static final Instant WITH_SECONDS = Instant.EPOCH.plus(Duration.ofDays(1));
 
   private final Map<String, InstanceStory> stories = new HashMap<>();
