Log connections that a server closes although their callers may use them

Callers of stopping routers got no byte of an answer, and the logs could not tell whether their connections were reset before they were accepted or closed while kept. At its close a server now says, at debug, for each connection whose last answer did not announce the close, what state it was in and how long it had been idle.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
@@ -13,6 +13,8 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
@@ -31,7 +33,8 @@
    */
   private static final int HEAP_DIVISOR_FOR_BODIES = 4;
 
-  private final ChannelGroup connections = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
+  private final Set<ServerConnection> connections = ConcurrentHashMap.newKeySet();
   private final AtomicInteger openConnections = new AtomicInteger();
   private final AtomicInteger unansweredRequests = new AtomicInteger();
   private final AtomicInteger connectionsWithoutRequest = new AtomicInteger();
@@ -142,14 +145,15 @@
    * are still sent.
    */
   public void stopReading() {
-    connections.forEach(connection -> connection.config().setAutoRead(false));
+    channels.forEach(channel -> channel.config().setAutoRead(false));
   }
 
   /** Stops listening and closes all connections. */
   @Override
   public void close() {
     stopAccepting();
-    connections.close().awaitUninterruptibly();
+    connections.forEach(ServerConnection::logUnannouncedClose);
+    channels.close().awaitUninterruptibly();
   }
 
   private ListeningSocket bind() throws IOException {
@@ -172,7 +176,7 @@
   }
 
   private void initConnection(SocketChannel channel) {
-    connections.add(channel);
+    channels.add(channel);
     int excess = openConnections.incrementAndGet() - config.maxConnections();
     channel.closeFuture().addListener(closed -> openConnections.decrementAndGet());
     ServerConnection connection =
@@ -186,6 +190,8 @@
             connectionsWithoutRequest,
             bodyBudget,
             () -> closingAfterAnswers);
+    connections.add(connection);
+    channel.closeFuture().addListener(closed -> connections.remove(connection));
     channel
         .pipeline()
         .addLast(connection.firstByteDetector())
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -95,6 +95,13 @@
 
   private long lastUnsentBytes;
 
+  private int answeredRequests;
+
+  /** Whether the last answer stated that the connection closes. */
+  private boolean closeAnnounced;
+
+  private long idleSinceNanos = System.nanoTime();
+
   ServerConnection(
       SocketChannel channel,
       HttpServerConfig config,
@@ -288,6 +295,9 @@
   /** Called on the event loop after the last byte of an answer has been written to the channel. */
   void onAnswered(boolean keepAlive) {
     exchange = null;
+    answeredRequests++;
+    closeAnnounced = !keepAlive;
+    idleSinceNanos = System.nanoTime();
     releaseBody();
     // An empty write completes when everything before it has been sent or the connection is closed.
     channel
@@ -373,6 +383,26 @@
                 });
   }
 
+  /**
+   * Logs the state of the connection if the server closes it although its caller may still use it:
+   * such a close can cross a request, which then gets no answer.
+   */
+  void logUnannouncedClose() {
+    channel.eventLoop().execute(this::logIfUnannounced);
+  }
+
+  private void logIfUnannounced() {
+    if (channel.isOpen() && !closeAnnounced && state != State.CLOSING) {
+      LOG.debug(
+          "closing connection without an announcement: peer {}, state {}, idle for {} ms, {} requests"
+              + " answered",
+          channel.remoteAddress(),
+          state,
+          TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - idleSinceNanos),
+          answeredRequests);
+    }
+  }
+
   private void releaseBody() {
     bodyBudget.release(heldBodyBytes);
     heldBodyBytes = 0;
