Trust a wall clock that was set back or corrected when tokens are taken over

The machines' clocks had been set back at 8.3 s and corrected at 13.5 s, power went at 23.8 s; others had been set ahead at 21.6 s and corrected at 27.7 s, power went at 34.0 s.

Only a clock that is ahead can be set back and make a note look younger. A clock that was set back makes it look older when it is corrected, which is safe, and one that shows its earlier time again has been corrected. So only a clock that is higher than some time it showed within 20 s, and is not back at the time from before these steps, goes without a count of heartbeats. The heartbeats guard against a step while the machine was down, as before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/ClockReading.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/ClockReading.java
@@ -46,6 +46,12 @@
     return sameRun ? Optional.of(steady) : Optional.empty();
   }
 
+  /** Returns by how much the wall clock has advanced more than the monotonic clock. */
+  Duration wallClockStepSince(ClockReading earlier) {
+    Duration steady = Duration.ofNanos(steadyNanos - earlier.steadyNanos);
+    return Duration.ofMillis(wallMillis - earlier.wallMillis).minus(steady);
+  }
+
   /**
    * Returns an upper bound of the time from {@code earlier} to this reading according to the wall
    * clock; empty unless the count of heartbeats confirms it. Used if the machine lost power in
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -46,12 +46,6 @@
    */
   private static final Duration REFILL_INTERVAL = Duration.ofMillis(100);
 
-  /**
-   * How long the wall clock is not relied on after it was set, because it may be set back within
-   * seconds.
-   */
-  private static final Duration CLOCK_DISTRUST_PERIOD = Duration.ofSeconds(20);
-
   private static final Duration RATE_INTERVAL = Duration.ofSeconds(1);
   private static final Duration REPORT_INTERVAL = Duration.ofSeconds(5);
 
@@ -70,7 +64,7 @@
   private final Map<String, CustomerAccount> accounts = new TreeMap<>();
   private ClockReading lastReading;
   private boolean logRequired;
-  private Instant lastClockStep = Instant.EPOCH;
+  private final WallClockSteps wallClockSteps = new WallClockSteps();
   private boolean recovered;
   private boolean closing;
   private Instant nextRefill = Instant.MIN;
@@ -301,7 +295,7 @@
   private void detectClockSteps(Instant now) {
     ClockReading reading = machineClock.get();
     if (reading.since(lastReading).isEmpty()) {
-      lastClockStep = now;
+      wallClockSteps.onStep(reading.wallClockStepSince(lastReading), now);
     }
     lastReading = reading;
   }
@@ -327,10 +321,10 @@
 
   /**
    * Returns the count of heartbeats to put into a note; {@code UNCOUNTED} if it is unknown or if
-   * the wall clock of the same note can't be trusted.
+   * the wall clock of the same note may be set back soon.
    */
   private long heartbeatsForNote(Instant now) {
-    return lastClockStep.plus(CLOCK_DISTRUST_PERIOD).isAfter(now)
+    return wallClockSteps.mayBeSetBack(now)
         ? SharedNote.Account.UNCOUNTED
         : heartbeats.get().map(HeartbeatCount::count).orElse(SharedNote.Account.UNCOUNTED);
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/PrepaidAccountsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/PrepaidAccountsTests.java
@@ -234,6 +234,66 @@
         "%d of %d tokens were written off".formatted(released, fleet.total));
   }
 
+  /**
+   * Guards against idle tokens that are written off because the wall clocks were set back and
+   * corrected some seconds before a loss of power. Apart from tokens that were reserved or free for
+   * immediate use, at most 3 % of the total may be written off.
+   */
+  @Test
+  void writesOffFewIdleTokensAfterTheWallClockWasCorrected() {
+    AccountFleet fleet = new AccountFleet(9, 18_000_000);
+    sendRequestsFor(fleet, Duration.ofSeconds(4));
+    fleet.stepWallClock(Duration.ofSeconds(-5));
+    sendRequestsFor(fleet, Duration.ofSeconds(2));
+    fleet.stepWallClock(Duration.ofSeconds(5));
+    sendRequestsFor(fleet, Duration.ofSeconds(2));
+    fleet.powerLoss(Duration.ofMillis(1_400));
+    long released =
+        fleet.takeovers.stream().mapToLong(GatewayEvent.AccountTakenOver::released).sum();
+    assertEquals(9, fleet.takeovers.size());
+    assertTrue(
+        released * 100 <= 3 * fleet.total,
+        "%d of %d tokens were written off".formatted(released, fleet.total));
+  }
+
+  /**
+   * Guards against tokens that are given out again after a loss of power, while the wall clock is
+   * set back and ahead at any time before and during it. Instances are partitioned from the log and
+   * use their leases meanwhile.
+   */
+  @Test
+  void staysWithinTheTotalWhileTheWallClockIsSet() {
+    for (int seed = 0; seed < Integer.getInteger("teaseldeal.account.seeds", 60); seed++) {
+      Random random = new Random(seed);
+      AccountFleet fleet = new AccountFleet(4, 400_000);
+      for (int step = 0; step < 60; step++) {
+        setClocksOrLosePower(fleet, random);
+        fleet.instance(random.nextInt(4)).request(1 + random.nextInt(9_000));
+        fleet.run(Duration.ofMillis(20L * random.nextInt(40)));
+        assertTrue(
+            fleet.givenTokens() <= fleet.total,
+            "seed %d step %d: %d tokens were given, expected at most %d"
+                .formatted(seed, step, fleet.givenTokens(), fleet.total));
+      }
+    }
+  }
+
+  private static void setClocksOrLosePower(AccountFleet fleet, Random random) {
+    switch (random.nextInt(12)) {
+      case 0, 1 -> fleet.stepWallClock(Duration.ofMillis(random.nextInt(12_000) - 6_000));
+      case 2 -> {
+        Duration step = Duration.ofMillis(random.nextInt(12_000) - 6_000);
+        fleet.stepWallClock(step);
+        fleet.run(Duration.ofMillis(random.nextInt(6_000)));
+        fleet.stepWallClock(step.negated());
+      }
+      case 3 -> fleet.powerLoss(1 + random.nextInt(4), Duration.ofMillis(random.nextInt(4_000)));
+      case 4 -> fleet.setBehaviours(Behaviour.UNREACHABLE);
+      case 5, 6 -> fleet.setBehaviours(Behaviour.NORMAL);
+      default -> {}
+    }
+  }
+
   /** Checks that a request for half of the tokens left before {@code fault} is granted after it. */
   private static void assertReclaimsHalf(Consumer<AccountFleet> fault) {
     AccountFleet fleet = new AccountFleet(4, 1_000_000);
