Answer early requests although the handling of one of them fails

Requests that arrive before the first configuration wait on a list. All that are due were taken off it before the first was handled, so if one threw, the others were never answered. The new test failed with the exception leaving the tick. Each request is now handled for itself, and a failing one has its connection closed, as the server does for later ones.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -164,7 +164,21 @@
                     components.plan().get() != null || refusingAll || hasWaitedTooLong(each, now))
             .toList();
     earlyRequests.removeAll(due);
-    due.forEach(each -> handle(each.exchange(), each.arrived()));
+    for (EarlyRequest each : due) {
+      String id = components.dialect().requestId(each.exchange());
+      isolatedTasks.run(id, () -> handleOrAbort(each));
+      isolatedTasks.forget(id);
+    }
+  }
+
+  /** Handles a request, and closes its connection if that fails, as the server does. */
+  private void handleOrAbort(EarlyRequest request) {
+    try {
+      handle(request.exchange(), request.arrived());
+    } catch (RuntimeException e) {
+      request.exchange().abort();
+      throw e;
+    }
   }
 
   private static boolean hasWaitedTooLong(EarlyRequest request, Instant now) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
@@ -8,10 +8,11 @@
 import org.teaseldeal.net.ResponseStream;
 
 /** A caller's request that records its complete answer. */
-public final class FakeExchange implements HttpExchange {
+public class FakeExchange implements HttpExchange {
   private final String path;
   private final byte[] body;
   private int status;
+  private boolean aborted;
   private byte[] answer = new byte[0];
 
   /** Creates a request for {@code path} without a body. */
@@ -35,6 +36,11 @@
     return status;
   }
 
+  /** Whether the connection was closed without an answer. */
+  public boolean aborted() {
+    return aborted;
+  }
+
   @Override
   public String method() {
     return "POST";
@@ -87,7 +93,7 @@
 
   @Override
   public void abort() {
-    throw new UnsupportedOperationException("this fake supports no aborts");
+    aborted = true;
   }
 
   @Override
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EarlyRequestTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EarlyRequestTests.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.gateway.flow;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.time.Instant;
@@ -47,6 +48,29 @@
     assertEquals(503, early.status());
   }
 
+  /**
+   * Guards against early requests that are never answered because the handling of another one that
+   * was due at the same time failed.
+   */
+  @Test
+  void servesTheOtherRequestsIfTheHandlingOfOneFails() {
+    FakeExchange failing =
+        new FakeExchange(GatewayFixture.ONCE_PATH) {
+          @Override
+          public byte[] body() {
+            throw new IllegalStateException("the body is gone");
+          }
+        };
+    gateway.dispatcher.handle(failing);
+    FakeExchange early = gateway.call(GatewayFixture.ONCE_PATH);
+    gateway.configured = true;
+    gateway.dispatcher.tick();
+    assertTrue(failing.aborted());
+    gateway.sent.getFirst().answer();
+    assertEquals(200, early.status());
+    assertEquals(0, gateway.dispatcher.openRequests());
+  }
+
   /** The process is stopped while it starts. The caller is refused at once. */
   @Test
   void refusesARequestWhenTheInstanceStops() {
