Keep the loads of known instances when unknown senders flood a router

An instance kept the loads of at most 2,048 senders and forgot all of them when more came within a second, so made-up sender names in datagrams could make it place requests as if it were alone. A full table now takes no new senders instead.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/ReceivedLoads.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/ReceivedLoads.java
@@ -28,13 +28,15 @@
 
   /**
    * Adds the loads of a message. Returns false if a later message of its sender has arrived before
-   * it.
+   * it, or if its sender is new and there are too many others.
    *
    * <p>The sequence number is not compared if the sender's last message is stale. A restarted
    * process may count from below its predecessor if its clock was set back.
    */
   boolean receive(LoadMessage message, Instant now) {
-    evictIfFull(now);
+    if (!senders.containsKey(message.sender()) && isFull(now)) {
+      return false;
+    }
     Sender sender = senders.computeIfAbsent(message.sender(), name -> new Sender());
     boolean silent = isStale(sender, now);
     if (!silent && message.sequence() <= sender.sequence) {
@@ -86,13 +88,15 @@
     return names;
   }
 
-  private void evictIfFull(Instant now) {
+  /**
+   * Returns whether no further sender can be added. If known senders were evicted for new ones,
+   * forged messages could make the instance forget the loads of all others.
+   */
+  private boolean isFull(Instant now) {
     if (senders.size() >= MAX_SENDERS) {
       senders.values().removeIf(sender -> isStale(sender, now));
     }
-    if (senders.size() >= MAX_SENDERS) {
-      senders.clear();
-    }
+    return senders.size() >= MAX_SENDERS;
   }
 
   private boolean isStale(Sender sender, Instant now) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadMessageTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadMessageTests.java
@@ -86,6 +86,26 @@
     assertEquals(PeerLoads.NONE.byServer(), exchange.peerLoads().byServer());
   }
 
+  /**
+   * Guards against instances that lose sight of the load of all others because datagrams arrive
+   * under thousands of made-up sender names.
+   */
+  @Test
+  void keepsTheLoadsOfKnownSendersWhileUnknownOnesFloodIt() {
+    ReceivedLoads loads = new ReceivedLoads(Duration.ofSeconds(1));
+    Instant now = Instant.EPOCH;
+    List<LoadMessage.ServerLoad> load = List.of(new LoadMessage.ServerLoad(7, 3, 100));
+    assertTrue(
+        loads.receive(
+            new LoadMessage(LoadMessage.Scope.INSTANCE, "b", 1, true, load, List.of()), now));
+    for (int i = 0; i < 5_000; i++) {
+      loads.receive(
+          new LoadMessage(LoadMessage.Scope.INSTANCE, "x" + i, 1, true, load, List.of()), now);
+    }
+    assertEquals(1, loads.loadsOf("b", now).size());
+    assertTrue(loads.sendersSince(now).size() <= 2_048);
+  }
+
   /**
    * The messages of an instance must be accepted after it restarted with its clock set back,
    * although its sequence numbers are lower.
