End a router that had to cut off answers with a status of its own

A router whose drain timeout passed with answers outstanding, or whose shutdown failed, ended with status 0, so tools that restart a fleet by exit statuses saw an orderly stop. Tokens that are not returned in time still count as orderly.

--- a/teaseldeal-cli/src/main/java/org/teaseldeal/cli/ExitStatus.java
+++ b/teaseldeal-cli/src/main/java/org/teaseldeal/cli/ExitStatus.java
@@ -11,7 +11,7 @@
   WRONG_COMMAND_LINE(2, "the command line is wrong"),
   WRONG_FILE(3, "a file is missing or wrong"),
   UNREACHABLE(4, "could not start, or something needed can't be reached"),
-  INCOMPLETE(5, "done, but not everywhere in time");
+  INCOMPLETE(5, "done, but not everywhere or not for all in time");
 
   private final int code;
   private final String meaning;
--- a/teaseldeal-dist/src/test/java/org/teaseldeal/dist/Fleet.java
+++ b/teaseldeal-dist/src/test/java/org/teaseldeal/dist/Fleet.java
@@ -167,6 +167,11 @@
   }
 
   private LaunchedProcess startRouter(String name) throws IOException {
+    return startRouter(name, "leave = \"500ms\"");
+  }
+
+  /** Starts a router with the given entries of its limits. */
+  LaunchedProcess startRouter(String name, String limits) throws IOException {
     String settings =
         """
         instance = "%s"
@@ -175,9 +180,9 @@
         callers = { host = "127.0.0.1", port = 0 }
         peers = { host = "127.0.0.1", port = 0 }
         admin = { host = "127.0.0.1", port = 0 }
-        limits = { leave = "500ms" }
+        limits = { %s }
         """
-            .formatted(name, platform());
+            .formatted(name, platform(), limits);
     return start(name, "teaseldeal-router", List.of(), settings);
   }
 
--- a/teaseldeal-dist/src/test/java/org/teaseldeal/dist/FleetFaultTests.java
+++ b/teaseldeal-dist/src/test/java/org/teaseldeal/dist/FleetFaultTests.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import org.teaseldeal.cli.ExitStatus;
 
 /**
  * Checks callers' answers and the charges of a fleet of processes while routers, the log or
@@ -97,6 +98,22 @@
     }
   }
 
+  // Guards against a stop that cuts off answers and looks to the operator's tools like an orderly
+  // one.
+  @Test
+  void stopThatCutsOffAnAnswerHasAnotherExitStatus() throws Exception {
+    try (Fleet fleet = Fleet.startComplete(folder, LEASE, BUDGET_TOKENS)) {
+      fleet.stopRouters(List.of("router-1"));
+      fleet.startRouter("router-1", "leave = \"100ms\", drain = \"500ms\"");
+      Wait.until("router-1 is ready", () -> fleet.ready("router-1"));
+      try (RawCaller rawCaller = RawCaller.connect(fleet.address("router-1"))) {
+        rawCaller.sendDraft(LONG_STREAM_FRAMES);
+        rawCaller.readUntil("data: ");
+        assertEquals(ExitStatus.INCOMPLETE.code(), fleet.daemon("router-1").terminate());
+      }
+    }
+  }
+
   // A router is killed with streams and bids in flight, so the connections of its callers break.
   // The callers retry with their keys at the other routers. Those routers continue the drafts that
   // the engine still has and run no bid a second time. A caller whose bid has no recoverable answer
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/Main.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/Main.java
@@ -23,6 +23,6 @@
     return new Program(
         "teaseldeal-router",
         new RouterCommand(),
-        EnumSet.of(ExitStatus.WRONG_FILE, ExitStatus.UNREACHABLE));
+        EnumSet.of(ExitStatus.WRONG_FILE, ExitStatus.UNREACHABLE, ExitStatus.INCOMPLETE));
   }
 }
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/Router.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/Router.java
@@ -79,6 +79,7 @@
   private final HttpServer callers;
   private final HttpServer admin;
   private final Registration registration;
+  private volatile boolean answersCutOff;
 
   /** Creates the core of an instance that other instances reach at a given peer address. */
   @FunctionalInterface
@@ -202,6 +203,11 @@
     return loop.ready();
   }
 
+  /** Returns whether a drain has ended with requests unanswered. */
+  boolean answersCutOff() {
+    return answersCutOff;
+  }
+
   /** Returns a future that completes once the instance has finished all work after a drain. */
   CompletableFuture<Void> stopped() {
     return stopped;
@@ -234,7 +240,9 @@
     callers.closeIdleConnections(closingAnswer());
     complete = awaitAnswersWritten(deadline) && complete;
     awaitCallersClosed(Math.min(deadline, System.nanoTime() + CALLERS_CLOSE_TIME.toNanos()));
-    complete = awaitAnswersWritten(deadline) && complete;
+    boolean answered = awaitAnswersWritten(deadline);
+    answersCutOff = !answered;
+    complete = answered && complete;
     close();
     LogLine.of(complete ? "stopped" : "stopped with requests in flight").info();
     return complete;
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/RouterProcess.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/RouterProcess.java
@@ -20,7 +20,8 @@
  * Runs a router as a process.
  *
  * <p>After SIGTERM or a drain by an operator, the process exits with status 0 once no request is in
- * flight or the drain timeout has passed.
+ * flight. If the drain timeout passes before or the drain fails, it exits with {@link
+ * ExitStatus#INCOMPLETE}.
  */
 final class RouterProcess {
   private static final int INCARNATION_SUFFIX_LENGTH = 12;
@@ -91,16 +92,18 @@
   }
 
   /**
-   * Drains the router and halts the process with status 0. After SIGTERM the virtual machine would
-   * exit with status 143 if it were not halted.
+   * Drains the router and halts the process. After SIGTERM the virtual machine would exit with
+   * status 143 if it were not halted.
    */
   private static void drainAndHalt(Router router) {
+    ExitStatus status = ExitStatus.INCOMPLETE;
     try {
       router.drainAndClose();
+      status = router.answersCutOff() ? ExitStatus.INCOMPLETE : ExitStatus.OK;
     } catch (InterruptedException | RuntimeException e) {
       LogLine.of("shutdown failed; halting the process").error(e);
     } finally {
-      Runtime.getRuntime().halt(ExitStatus.OK.code());
+      Runtime.getRuntime().halt(status.code());
     }
   }
 }
