Leave open whether a request that crosses the close of a connection ran before

The answer that ends a kept connection said 'not-run' to whatever request crosses the close. That is true of the attempt, but the request is not read and may have an idempotency key whose earlier attempt ran at another router; a caller that takes 'not-run' for the key could send the request under a new one, and it would run twice. As for every refusal of a keyed request, the run is now 'unknown', with a time to come back. Found by reading the change again; on the platform's path a refusal speaks of the attempt alone.

--- a/teaseldeal-dist/src/test/java/org/teaseldeal/dist/FleetFaultTests.java
+++ b/teaseldeal-dist/src/test/java/org/teaseldeal/dist/FleetFaultTests.java
@@ -95,6 +95,8 @@
       String answer = rawCaller.readUntil("\r\n\r\n");
       assertTrue(answer.startsWith("HTTP/1.1 503 "), answer);
       assertTrue(answer.contains("Retry-After: "), answer);
+      // The request may have a key whose earlier attempt ran at another router.
+      assertTrue(rawCaller.readUntil("}").contains("\"run\":\"unknown\""));
     }
   }
 
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/Router.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/Router.java
@@ -312,14 +312,17 @@
     }
   }
 
-  /** Returns the answer to a request that arrives while its connection is being closed. */
+  /**
+   * Returns the answer to a request that arrives while its connection is being closed. The request
+   * is not read, so it may have an idempotency key.
+   */
   private HttpAnswer closingAnswer() {
-    return ProblemAnswer.of(
+    Problem problem =
         Problem.retryable(
             ErrorKind.DRAINING,
-            "instance %s has shut down and closes this connection".formatted(settings.instance()),
-            RETRY_DELAY),
-        Optional.empty());
+            "instance %s has shut down and did not run this attempt".formatted(settings.instance()),
+            RETRY_DELAY);
+    return ProblemAnswer.of(problem.forKeyedRequest(), Optional.empty());
   }
 
   private static void sleepUntil(long nanos) throws InterruptedException {
