Tell how the end of a server's answer was marked

Of a stream that looked complete to its caller and was not, the log said 'answered', as of any other: neither how the server's answer was framed, nor how it ended, nor how many bytes stood behind its last whole event.

The HTTP client hands the mark of the end on as a type: no body, a length, the last chunk, the server's orderly close, or the loss of the connection for another reason, which the codec reports like a last chunk. An orderly close is an event of its own since half-closure is allowed. The gateway logs AnswerEnded where the end doesn't show by itself that the answer is complete, and counts answers by end and streams that end inside an event. A failure names the announced end of the answer it broke. No decision reads any of it.

--- a/teaseldeal-bench/src/main/java/org/teaseldeal/bench/cost/AnswerTimer.java
+++ b/teaseldeal-bench/src/main/java/org/teaseldeal/bench/cost/AnswerTimer.java
@@ -3,6 +3,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
 
@@ -33,7 +34,7 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(AnswerEnd end) {
     times.complete(new Times(first, micros(), accepted && text.indexOf(DONE) >= 0));
   }
 
--- a/teaseldeal-bench/src/main/java/org/teaseldeal/bench/load/AnswerListener.java
+++ b/teaseldeal-bench/src/main/java/org/teaseldeal/bench/load/AnswerListener.java
@@ -14,6 +14,7 @@
 import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.bench.scenario.Flow;
+import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
 
@@ -82,7 +83,7 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(AnswerEnd end) {
     if (status != 200) {
       finishWithError();
     } else if (streamed) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -86,6 +86,17 @@
       String request, String server, int attempt, String failure, String detail, Duration after)
       implements GatewayEvent {}
 
+  /**
+   * The end of a backend server's answer does not show by itself that the answer is complete: it
+   * was not marked by a length or a last chunk, or a stream ended inside an event.
+   *
+   * @param end how the end was marked, a name of {@link org.teaseldeal.net.AnswerEnd}
+   * @param events the complete events of this answer
+   * @param unfinishedBytes the bytes after the last complete event; 0 if the answer is no stream
+   */
+  record AnswerEnded(String request, String server, String end, long events, int unfinishedBytes)
+      implements GatewayEvent {}
+
   /**
    * A request got its final answer, or its caller left.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -6,7 +6,9 @@
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.decisions.PrefillTime;
+import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
@@ -32,6 +34,7 @@
 
   private @Nullable HttpCall call;
   private @Nullable AnswerVerdict verdict;
+  private long events;
   private int status;
   private Map<String, String> headers = Map.of();
   private Instant lastReceivedAt;
@@ -128,16 +131,22 @@
       return;
     }
     for (EventSplitter.Event event : eventSplitter.add(part)) {
+      events++;
       markPromptRead();
       flow.onEvent(status, headers, event);
     }
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(AnswerEnd end) {
     if (ended) {
       return;
     }
+    reportUnclearEnd(end);
+    onAnswered();
+  }
+
+  private void onAnswered() {
     switch (verdict) {
       case GENUINE -> complete();
       case NOT_RUN -> fail(AttemptFailure.NOT_RUN, "status %d, not run".formatted(status));
@@ -152,7 +161,7 @@
       return;
     }
     if (verdict == AnswerVerdict.NOT_RUN || verdict == AnswerVerdict.OTHER_SERVER) {
-      onEnd();
+      onAnswered();
       return;
     }
     fail(
@@ -160,6 +169,19 @@
         failure + ": " + detail);
   }
 
+  private void reportUnclearEnd(AnswerEnd end) {
+    int unfinishedBytes = eventSplitter.remainder().length;
+    boolean marked = end != AnswerEnd.CONNECTION_CLOSED && end != AnswerEnd.CONNECTION_LOST;
+    if (marked && unfinishedBytes == 0) {
+      return;
+    }
+    components
+        .events()
+        .accept(
+            new GatewayEvent.AnswerEnded(
+                flow.request().id(), server.id().name(), end.name(), events, unfinishedBytes));
+  }
+
   private void complete() {
     markEnded();
     if (isEventStream()) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -52,6 +52,7 @@
     switch (event) {
       case GatewayEvent.Placed placed -> count(placed.attempt() == 1 ? "sends" : "repeats");
       case GatewayEvent.AttemptFailed failed -> count("attempts_failed_", failed.failure());
+      case GatewayEvent.AnswerEnded ended -> onAnswerEnded(ended);
       case GatewayEvent.RequestEnded ended -> onRequestEnded(ended);
       case GatewayEvent.WaitsForTokens waiting -> count("requests_that_waited_for_tokens");
       case GatewayEvent.PlanInForce plan -> planVersion.set(plan.version());
@@ -91,6 +92,13 @@
     registry.gauge(name, () -> value);
   }
 
+  private void onAnswerEnded(GatewayEvent.AnswerEnded ended) {
+    count("answers_ended_by_", ended.end());
+    if (ended.unfinishedBytes() > 0) {
+      count("streams_ended_inside_event");
+    }
+  }
+
   private void onRequestEnded(GatewayEvent.RequestEnded ended) {
     count("requests_ended_", ended.outcome());
     requestDuration.update(ended.took().toNanos() / 1_000);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -32,6 +32,7 @@
 import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerListing;
+import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
@@ -61,7 +62,7 @@
 
     void answer(int status) {
       listener.onHead(status, Map.of());
-      listener.onEnd();
+      listener.onEnd(AnswerEnd.LENGTH);
     }
   }
 
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -34,6 +34,7 @@
 import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerListing;
+import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpFailure;
@@ -460,7 +461,7 @@
       deliver(
           () -> {
             ended = true;
-            listener.onEnd();
+            listener.onEnd(AnswerEnd.LAST_CHUNK);
           });
     }
 
@@ -470,7 +471,7 @@
           () -> {
             deliverHead(Map.of(ModelDialect.NOT_RUN_HEADER, "1"));
             ended = true;
-            listener.onEnd();
+            listener.onEnd(AnswerEnd.LAST_CHUNK);
           });
     }
 
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
@@ -56,7 +56,7 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(AnswerEnd end) {
     answer.complete(new HttpAnswer(status, headers, body.toByteArray()));
   }
 
--- /dev/null
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerEnd.java
@@ -0,0 +1,15 @@
+package org.teaseldeal.net;
+
+/** How the end of a received answer was marked. */
+public enum AnswerEnd {
+  /** By the head: answers with its status, or to its method, have no body. */
+  NO_BODY,
+  /** By the length in the head. */
+  LENGTH,
+  /** By the last chunk. */
+  LAST_CHUNK,
+  /** By the server's orderly close of the connection. */
+  CONNECTION_CLOSED,
+  /** By the loss of the connection for another reason than an orderly close by the server. */
+  CONNECTION_LOST
+}
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
@@ -83,12 +83,12 @@
    * Completes the call; {@code first} runs before the listener is notified. Returns false if the
    * call was already over.
    */
-  synchronized boolean complete(Runnable first) {
+  synchronized boolean complete(AnswerEnd end, Runnable first) {
     if (!finish()) {
       return false;
     }
     first.run();
-    runCallback(listener::onEnd);
+    runCallback(() -> listener.onEnd(end));
     return true;
   }
 
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -3,8 +3,10 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
@@ -30,6 +32,8 @@
 
 /** A client's connection, which carries one call at a time. */
 final class ClientConnection extends ChannelInboundHandlerAdapter {
+  private static final long NO_LENGTH = -1;
+
   private final SocketChannel channel;
   private final InetSocketAddress address;
   private final ConnectionPool pool;
@@ -45,6 +49,15 @@
   private @Nullable Duration serverIdleTimeout;
   private long remainingBytes;
 
+  /**
+   * How the head of the call's answer says that its end is marked; null before the head has been
+   * received.
+   */
+  private @Nullable AnswerEnd announcedEnd;
+
+  /** Whether the server has closed the connection in order. */
+  private boolean closedByServer;
+
   ClientConnection(SocketChannel channel, InetSocketAddress address, ConnectionPool pool) {
     this.channel = channel;
     this.address = address;
@@ -72,6 +85,7 @@
       return;
     }
     call = newCall;
+    announcedEnd = null;
     keepAlive = false;
     requestWrite = channel.writeAndFlush(encode(newCall.request()));
   }
@@ -98,6 +112,27 @@
     return encoded;
   }
 
+  /**
+   * Notices that the server has closed the connection. It has to stand before the decoder, which
+   * reports the end of an answer without a length in the same way for every kind of close.
+   */
+  ChannelHandler serverCloseDetector() {
+    return new ChannelInboundHandlerAdapter() {
+      @Override
+      public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+        closedByServer |= event instanceof ChannelInputShutdownEvent;
+        ctx.fireUserEventTriggered(event);
+      }
+    };
+  }
+
+  @Override
+  public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+    if (event instanceof ChannelInputShutdownEvent) {
+      channel.close();
+    }
+  }
+
   @Override
   public void channelRead(ChannelHandlerContext ctx, Object message) {
     try {
@@ -141,20 +176,32 @@
     }
     keepAlive = HttpUtil.isKeepAlive(head);
     serverIdleTimeout = KeepAliveHeader.parseTimeout(headers);
-    boolean bodiless =
-        current.request().method().equals("HEAD")
-            || head.status().code() == 204
-            || head.status().code() == 304;
-    remainingBytes = bodiless ? -1 : HttpUtil.getContentLength(head, -1L);
+    announcedEnd = announcedEnd(current.request(), head);
+    remainingBytes =
+        announcedEnd == AnswerEnd.LENGTH ? HttpUtil.getContentLength(head, NO_LENGTH) : NO_LENGTH;
     current.deliverHead(head.status().code(), headers);
   }
 
+  private static AnswerEnd announcedEnd(HttpCallRequest request, HttpResponse head) {
+    if (request.method().equals("HEAD")
+        || head.status().code() == 204
+        || head.status().code() == 304) {
+      return AnswerEnd.NO_BODY;
+    }
+    if (HttpUtil.isTransferEncodingChunked(head)) {
+      return AnswerEnd.LAST_CHUNK;
+    }
+    return HttpUtil.getContentLength(head, NO_LENGTH) == NO_LENGTH
+        ? AnswerEnd.CONNECTION_CLOSED
+        : AnswerEnd.LENGTH;
+  }
+
   private void readContent(ClientCall current, HttpContent content) {
     ByteBuf bytes = content.content();
     if (bytes.isReadable()) {
       byte[] part = new byte[bytes.readableBytes()];
       bytes.readBytes(part);
-      remainingBytes = remainingBytes < 0 ? -1 : remainingBytes - part.length;
+      remainingBytes = remainingBytes == NO_LENGTH ? NO_LENGTH : remainingBytes - part.length;
       current.deliverBodyPart(part);
     }
     if (content instanceof LastHttpContent) {
@@ -163,13 +210,20 @@
   }
 
   private void onAnswerEnd(ClientCall current) {
+    AnswerEnd end = announcedEnd;
+    if (end == null) {
+      // The codec reports no content before a head.
+      close();
+      return;
+    }
     if (remainingBytes > 0) {
       current.fail(HttpFailure.BROKEN_ANSWER, "%d bytes are missing".formatted(remainingBytes));
       close();
       return;
     }
     call = null;
-    if (!current.complete(this::reuseOrClose)) {
+    boolean lost = end == AnswerEnd.CONNECTION_CLOSED && !closedByServer;
+    if (!current.complete(lost ? AnswerEnd.CONNECTION_LOST : end, this::reuseOrClose)) {
       channel.close();
     }
   }
@@ -189,7 +243,7 @@
     cancelIdleTimer();
     pool.removeIdle(address, this);
     if (call != null) {
-      call.failByProgress("the connection was closed");
+      call.failByProgress(withAnnouncedEnd("the connection was closed"));
       call = null;
     }
   }
@@ -197,12 +251,16 @@
   @Override
   public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
     if (call != null) {
-      call.failByProgress(cause.toString());
+      call.failByProgress(withAnnouncedEnd(cause.toString()));
       call = null;
     }
     channel.close();
   }
 
+  private String withAnnouncedEnd(String detail) {
+    return announcedEnd == null ? detail : detail + ", announced end " + announcedEnd;
+  }
+
   private void returnToPool() {
     if (!channel.isActive() || !pool.offerIdle(address, this)) {
       channel.close();
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -108,6 +108,9 @@
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis)
+            // An orderly close by the server is then an event of its own. Otherwise the channel is
+            // closed in the same way as after a failure.
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
             .handler(
                 new ChannelInitializer<SocketChannel>() {
                   @Override
@@ -124,8 +127,10 @@
   }
 
   private void initChannelPipeline(SocketChannel channel, InetSocketAddress address) {
+    ClientConnection connection = new ClientConnection(channel, address, pool);
     channel
         .pipeline()
+        .addLast(connection.serverCloseDetector())
         .addLast(
             new HttpClientCodec(
                 new HttpDecoderConfig()
@@ -133,7 +138,7 @@
                     .setMaxHeaderSize(config.maxHeaderBytes()),
                 false,
                 false))
-        .addLast(new ClientConnection(channel, address, pool));
+        .addLast(connection);
   }
 
   private static void onConnected(ChannelFuture connecting, ClientCall call) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
@@ -25,8 +25,12 @@
   /** Receives a part of the answer's body. */
   void onBodyPart(byte[] part);
 
-  /** Called when the answer is complete. */
-  void onEnd();
+  /**
+   * Called when the answer has ended.
+   *
+   * @param end how its end was marked
+   */
+  void onEnd(AnswerEnd end);
 
   /** Called when the call ends without a complete answer. */
   void onFailure(HttpFailure failure, String detail);
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/RecordingListener.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/RecordingListener.java
@@ -23,7 +23,7 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(AnswerEnd end) {
     recorded.add("end");
   }
 
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/EngineListener.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/EngineListener.java
@@ -10,6 +10,7 @@
 import org.teaseldeal.api.Usage;
 import org.teaseldeal.core.AttemptFailure;
 import org.teaseldeal.core.event.InstanceEvent;
+import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.router.json.Json;
 
 /** Turns the answer of a model engine into frame events and a final event. */
@@ -47,7 +48,7 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(AnswerEnd end) {
     fail(AttemptFailure.LOST_MID_ANSWER, "the engine's answer ended without usage");
   }
 
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/PlainServiceListener.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/PlainServiceListener.java
@@ -6,6 +6,7 @@
 import org.teaseldeal.api.AttemptId;
 import org.teaseldeal.core.AttemptFailure;
 import org.teaseldeal.core.event.InstanceEvent;
+import org.teaseldeal.net.AnswerEnd;
 
 /** Buffers the answer of a plain service and publishes it as one event. */
 final class PlainServiceListener extends AttemptListener {
@@ -46,7 +47,7 @@
   }
 
   @Override
-  public void onEnd() {
+  public void onEnd(AnswerEnd end) {
     if (isCompleted()) {
       return;
     }
