Reproduce a broken off stream that reaches its caller as complete

Answers in the tests can now be framed in each way that HTTP has and end at any byte: AnswerFraming encodes them, and HttpExchange.startEncoded sends bytes as they are.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpExchange.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpExchange.java
@@ -9,8 +9,8 @@
  * One request and its answer.
  *
  * <p>Safe for use by multiple threads; the calls take effect in the order in which they are made. A
- * request is answered by exactly one call of {@link #respond}, {@link #startStream} or {@link
- * #abort}.
+ * request is answered by exactly one call of {@link #respond}, {@link #startStream}, {@link
+ * #startEncoded} or {@link #abort}.
  */
 public interface HttpExchange {
   /** Returns the method in upper case. */
@@ -40,6 +40,15 @@
   /** Sends the head of an answer whose body follows in parts. */
   ResponseStream startStream(int status, Map<String, String> headers);
 
+  /**
+   * Starts an answer that the handler encodes.
+   *
+   * @throws UnsupportedOperationException if the exchange is not one of an {@link HttpServer}
+   */
+  default EncodedAnswer startEncoded() {
+    throw new UnsupportedOperationException("this exchange has no connection to write to");
+  }
+
   /** Closes the connection without an answer. */
   void abort();
 
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
@@ -13,6 +14,7 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import java.time.Duration;
@@ -108,6 +110,12 @@
     return stream;
   }
 
+  @Override
+  public EncodedAnswer startEncoded() {
+    claimAnswer();
+    return new UnframedBytes();
+  }
+
   @Override
   public void abort() {
     claimAnswer();
@@ -188,6 +196,55 @@
     }
   }
 
+  /** An answer that bypasses the codec. */
+  private final class UnframedBytes implements EncodedAnswer {
+    @Override
+    public void write(byte[] bytes) {
+      channel.eventLoop().execute(() -> send(bytes));
+    }
+
+    private void send(byte[] bytes) {
+      if (!disconnected && !ended) {
+        codec().writeAndFlush(Unpooled.wrappedBuffer(bytes));
+      }
+    }
+
+    @Override
+    public void close() {
+      channel
+          .eventLoop()
+          .execute(
+              () -> {
+                if (!disconnected && !ended) {
+                  end(false);
+                }
+              });
+    }
+
+    @Override
+    public void reset() {
+      channel
+          .eventLoop()
+          .execute(
+              () -> {
+                ended = true;
+                disconnectAction = null;
+                codec()
+                    .writeAndFlush(Unpooled.EMPTY_BUFFER)
+                    .addListener(
+                        sent -> {
+                          channel.config().setSoLinger(0);
+                          channel.close();
+                        });
+              });
+    }
+
+    /** Writes from here skip the codec, as handlers see outbound messages last to first. */
+    private ChannelHandlerContext codec() {
+      return channel.pipeline().context(HttpServerCodec.class);
+    }
+  }
+
   /** The body of an answer, sent in parts. */
   private final class ChunkedStream implements ResponseStream {
     private final AtomicLong pending = new AtomicLong();
