Treat a stream that ends inside an event as broken off

Cause: a server's answer with neither a length nor chunks ends with its connection, and a server that crashes may close in order. The end of the transport was taken for the end of the message; the bytes behind the last whole event went to the caller as the rest of the answer, followed by a last chunk.

A close between two events remains the end of such a stream. Answers of stream routes with another content type are no streams.

Lines that end with a CR alone are recognised: such a stream used to be passed on at its end as a rest, and would count as broken off now.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -16,6 +16,8 @@
 /** One attempt to have a request answered by one backend server, from its sending to its end. */
 final class Attempt implements HttpListener {
   private static final int OK = 200;
+  private static final String CONTENT_TYPE = "content-type";
+  private static final String EVENT_STREAM = "text/event-stream";
 
   private final RequestFlow flow;
   private final GatewayComponents components;
@@ -143,9 +145,27 @@
       return;
     }
     reportUnclearEnd(end);
+    if (verdict == AnswerVerdict.GENUINE && isEventStream() && isBrokenOff(end)) {
+      fail(
+          AttemptFailure.MAY_HAVE_RUN,
+          "the stream was broken off: %d bytes after %d events, end marked by %s"
+              .formatted(eventSplitter.incompleteBytes(), events, end));
+      return;
+    }
     onAnswered();
   }
 
+  /**
+   * Returns whether a stream that has ended is incomplete although its framing is not: it ended
+   * inside an event, or nothing but the end of its connection says that it has no events.
+   *
+   * <p>A server that crashes may close its connection in order, and a stream without a length or
+   * chunks then ends like a complete one.
+   */
+  private boolean isBrokenOff(AnswerEnd end) {
+    return eventSplitter.incompleteBytes() > 0 || (events == 0 && !end.isMarkedByFraming());
+  }
+
   private void onAnswered() {
     switch (verdict) {
       case GENUINE -> complete();
@@ -170,9 +190,8 @@
   }
 
   private void reportUnclearEnd(AnswerEnd end) {
-    int unfinishedBytes = eventSplitter.remainder().length;
-    boolean marked = end != AnswerEnd.CONNECTION_CLOSED && end != AnswerEnd.CONNECTION_LOST;
-    if (marked && unfinishedBytes == 0) {
+    int unfinishedBytes = eventSplitter.incompleteBytes();
+    if (end.isMarkedByFraming() && unfinishedBytes == 0) {
       return;
     }
     components
@@ -185,7 +204,7 @@
   private void complete() {
     markEnded();
     if (isEventStream()) {
-      flow.onStreamEnd(status, headers, eventSplitter.remainder());
+      flow.onStreamEnd(status, headers);
     } else {
       flow.onCompleteAnswer(status, headers, body.toByteArray());
     }
@@ -214,6 +233,8 @@
   }
 
   private boolean isEventStream() {
-    return streamed && status == OK;
+    return streamed
+        && status == OK
+        && headers.getOrDefault(CONTENT_TYPE, EVENT_STREAM).startsWith(EVENT_STREAM);
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
@@ -79,17 +79,12 @@
     recordSent();
   }
 
-  /**
-   * Ends the answer as complete.
-   *
-   * @param rest the bytes after the last complete event, or the complete body if no event was sent
-   */
-  void finish(int status, Map<String, String> headers, byte[] rest) {
+  /** Ends a stream as complete; its body is empty if no event was sent. */
+  void finish(int status, Map<String, String> headers) {
     recordSent();
     if (stream == null) {
-      exchange.respond(status, headers, rest);
+      exchange.respond(status, headers, new byte[0]);
     } else {
-      stream.write(rest);
       stream.finish();
     }
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/EventSplitter.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/EventSplitter.java
@@ -25,40 +25,68 @@
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private String id = "";
 
+  /** Whether the last byte was a CR, which ends a line unless an LF follows. */
+  private boolean afterCarriageReturn;
+
+  /** Whether the previous line of the event ended with a CR alone. */
+  private boolean linesEndWithCarriageReturn;
+
   /** Adds received bytes and returns the events that they complete. */
   List<Event> add(byte[] part) {
     List<Event> complete = new ArrayList<>();
     for (byte next : part) {
+      if (afterCarriageReturn && next != '\n') {
+        linesEndWithCarriageReturn = true;
+        endLine(complete);
+      }
       event.write(next);
-      if (next != '\n') {
-        line.write(next);
-      } else if (completesEvent()) {
-        complete.add(new Event(event.toByteArray(), id));
-        event.reset();
-        id = "";
+      switch (next) {
+        case '\n' -> {
+          linesEndWithCarriageReturn = false;
+          endLine(complete);
+        }
+        case '\r' -> onCarriageReturn(complete);
+        default -> line.write(next);
       }
     }
     return complete;
   }
 
-  /** The bytes of the last, incomplete event. */
-  byte[] remainder() {
-    return event.toByteArray();
+  /** The number of bytes after the last complete event: those of an event that is incomplete. */
+  int incompleteBytes() {
+    return event.size();
   }
 
-  /** Processes the end of a line and returns whether it was the blank line that ends an event. */
-  private boolean completesEvent() {
+  /**
+   * Waits for the next byte, as the CR may be the first half of a CRLF. It is not if the stream's
+   * lines end with a CR alone: waiting would delay the event until the next one.
+   */
+  private void onCarriageReturn(List<Event> complete) {
+    if (linesEndWithCarriageReturn && line.size() == 0) {
+      endLine(complete);
+    } else {
+      afterCarriageReturn = true;
+    }
+  }
+
+  /** Processes the end of a line; a blank line ends the event. */
+  private void endLine(List<Event> complete) {
+    afterCarriageReturn = false;
     byte[] text = line.toByteArray();
     line.reset();
-    int length = text.length > 0 && text[text.length - 1] == '\r' ? text.length - 1 : text.length;
-    if (length == 0) {
-      return true;
-    }
-    if (length >= ID_FIELD_LENGTH && text[0] == 'i' && text[1] == 'd' && text[2] == ':') {
+    if (text.length == 0) {
+      complete.add(new Event(event.toByteArray(), id));
+      event.reset();
+      id = "";
+      linesEndWithCarriageReturn = false;
+    } else if (isIdField(text)) {
       id =
-          new String(text, ID_FIELD_LENGTH, length - ID_FIELD_LENGTH, StandardCharsets.UTF_8)
+          new String(text, ID_FIELD_LENGTH, text.length - ID_FIELD_LENGTH, StandardCharsets.UTF_8)
               .strip();
     }
-    return false;
+  }
+
+  private static boolean isIdField(byte[] text) {
+    return text.length >= ID_FIELD_LENGTH && text[0] == 'i' && text[1] == 'd' && text[2] == ':';
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -341,12 +341,12 @@
     answer.sendEvent(status, headers, event);
   }
 
-  void onStreamEnd(int status, Map<String, String> headers, byte[] rest) {
+  void onStreamEnd(int status, Map<String, String> headers) {
     if (stage == Stage.ENDED) {
       return;
     }
     recordAnswer();
-    answer.finish(status, headers, rest);
+    answer.finish(status, headers);
     end(ANSWERED, status, "");
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EventSplitterTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EventSplitterTests.java
@@ -26,7 +26,7 @@
       }
       assertEquals(List.of("id: 0\ndata: a\n\n", "id: 1\r\ndata: b\r\n\r\n"), events);
       assertEquals(List.of("0", "1"), ids);
-      assertEquals("id: 2\nda", new String(each.remainder(), StandardCharsets.UTF_8));
+      assertEquals("id: 2\nda".length(), each.incompleteBytes());
     }
   }
 
@@ -35,6 +35,28 @@
     assertEquals("", splitter.add(bytes("id: 7\n\ndata: x\n\n")).getLast().id());
   }
 
+  /** A CR alone ends a line too. A CRLF must not be taken for two ends of lines. */
+  @Test
+  void recognisesEachKindOfLineEnd() {
+    for (String lineEnd : List.of("\n", "\r\n", "\r")) {
+      String event = "id: 3" + lineEnd + "data: x" + lineEnd + lineEnd;
+      for (int length = 0; length < 2 * event.length(); length++) {
+        EventSplitter each = new EventSplitter();
+        List<EventSplitter.Event> events = new ArrayList<>();
+        for (byte next : bytes((event + event).substring(0, length))) {
+          events.addAll(each.add(new byte[] {next}));
+        }
+        assertEquals(length / event.length(), events.size());
+        assertEquals(length % event.length(), each.incompleteBytes());
+        events.forEach(
+            complete -> {
+              assertEquals(event, new String(complete.bytes(), StandardCharsets.UTF_8));
+              assertEquals("3", complete.id());
+            });
+      }
+    }
+  }
+
   private static byte[] bytes(String text) {
     return text.getBytes(StandardCharsets.UTF_8);
   }
