Treat an answer without a length as broken if its connection is lost

Cause: the codec reports the end of such an answer for every kind of close: the server's, a write that fails while a large request is still being sent, and the close of the client's connections as a program ends.

Evidence: both new tests of UnusualAnswerTests got 'end' before and get BROKEN_ANSWER now.

Change: only the server's orderly close, which is an event of its own, ends such an answer; any other end breaks it off.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerEnd.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerEnd.java
@@ -9,15 +9,13 @@
   /** By the last chunk. */
   LAST_CHUNK,
   /** By the server's orderly close of the connection. */
-  CONNECTION_CLOSED,
-  /** By the loss of the connection for another reason than an orderly close by the server. */
-  CONNECTION_LOST;
+  CONNECTION_CLOSED;
 
   /**
    * Returns whether the answer itself marks its end. Otherwise only its content can tell whether it
    * is complete.
    */
   public boolean isMarkedByFraming() {
-    return this != CONNECTION_CLOSED && this != CONNECTION_LOST;
+    return this != CONNECTION_CLOSED;
   }
 }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -221,9 +221,13 @@
       close();
       return;
     }
+    if (end == AnswerEnd.CONNECTION_CLOSED && !closedByServer) {
+      current.fail(HttpFailure.BROKEN_ANSWER, withAnnouncedEnd("the connection was lost"));
+      close();
+      return;
+    }
     call = null;
-    boolean lost = end == AnswerEnd.CONNECTION_CLOSED && !closedByServer;
-    if (!current.complete(lost ? AnswerEnd.CONNECTION_LOST : end, this::reuseOrClose)) {
+    if (!current.complete(end, this::reuseOrClose)) {
       channel.close();
     }
   }
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/UnusualAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/UnusualAnswerTests.java
@@ -77,6 +77,58 @@
     }
   }
 
+  /**
+   * A client that closes its connections breaks off the answers that are being received. One
+   * without a length must not be reported as complete for it.
+   */
+  @Test
+  void reportsAnswerWithoutLengthAsBrokenIfClientClosesItself() throws Exception {
+    LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
+    CountDownLatch testEnded = new CountDownLatch(1);
+    try (ScriptedServer server =
+        new ScriptedServer(
+            socket -> {
+              ScriptedServer.readRequest(socket);
+              ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf of");
+              testEnded.await();
+            })) {
+      client.send(request(server, new byte[0]), new RecordingListener(recorded));
+      assertEquals("head 200 null", recorded.take());
+      assertEquals("part half of", recorded.take());
+      client.close();
+      assertEquals("BROKEN_ANSWER", recorded.take());
+      testEnded.countDown();
+    }
+  }
+
+  /**
+   * A server answers a large request early, without a length, and resets the connection. If the
+   * client notices this by a write that fails, the answer must not be reported as complete.
+   */
+  @Test
+  void reportsAnswerWithoutLengthAsBrokenIfWriteFails() throws Exception {
+    for (int i = 0; i < 20; i++) {
+      LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
+      CountDownLatch partRead = new CountDownLatch(1);
+      try (ScriptedServer server =
+          new ScriptedServer(
+              socket -> {
+                ScriptedServer.readRequest(socket);
+                ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf of");
+                partRead.await();
+                socket.setSoLinger(true, 0);
+              })) {
+        client.send(
+            request(server, new byte[BYTES_EXCEEDING_SOCKET_BUFFERS]),
+            new RecordingListener(recorded));
+        assertEquals("head 200 null", recorded.take());
+        assertEquals("part half of", recorded.take());
+        partRead.countDown();
+        assertEquals("BROKEN_ANSWER", recorded.take());
+      }
+    }
+  }
+
   private static String readLine(Socket socket) throws Exception {
     StringBuilder line = new StringBuilder();
     for (int next = socket.getInputStream().read(); next != '\r'; ) {
