Reset streams to HTTP/1.0 callers that end before they are complete

What callers could see: a stream without chunks that ends in order although its server closed it early, so it looks complete. Found by looking for the cause of the streams that ended inside an event in our own answers.

Cause: only an abort by the handler reset the connection. The close of a server, a caller that closed its output, an idle timeout and the end of the process all closed in order, which is the end of an answer without a length or chunks.

Evidence: areResetIfServerCloses and areResetIfCallerClosesItsOutput read an orderly end before and a reset now; the other two tests held before.

Change: the connection is set to be reset on any close as the stream starts, and to be closed in order once its last byte has been handed to the system. That covers a process that is killed, too, as the system applies it.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.util.concurrent.Future;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -32,6 +33,11 @@
  * at once, it would overtake calls that other threads made earlier.
  */
 final class ServerExchange implements HttpExchange {
+  /** Values of the linger time, in seconds, that select how the system closes a connection. */
+  private static final int RESET_ON_CLOSE = 0;
+
+  private static final int ORDERLY_CLOSE = -1;
+
   private final ServerConnection connection;
   private final SocketChannel channel;
   private final HttpRequest head;
@@ -233,7 +239,7 @@
                     .writeAndFlush(Unpooled.EMPTY_BUFFER)
                     .addListener(
                         sent -> {
-                          channel.config().setSoLinger(0);
+                          channel.config().setSoLinger(RESET_ON_CLOSE);
                           channel.close();
                         });
               });
@@ -255,8 +261,12 @@
       if (disconnected) {
         return;
       }
-      // HTTP/1.0 has no chunked coding: the end of the connection marks the end of the answer.
       chunked = head.protocolVersion().equals(HttpVersion.HTTP_1_1);
+      if (!chunked) {
+        // HTTP/1.0 has no chunked coding, so an orderly close is the end of the answer. Until the
+        // answer is complete, any close, also that of a killed process, has to be a reset.
+        channel.config().setSoLinger(RESET_ON_CLOSE);
+      }
       keepAlive = chunked && connection.keepAlive(head);
       HttpResponse response =
           new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
@@ -300,11 +310,17 @@
                 if (disconnected || ended) {
                   return;
                 }
-                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT);
+                channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT).addListener(this::onSent);
                 end(keepAlive);
               });
     }
 
+    private void onSent(Future<? super Void> sent) {
+      if (!chunked && sent.isSuccess()) {
+        channel.config().setSoLinger(ORDERLY_CLOSE);
+      }
+    }
+
     @Override
     public void abort() {
       channel
@@ -321,14 +337,11 @@
     }
 
     private void closeIncomplete() {
-      if (!chunked) {
-        // Without chunked coding, only a connection reset tells the caller that the answer is
-        // incomplete.
-        channel.config().setSoLinger(0);
+      if (chunked) {
+        connection.onAnswered(false);
+      } else {
         channel.close();
-        return;
       }
-      connection.onAnswered(false);
     }
   }
 }
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpServerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpServerTests.java
@@ -9,6 +9,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.ConnectException;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -191,6 +192,61 @@
     }
   }
 
+  @Nested
+  class StreamsWithoutChunks {
+    private static final String REQUEST = "GET /a HTTP/1.0\r\n\r\n";
+    private static final String ANSWER = "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\npart";
+
+    @Test
+    void endWithTheirConnection() throws Exception {
+      HttpServer server = startServerThatHoldsExchanges();
+      try (RawConnection connection = connect(server)) {
+        startStream(connection).finish();
+        assertEquals("", connection.readToEnd());
+      }
+    }
+
+    /** A server that closes its connections must not end a stream in a way that looks complete. */
+    @Test
+    void areResetIfServerCloses() throws Exception {
+      HttpServer server = startServerThatHoldsExchanges();
+      try (RawConnection connection = connect(server)) {
+        startStream(connection);
+        server.close();
+        assertThrows(SocketException.class, connection::readToEnd);
+      }
+    }
+
+    /** A caller that closes its output early must not take the stream so far as complete. */
+    @Test
+    void areResetIfCallerClosesItsOutput() throws Exception {
+      HttpServer server = startServerThatHoldsExchanges();
+      try (RawConnection connection = connect(server)) {
+        startStream(connection);
+        connection.shutdownOutput();
+        assertThrows(SocketException.class, connection::readToEnd);
+      }
+    }
+
+    @Test
+    void areResetIfAborted() throws Exception {
+      HttpServer server = startServerThatHoldsExchanges();
+      try (RawConnection connection = connect(server)) {
+        startStream(connection).abort();
+        assertThrows(SocketException.class, connection::readToEnd);
+      }
+    }
+
+    /** Starts a stream for a caller that has read its first part. */
+    private ResponseStream startStream(RawConnection connection) throws Exception {
+      connection.send(REQUEST);
+      ResponseStream stream = heldExchanges.take().startStream(200, Map.of());
+      stream.write(bytes("part"));
+      assertEquals(ANSWER, connection.readUntil("part"));
+      return stream;
+    }
+  }
+
   @Nested
   class WhenStopping {
     @Test
