Treat a plain service's stream that ends inside an event as broken off

What callers could see: on the routers' path, a stream of events that its service broke off, sent as a complete answer with a length. Found by looking for the cause of the broken streams elsewhere; model engines were safe, as their answers end with their usage.

Evidence: failIfAStreamEndsInsideAnEvent fails for all four framings before and holds now; failAtAnEngine and failAtAPlainService, each byte of an answer with each framing, held before and do now.

Change: the listener of plain services reads a stream's events, with the splitter of the gateway, which moves to teaseldeal-net and says itself whether a stream that has ended was broken off.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -9,6 +9,7 @@
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
@@ -36,7 +37,6 @@
 
   private @Nullable HttpCall call;
   private @Nullable AnswerVerdict verdict;
-  private long events;
   private int status;
   private Map<String, String> headers = Map.of();
   private Instant lastReceivedAt;
@@ -133,7 +133,6 @@
       return;
     }
     for (EventSplitter.Event event : eventSplitter.add(part)) {
-      events++;
       markPromptRead();
       flow.onEvent(status, headers, event);
     }
@@ -145,27 +144,16 @@
       return;
     }
     reportUnclearEnd(end);
-    if (verdict == AnswerVerdict.GENUINE && isEventStream() && isBrokenOff(end)) {
+    if (verdict == AnswerVerdict.GENUINE && isEventStream() && eventSplitter.isBrokenOff(end)) {
       fail(
           AttemptFailure.MAY_HAVE_RUN,
           "the stream was broken off: %d bytes after %d events, end marked by %s"
-              .formatted(eventSplitter.incompleteBytes(), events, end));
+              .formatted(eventSplitter.incompleteBytes(), eventSplitter.completeEvents(), end));
       return;
     }
     onAnswered();
   }
 
-  /**
-   * Returns whether a stream that has ended is incomplete although its framing is not: it ended
-   * inside an event, or nothing but the end of its connection says that it has no events.
-   *
-   * <p>A server that crashes may close its connection in order, and a stream without a length or
-   * chunks then ends like a complete one.
-   */
-  private boolean isBrokenOff(AnswerEnd end) {
-    return eventSplitter.incompleteBytes() > 0 || (events == 0 && !end.isMarkedByFraming());
-  }
-
   private void onAnswered() {
     switch (verdict) {
       case GENUINE -> complete();
@@ -198,7 +186,11 @@
         .events()
         .accept(
             new GatewayEvent.AnswerEnded(
-                flow.request().id(), server.id().name(), end.name(), events, unfinishedBytes));
+                flow.request().id(),
+                server.id().name(),
+                end.name(),
+                eventSplitter.completeEvents(),
+                unfinishedBytes));
   }
 
   private void complete() {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
+import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpExchange;
 import org.teaseldeal.net.ResponseStream;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -18,6 +18,7 @@
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerIncarnation;
+import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpExchange;
 
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerFraming.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerFraming.java
@@ -78,7 +78,9 @@
     ByteArrayOutputStream encoded = new ByteArrayOutputStream();
     encoded.writeBytes(head(status, headers, length));
     for (byte[] part : parts) {
-      encoded.writeBytes(part(part));
+      if (part.length > 0) {
+        encoded.writeBytes(part(part));
+      }
     }
     encoded.writeBytes(end());
     return encoded.toByteArray();
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/EventSplitter.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/EventSplitter.java
@@ -1,4 +1,4 @@
-package org.teaseldeal.gateway.flow;
+package org.teaseldeal.net;
 
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
@@ -11,19 +11,20 @@
  * <p>A backend server may stop in the middle of an event. Only complete events are sent to the
  * caller, so another server can resume the stream after the last of them.
  */
-final class EventSplitter {
+public final class EventSplitter {
   /**
    * A complete event with its original bytes, including the blank line that ends it.
    *
    * @param id the event's id; empty if it has none
    */
-  record Event(byte[] bytes, String id) {}
+  public record Event(byte[] bytes, String id) {}
 
   private static final int ID_FIELD_LENGTH = "id:".length();
 
   private final ByteArrayOutputStream event = new ByteArrayOutputStream();
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
   private String id = "";
+  private long completeEvents;
 
   /** Whether the last byte was a CR, which ends a line unless an LF follows. */
   private boolean afterCarriageReturn;
@@ -32,7 +33,7 @@
   private boolean linesEndWithCarriageReturn;
 
   /** Adds received bytes and returns the events that they complete. */
-  List<Event> add(byte[] part) {
+  public List<Event> add(byte[] part) {
     List<Event> complete = new ArrayList<>();
     for (byte next : part) {
       if (afterCarriageReturn && next != '\n') {
@@ -53,10 +54,27 @@
   }
 
   /** The number of bytes after the last complete event: those of an event that is incomplete. */
-  int incompleteBytes() {
+  public int incompleteBytes() {
     return event.size();
   }
 
+  /** The number of complete events so far. */
+  public long completeEvents() {
+    return completeEvents;
+  }
+
+  /**
+   * Returns whether a stream that has ended here was broken off, although its framing may say that
+   * it is complete: it ended inside an event, or nothing but the end of its connection says that it
+   * has no events.
+   *
+   * <p>A server that crashes may close its connection in order, and a stream without a length or
+   * chunks then ends like a complete one.
+   */
+  public boolean isBrokenOff(AnswerEnd end) {
+    return event.size() > 0 || (completeEvents == 0 && !end.isMarkedByFraming());
+  }
+
   /**
    * Waits for the next byte, as the CR may be the first half of a CRLF. It is not if the stream's
    * lines end with a CR alone: waiting would delay the event until the next one.
@@ -76,6 +94,7 @@
     line.reset();
     if (text.length == 0) {
       complete.add(new Event(event.toByteArray(), id));
+      completeEvents++;
       event.reset();
       id = "";
       linesEndWithCarriageReturn = false;
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/EventSplitterTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/EventSplitterTests.java
@@ -1,4 +1,4 @@
-package org.teaseldeal.gateway.flow;
+package org.teaseldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/PlainServiceListener.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/PlainServiceListener.java
@@ -7,9 +7,12 @@
 import org.teaseldeal.core.AttemptFailure;
 import org.teaseldeal.core.event.InstanceEvent;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.EventSplitter;
 
 /** Buffers the answer of a plain service and publishes it as one event. */
 final class PlainServiceListener extends AttemptListener {
+  private static final String EVENT_STREAM = "text/event-stream";
+
   private final int maxBytes;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
@@ -51,7 +54,17 @@
     if (isCompleted()) {
       return;
     }
+    if (contentType.startsWith(EVENT_STREAM) && isBrokenOff(end)) {
+      fail(AttemptFailure.LOST_MID_ANSWER, "the service's stream ended inside an event");
+      return;
+    }
     complete(
         new InstanceEvent.PlainAnswerReceived(attempt(), status, contentType, body.toByteArray()));
   }
+
+  private boolean isBrokenOff(AnswerEnd end) {
+    EventSplitter splitter = new EventSplitter();
+    splitter.add(body.toByteArray());
+    return splitter.isBrokenOff(end);
+  }
 }
--- a/teaseldeal-router/src/test/java/org/teaseldeal/router/backend/BackendCallsTests.java
+++ b/teaseldeal-router/src/test/java/org/teaseldeal/router/backend/BackendCallsTests.java
@@ -3,11 +3,16 @@
 import static org.junit.jupiter.api.Assertions.assertArrayEquals;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 
 import com.codahale.metrics.MetricRegistry;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.CountDownLatch;
@@ -17,6 +22,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.teaseldeal.api.AttemptId;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.api.IncarnationId;
@@ -26,6 +33,8 @@
 import org.teaseldeal.core.Payload;
 import org.teaseldeal.core.command.InstanceCommand;
 import org.teaseldeal.core.event.InstanceEvent;
+import org.teaseldeal.net.AnswerFraming;
+import org.teaseldeal.net.EncodedAnswer;
 import org.teaseldeal.net.HttpClient;
 import org.teaseldeal.net.HttpClientConfig;
 import org.teaseldeal.net.HttpExchange;
@@ -255,6 +264,88 @@
     }
   }
 
+  @Nested
+  class WithAnswersThatAreBrokenOff {
+    private final List<String> violations = new ArrayList<>();
+
+    /** An engine's answer that ends before its usage must not be reported as finished. */
+    @ParameterizedTest
+    @EnumSource
+    void failAtAnEngine(AnswerFraming framing) throws Exception {
+      byte[] frame = FakeBackendServer.frame("r-1.x-7", 0, "a");
+      byte[] usage = FakeBackendServer.usage("r-1.x-7", 1, 3, 4);
+      byte[] answer = framing.encode(200, Map.of(), frame, usage);
+      int usageEnd = text(answer).indexOf("data: [DONE]");
+      for (int bytes = 0; bytes < answer.length; bytes++) {
+        breakOff(modelCall(OptionalLong.empty()), answer, bytes);
+        boolean finished = nextFinalEvent() instanceof InstanceEvent.StreamFinished;
+        // With a length, the part is handed on before the answer is known to be cut.
+        check(bytes >= usageEnd || !finished, "%s, %d bytes", framing, bytes);
+      }
+      breakOff(modelCall(OptionalLong.empty()), answer, answer.length);
+      assertInstanceOf(InstanceEvent.StreamFinished.class, nextFinalEvent());
+      assertEquals(List.of(), violations);
+    }
+
+    /** A service's answer that ends before its framing says so must not be passed on. */
+    @ParameterizedTest
+    @EnumSource
+    void failAtAPlainService(AnswerFraming framing) throws Exception {
+      byte[] head = framing.head(200, Map.of(), 3);
+      byte[] answer = framing.encode(200, Map.of(), bytes("out"));
+      for (int bytes = 0; bytes < answer.length; bytes++) {
+        boolean ended = framing.endsWithConnection() && bytes >= head.length;
+        breakOff(plainCall(), answer, bytes);
+        boolean received = nextFinalEvent() instanceof InstanceEvent.PlainAnswerReceived;
+        check(received == ended, "%s, %d bytes", framing, bytes);
+      }
+      assertEquals(List.of(), violations);
+    }
+
+    /**
+     * A service's stream of events that ends inside an event was broken off, whatever its framing
+     * says. It must not be passed on as a complete answer.
+     */
+    @ParameterizedTest
+    @EnumSource
+    void failIfAStreamEndsInsideAnEvent(AnswerFraming framing) throws Exception {
+      Map<String, String> type = Map.of("content-type", "text/event-stream; charset=utf-8");
+      String events = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\n";
+      for (int length = 0; length <= events.length(); length++) {
+        String sent = events.substring(0, length);
+        boolean ended = sent.endsWith("\n\n") || sent.endsWith("\r\n\r\n");
+        boolean empty = sent.isEmpty() && !framing.endsWithConnection();
+        byte[] answer = framing.encode(200, type, bytes(sent));
+        breakOff(plainCall(), answer, answer.length);
+        boolean received = nextFinalEvent() instanceof InstanceEvent.PlainAnswerReceived;
+        check(received == (ended || empty), "%s, %d bytes", framing, length);
+      }
+      assertEquals(List.of(), violations);
+    }
+
+    private void breakOff(InstanceCommand.StartAttempt command, byte[] answer, int bytes)
+        throws Exception {
+      calls.start(command);
+      EncodedAnswer encoded = server.awaitRequest().startEncoded();
+      encoded.write(Arrays.copyOf(answer, bytes));
+      encoded.close();
+    }
+
+    private InstanceEvent nextFinalEvent() throws InterruptedException {
+      InstanceEvent event = events.poll(20, TimeUnit.SECONDS);
+      while (event instanceof InstanceEvent.FrameReceived) {
+        event = events.poll(20, TimeUnit.SECONDS);
+      }
+      return Objects.requireNonNull(event, "no final event");
+    }
+
+    private void check(boolean holds, String format, Object... arguments) {
+      if (!holds) {
+        violations.add(format.formatted(arguments));
+      }
+    }
+  }
+
   private InstanceCommand.StartAttempt modelCall(OptionalLong resumeFrom) {
     return start(
         new Payload.ModelCall(bytes("{\"stream\":true}"), 10, OptionalLong.empty(), true),
