Let the stand-ins answer with every framing and break off at any byte

The stand-ins answered with a length or chunks alone, as did every fake, so no test could see what an answer without either leads to. Each stand-in now takes the faults framing, broken_off_share, broken_off_reset_share and broken_off_within_bytes, for all its answers but those of the admin address; what is broken off is a line of its history.

--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/EngineCommand.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/EngineCommand.java
@@ -32,7 +32,7 @@
     return new StandinComponents(
         "engine",
         listen,
-        handler,
+        withFaultyAnswers(handler, faults, history),
         new AdminHandler<>(faults, history, handler::describe, Map.of()),
         handler::inFlight,
         Optional.of(registration));
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/PlatformCommand.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/PlatformCommand.java
@@ -27,7 +27,7 @@
     return new StandinComponents(
         "platform",
         listen,
-        handler,
+        withFaultyAnswers(handler, faults, history),
         new AdminHandler<>(faults, history, handler::describe, Map.of()),
         () -> 0,
         Optional.empty());
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/ServiceCommand.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/ServiceCommand.java
@@ -29,7 +29,7 @@
     return new StandinComponents(
         "service",
         listen,
-        handler,
+        withFaultyAnswers(handler, faults, history),
         new AdminHandler<>(
             faults,
             history,
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/StandinCommand.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/StandinCommand.java
@@ -5,12 +5,17 @@
 import java.io.PrintStream;
 import java.nio.file.Path;
 import java.time.InstantSource;
+import java.util.Locale;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.cli.Command;
 import org.teaseldeal.cli.CommandException;
 import org.teaseldeal.cli.ExitStatus;
+import org.teaseldeal.net.HttpHandler;
 import org.teaseldeal.settings.toml.TomlReader;
+import org.teaseldeal.standin.admin.History;
+import org.teaseldeal.standin.fault.ActiveFaults;
+import org.teaseldeal.standin.fault.FaultyAnswers;
 import org.teaseldeal.standin.runtime.Scheduler;
 import org.teaseldeal.standin.settings.SettingsException;
 import org.teaseldeal.standin.settings.SettingsFile;
@@ -53,6 +58,22 @@
   abstract StandinComponents components(InstantSource clock, Scheduler scheduler)
       throws SettingsException;
 
+  /** Applies the fault settings for answers to {@code handler}; records broken off answers. */
+  static HttpHandler withFaultyAnswers(
+      HttpHandler handler, ActiveFaults<?> faults, History history) {
+    return new FaultyAnswers(
+        handler,
+        faults,
+        (request, framing, bytes, reset) ->
+            history.add(
+                "broken-off",
+                line ->
+                    line.put("request", request)
+                        .put("framing", framing.name().toLowerCase(Locale.ROOT))
+                        .put("bytes", bytes)
+                        .put("reset", reset)));
+  }
+
   final <T> T readSettings(Function<TomlReader, T> reader) throws SettingsException {
     return settings == null ? SettingsFile.defaults(reader) : SettingsFile.read(settings, reader);
   }
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/engine/EngineFaults.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/engine/EngineFaults.java
@@ -1,6 +1,8 @@
 package org.teaseldeal.standin.engine;
 
+import com.fasterxml.jackson.annotation.JsonUnwrapped;
 import org.teaseldeal.settings.toml.TomlReader;
+import org.teaseldeal.standin.fault.AnswerFaults;
 import org.teaseldeal.standin.fault.FaultSettings;
 
 /**
@@ -23,6 +25,7 @@
  * @param crashMarker the text in a prompt that crashes the engine
  * @param crashMode the effect of such a crash
  * @param crashAfterFrames the number of frames that such a request generates before the crash
+ * @param answers how answers are framed, and which of them are broken off
  */
 public record EngineFaults(
     long seed,
@@ -39,14 +42,30 @@
     double brokenStreamShare,
     String crashMarker,
     CrashMode crashMode,
-    int crashAfterFrames)
+    int crashAfterFrames,
+    @JsonUnwrapped AnswerFaults answers)
     implements FaultSettings {
   private static final int MAX_FRAMES = 1_000_000;
 
   /** No faults. */
   public static final EngineFaults NONE =
       new EngineFaults(
-          1, 1, 0, 0, 0, 0, 3, false, false, 0, 0, 0, "crash-the-engine", CrashMode.OFF, 0);
+          1,
+          1,
+          0,
+          0,
+          0,
+          0,
+          3,
+          false,
+          false,
+          0,
+          0,
+          0,
+          "crash-the-engine",
+          CrashMode.OFF,
+          0,
+          AnswerFaults.NONE);
 
   /** Reads fault settings; keys that {@code table} lacks have their value in {@code defaults}. */
   public static EngineFaults read(TomlReader table, EngineFaults defaults) {
@@ -65,7 +84,8 @@
         table.doubleInRange("broken_stream_share", defaults.brokenStreamShare, 0, 1),
         table.text("crash_marker", defaults.crashMarker),
         table.enumConstant("crash_mode", defaults.crashMode),
-        table.intInRange("crash_after_frames", defaults.crashAfterFrames, 0, MAX_FRAMES));
+        table.intInRange("crash_after_frames", defaults.crashAfterFrames, 0, MAX_FRAMES),
+        AnswerFaults.read(table, defaults.answers));
   }
 
   /** Returns whether a request with this prompt crashes the engine. */
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/fault/ActiveFaults.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/fault/ActiveFaults.java
@@ -30,6 +30,11 @@
     return chance.occurs(share);
   }
 
+  /** Draws a number from 0 to below {@code bound}. */
+  public int draw(int bound) {
+    return chance.draw(bound);
+  }
+
   /**
    * Puts the keys of {@code changes} in force; all others keep their values. A seed restarts the
    * random decisions, even if it is the seed in force.
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/fault/FaultSettings.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/fault/FaultSettings.java
@@ -4,4 +4,7 @@
 public interface FaultSettings {
   /** Returns the seed of the random source that decides which events a share of faults affects. */
   long seed();
+
+  /** Returns how answers are framed, and which of them are broken off. */
+  AnswerFaults answers();
 }
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/fault/SeededChance.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/fault/SeededChance.java
@@ -10,6 +10,11 @@
     random = new SplittableRandom(seed);
   }
 
+  /** Returns a number from 0 to below {@code bound}. */
+  public int draw(int bound) {
+    return random.nextInt(bound);
+  }
+
   /** Returns true with probability {@code share}. */
   public boolean occurs(double share) {
     return share > 0 && random.nextDouble() < share;
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/platform/PlatformFaults.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/platform/PlatformFaults.java
@@ -1,6 +1,8 @@
 package org.teaseldeal.standin.platform;
 
+import com.fasterxml.jackson.annotation.JsonUnwrapped;
 import org.teaseldeal.settings.toml.TomlReader;
+import org.teaseldeal.standin.fault.AnswerFaults;
 import org.teaseldeal.standin.fault.FaultSettings;
 
 /**
@@ -18,6 +20,7 @@
  *     without an answer
  * @param silentAnswerShare the share of appends that are stored and never answered
  * @param listLagMs the time in milliseconds added to the lag of the list
+ * @param answers how answers are framed, and which of them are broken off
  */
 public record PlatformFaults(
     long seed,
@@ -30,11 +33,12 @@
     long listLatencyMs,
     double lostAnswerShare,
     double silentAnswerShare,
-    long listLagMs)
+    long listLagMs,
+    @JsonUnwrapped AnswerFaults answers)
     implements FaultSettings {
   /** No faults. */
   public static final PlatformFaults NONE =
-      new PlatformFaults(1, false, false, false, false, 0, 0, 0, 0, 0, 0);
+      new PlatformFaults(1, false, false, false, false, 0, 0, 0, 0, 0, 0, AnswerFaults.NONE);
 
   private static final long MAX_LATENCY_MS = 3_600_000;
 
@@ -51,6 +55,7 @@
         table.longInRange("list_latency_ms", defaults.listLatencyMs, 0, MAX_LATENCY_MS),
         table.doubleInRange("lost_answer_share", defaults.lostAnswerShare, 0, 1),
         table.doubleInRange("silent_answer_share", defaults.silentAnswerShare, 0, 1),
-        table.longInRange("list_lag_ms", defaults.listLagMs, 0, MAX_LATENCY_MS));
+        table.longInRange("list_lag_ms", defaults.listLagMs, 0, MAX_LATENCY_MS),
+        AnswerFaults.read(table, defaults.answers));
   }
 }
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/service/ServiceFaults.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/service/ServiceFaults.java
@@ -1,6 +1,8 @@
 package org.teaseldeal.standin.service;
 
+import com.fasterxml.jackson.annotation.JsonUnwrapped;
 import org.teaseldeal.settings.toml.TomlReader;
+import org.teaseldeal.standin.fault.AnswerFaults;
 import org.teaseldeal.standin.fault.FaultSettings;
 
 /**
@@ -17,6 +19,7 @@
  *     without an answer
  * @param silentBeforeShare the share of calls that are not run and never answered
  * @param silentAfterShare the share of calls that are run and never answered
+ * @param answers how answers are framed, and which of them are broken off
  */
 public record ServiceFaults(
     long seed,
@@ -26,12 +29,14 @@
     double closeBeforeShare,
     double closeAfterShare,
     double silentBeforeShare,
-    double silentAfterShare)
+    double silentAfterShare,
+    @JsonUnwrapped AnswerFaults answers)
     implements FaultSettings {
   private static final long MAX_LATENCY_MS = 3_600_000;
 
   /** No faults. */
-  public static final ServiceFaults NONE = new ServiceFaults(1, 0, 0, 0, 0, 0, 0, 0);
+  public static final ServiceFaults NONE =
+      new ServiceFaults(1, 0, 0, 0, 0, 0, 0, 0, AnswerFaults.NONE);
 
   /** Reads fault settings; keys that {@code table} lacks have their value in {@code defaults}. */
   public static ServiceFaults read(TomlReader table, ServiceFaults defaults) {
@@ -43,6 +48,7 @@
         table.doubleInRange("close_before_share", defaults.closeBeforeShare, 0, 1),
         table.doubleInRange("close_after_share", defaults.closeAfterShare, 0, 1),
         table.doubleInRange("silent_before_share", defaults.silentBeforeShare, 0, 1),
-        table.doubleInRange("silent_after_share", defaults.silentAfterShare, 0, 1));
+        table.doubleInRange("silent_after_share", defaults.silentAfterShare, 0, 1),
+        AnswerFaults.read(table, defaults.answers));
   }
 }
--- a/teaseldeal-standin/src/test/java/org/teaseldeal/standin/admin/AdminHandlerTests.java
+++ b/teaseldeal-standin/src/test/java/org/teaseldeal/standin/admin/AdminHandlerTests.java
@@ -3,11 +3,13 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotEquals;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.List;
 import java.util.Map;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.standin.fault.ActiveFaults;
+import org.teaseldeal.standin.fault.FramingChoice;
 import org.teaseldeal.standin.platform.PlatformFaults;
 import org.teaseldeal.standin.runtime.FakeExchange;
 import org.teaseldeal.standin.runtime.ManualTime;
@@ -35,6 +37,16 @@
         send(FakeExchange.get("/faults")).json().get("append_latency_ms").asLong());
   }
 
+  @Test
+  void faultsOfAnswersAreReadAndSetUnderTheSameKeys() {
+    put("{\"framing\":\"connection-end\",\"broken_off_share\":0.25}");
+    assertEquals(FramingChoice.CONNECTION_END, faults.current().answers().framing());
+    assertEquals(0.25, faults.current().answers().brokenOffShare());
+    JsonNode shown = send(FakeExchange.get("/faults")).json();
+    assertEquals("connection-end", shown.get("framing").asText());
+    assertEquals(200, put(shown.toString()).status());
+  }
+
   @Test
   void invalidUpdateChangesNothingAndReportsAllProblems() {
     FakeExchange answer =
@@ -44,9 +56,10 @@
     assertEquals(
         "lost_answer_share: was 2, expected a number from 0.0 to 1.0; list_lag_ms: was \"x\","
             + " expected a whole number from 0 to 3600000; typo: unknown key, expected one of:"
-            + " append_latency_ms, list_lag_ms, list_latency_ms, list_outage, log_outage,"
-            + " log_silent, lost_answer_share, read_latency_ms, seed, silent_answer_share,"
-            + " weights_outage",
+            + " append_latency_ms, broken_off_reset_share, broken_off_share,"
+            + " broken_off_within_bytes, framing, list_lag_ms, list_latency_ms, list_outage,"
+            + " log_outage, log_silent, lost_answer_share, read_latency_ms, seed,"
+            + " silent_answer_share, weights_outage",
         answer.json().get("error").asText());
   }
 
