Announce the end of the connection in answers that a test or stand-in encodes

An encoded answer is the last one of its connection, but with a length or chunks its head didn't say so: a client could send its next request while the server closed, and no server ever saw it. The head says so now.

Content types are compared without case, in one place.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -18,7 +18,6 @@
 final class Attempt implements HttpListener {
   private static final int OK = 200;
   private static final String CONTENT_TYPE = "content-type";
-  private static final String EVENT_STREAM = "text/event-stream";
 
   private final RequestFlow flow;
   private final GatewayComponents components;
@@ -225,8 +224,9 @@
   }
 
   private boolean isEventStream() {
+    String contentType = headers.get(CONTENT_TYPE);
     return streamed
         && status == OK
-        && headers.getOrDefault(CONTENT_TYPE, EVENT_STREAM).startsWith(EVENT_STREAM);
+        && (contentType == null || EventSplitter.isEventStream(contentType));
   }
 }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerFraming.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerFraming.java
@@ -4,20 +4,25 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
-/** The ways in which HTTP marks the end of an answer's body, with their encoding. */
+/**
+ * The ways in which HTTP marks the end of an answer's body, with their encoding.
+ *
+ * <p>All encoded answers are the last ones of their connections. Where nothing else says so, the
+ * head does: a client could send its next request while the connection is being closed.
+ */
 public enum AnswerFraming {
   /** The head states the length. */
   LENGTH("HTTP/1.1") {
     @Override
     String header(int bodyLength) {
-      return "content-length: %d\r\n".formatted(bodyLength);
+      return "connection: close\r\ncontent-length: %d\r\n".formatted(bodyLength);
     }
   },
   /** The last chunk marks the end. */
   CHUNKS("HTTP/1.1") {
     @Override
     String header(int bodyLength) {
-      return "transfer-encoding: chunked\r\n";
+      return "connection: close\r\ntransfer-encoding: chunked\r\n";
     }
 
     @Override
@@ -86,6 +91,7 @@
     return encoded.toByteArray();
   }
 
+  /** Returns the headers that belong to the framing. */
   String header(int bodyLength) {
     return "";
   }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/EventSplitter.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/EventSplitter.java
@@ -19,6 +19,7 @@
    */
   public record Event(byte[] bytes, String id) {}
 
+  private static final String EVENT_STREAM = "text/event-stream";
   private static final int ID_FIELD_LENGTH = "id:".length();
 
   private final ByteArrayOutputStream event = new ByteArrayOutputStream();
@@ -32,6 +33,11 @@
   /** Whether the previous line of the event ended with a CR alone. */
   private boolean linesEndWithCarriageReturn;
 
+  /** Returns whether {@code contentType}, the value of an answer's header, names such a stream. */
+  public static boolean isEventStream(String contentType) {
+    return contentType.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
+  }
+
   /** Adds received bytes and returns the events that they complete. */
   public List<Event> add(byte[] part) {
     List<Event> complete = new ArrayList<>();
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/PlainServiceListener.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/PlainServiceListener.java
@@ -11,8 +11,6 @@
 
 /** Buffers the answer of a plain service and publishes it as one event. */
 final class PlainServiceListener extends AttemptListener {
-  private static final String EVENT_STREAM = "text/event-stream";
-
   private final int maxBytes;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
@@ -54,7 +52,7 @@
     if (isCompleted()) {
       return;
     }
-    if (contentType.startsWith(EVENT_STREAM) && isBrokenOff(end)) {
+    if (EventSplitter.isEventStream(contentType) && isBrokenOff(end)) {
       fail(AttemptFailure.LOST_MID_ANSWER, "the service's stream ended inside an event");
       return;
     }
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/fault/FramingExchange.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/fault/FramingExchange.java
@@ -3,7 +3,6 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Arrays;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -79,7 +78,7 @@
   public void respond(int status, Map<String, String> headers, byte[] body) {
     AnswerFraming used = framing.orElse(AnswerFraming.LENGTH);
     Output output = new Output(used);
-    output.write(used.encode(status, withClose(used, headers), body));
+    output.write(used.encode(status, headers, body));
     output.close();
   }
 
@@ -106,16 +105,6 @@
     exchange.onCallerDisconnect(action);
   }
 
-  /** Announces the end of the connection, unless that end is the only mark of the answer's end. */
-  private static Map<String, String> withClose(AnswerFraming used, Map<String, String> headers) {
-    if (used.endsWithConnection()) {
-      return headers;
-    }
-    Map<String, String> all = new HashMap<>(headers);
-    all.put("connection", "close");
-    return all;
-  }
-
   /** The encoded answer, which ends where it is broken off. */
   private final class Output {
     private final AnswerFraming used;
@@ -173,7 +162,7 @@
     FramedStream(AnswerFraming used, int status, Map<String, String> headers) {
       this.used = used;
       this.output = new Output(used);
-      output.write(used.head(status, withClose(used, headers), 0));
+      output.write(used.head(status, headers, 0));
     }
 
     @Override
