Tell once by an answer's head whether it is a stream of events

Found in a last read: the content type was looked up for each part of a body; a call could be left without an outcome if the codec reported an end before a head, which it doesn't; a stand-in's reset could follow its close.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -39,6 +39,10 @@
   private int status;
   private Map<String, String> headers = Map.of();
   private Instant lastReceivedAt;
+
+  /** Whether the answer is a stream of events. */
+  private boolean eventStream;
+
   private boolean promptMarkedRead;
   private boolean ended;
 
@@ -109,6 +113,11 @@
     status = answerStatus;
     headers = components.dialect().answerHeaders(answerHeaders);
     verdict = components.dialect().verdict(answerStatus, answerHeaders);
+    String contentType = headers.get(CONTENT_TYPE);
+    eventStream =
+        streamed
+            && status == OK
+            && (contentType == null || EventSplitter.isEventStream(contentType));
     if (verdict == AnswerVerdict.DOUBTFUL) {
       HttpCall used = call;
       fail(AttemptFailure.MAY_HAVE_RUN, "status %d is not the server's own".formatted(status));
@@ -127,7 +136,7 @@
     if (verdict != AnswerVerdict.GENUINE) {
       return;
     }
-    if (!isEventStream()) {
+    if (!eventStream) {
       body.writeBytes(part);
       return;
     }
@@ -143,7 +152,7 @@
       return;
     }
     reportUnclearEnd(end);
-    if (verdict == AnswerVerdict.GENUINE && isEventStream() && eventSplitter.isBrokenOff(end)) {
+    if (verdict == AnswerVerdict.GENUINE && eventStream && eventSplitter.isBrokenOff(end)) {
       fail(
           AttemptFailure.MAY_HAVE_RUN,
           "the stream was broken off: %d bytes after %d events, end marked by %s"
@@ -194,7 +203,7 @@
 
   private void complete() {
     markEnded();
-    if (isEventStream()) {
+    if (eventStream) {
       flow.onStreamEnd(status, headers);
     } else {
       flow.onCompleteAnswer(status, headers, body.toByteArray());
@@ -222,11 +231,4 @@
   private void markReceived() {
     lastReceivedAt = components.clock().instant();
   }
-
-  private boolean isEventStream() {
-    String contentType = headers.get(CONTENT_TYPE);
-    return streamed
-        && status == OK
-        && (contentType == null || EventSplitter.isEventStream(contentType));
-  }
 }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -212,8 +212,7 @@
   private void onAnswerEnd(ClientCall current) {
     AnswerEnd end = announcedEnd;
     if (end == null) {
-      // The codec reports no content before a head.
-      close();
+      current.failByProgress("the codec reported an end before a head");
       return;
     }
     if (remainingBytes > 0) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
@@ -119,7 +119,7 @@
   @Override
   public EncodedAnswer startEncoded() {
     claimAnswer();
-    return new UnframedBytes();
+    return new EncodedBytes();
   }
 
   @Override
@@ -203,7 +203,7 @@
   }
 
   /** An answer that bypasses the codec. */
-  private final class UnframedBytes implements EncodedAnswer {
+  private final class EncodedBytes implements EncodedAnswer {
     @Override
     public void write(byte[] bytes) {
       channel.eventLoop().execute(() -> send(bytes));
@@ -233,6 +233,9 @@
           .eventLoop()
           .execute(
               () -> {
+                if (disconnected || ended) {
+                  return;
+                }
                 ended = true;
                 disconnectAction = null;
                 codec()
