Log which backend servers an instance can't reach by itself

Callers of instances that were cut off from all backend servers got 503. The log named each failed attempt, but not whether the server was down, the path was lost, or the instance only avoided servers after earlier failures.

Each path to a server now has a state. A failed connect loses it, a probe on a new connection (the engine's report, or the health path) says when it works again. Broken and silent connections are checked by a probe, and the loss of one path by probes of two others that were silent.

Requests are sent as before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -152,6 +152,17 @@
   /** A service that the instance depends on became unreachable or reachable. */
   record Dependency(String name, boolean reachable, String detail) implements GatewayEvent {}
 
+  /**
+   * This instance's own path to a backend server was lost or works again. Other instances may still
+   * reach the server.
+   *
+   * @param evidence why the path counts as lost; empty if it works again
+   * @param lostFor how long it was lost; zero if it was lost just now
+   */
+  record ServerPath(
+      String server, String address, boolean reachable, String evidence, Duration lostFor)
+      implements GatewayEvent {}
+
   /**
    * The use of a customer's prepaid total, as this instance knows it.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -65,7 +65,7 @@
   void start(ForwardingTerms terms) {
     server.onRequestSent(uncachedTokens);
     HttpCall sent =
-        components.backends().send(components.dialect().forward(flow.request(), terms), this);
+        components.links().send(server, components.dialect().forward(flow.request(), terms), this);
     if (!ended) {
       call = sent;
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.gateway.account.TokenRequests;
 import org.teaseldeal.gateway.event.EventSink;
+import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.quarantine.RequestQuarantine;
@@ -27,7 +28,7 @@
     TokenRequests tokens,
     RequestQuarantine quarantine,
     Dialect dialect,
-    BackendPort backends,
+    ServerLinks links,
     Supplier<PeerLoads> peerLoads,
     CachedPrompts cachedPrompts,
     IntSupplier instances,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -188,6 +188,7 @@
   /** Ends requests whose deadline has passed and retries those that wait. */
   public void tick() {
     handleDueEarlyRequests();
+    components.links().tick();
     selector.tick(components.clock().instant());
     components.quarantine().tick();
     new ArrayList<>(flows).forEach(flow -> isolatedTasks.run(flow.request().id(), flow::tick));
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -212,6 +212,9 @@
     } else if (stage == Stage.SERVER) {
       send();
     } else if (stage == Stage.ANSWER) {
+      if (attempt != null) {
+        components.links().onSilent(attempt.server(), attempt.silence());
+      }
       failOverIfSilent();
     }
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -61,6 +61,8 @@
       case GatewayEvent.ServerUnusable unusable -> count("servers_unusable_", unusable.reason());
       case GatewayEvent.InstanceState state -> count("instance_states");
       case GatewayEvent.Dependency dependency -> onDependency(dependency);
+      case GatewayEvent.ServerPath path ->
+          count(path.reachable() ? "server_paths_regained" : "server_paths_lost");
       case GatewayEvent.AccountLevel level -> accounts.put(level.customer(), level);
       case GatewayEvent.AccountTakenOver taken ->
           registry
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/BackendPort.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/BackendPort.java
@@ -1,4 +1,4 @@
-package org.teaseldeal.gateway.flow;
+package org.teaseldeal.gateway.path;
 
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -20,6 +20,7 @@
 import org.teaseldeal.gateway.fake.FakeDialect;
 import org.teaseldeal.gateway.fake.FakeExchange;
 import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.plan.CallerLimits;
 import org.teaseldeal.gateway.plan.GatewayPlan;
@@ -69,6 +70,7 @@
   final ManualClock clock = new ManualClock();
   final ServerDirectory servers = new ServerDirectory();
   final List<SentRequest> sent = new ArrayList<>();
+  final List<SentRequest> probes = new ArrayList<>();
   final List<GatewayEvent> events = new ArrayList<>();
   final RequestDispatcher dispatcher;
 
@@ -109,10 +111,26 @@
                 new TokenRequests(accounts, holders, new NoPeers(), () -> true, events::add, clock),
                 quarantine,
                 new FakeDialect(),
-                (request, listener) -> {
-                  sent.add(new SentRequest(request, listener));
-                  return () -> {};
-                },
+                new ServerLinks(
+                    (request, listener) -> {
+                      sent.add(new SentRequest(request, listener));
+                      return () -> {};
+                    },
+                    (request, listener) -> {
+                      probes.add(new SentRequest(request, listener));
+                      return () -> {};
+                    },
+                    server ->
+                        new HttpCallRequest(
+                            server.address(),
+                            "GET",
+                            "/health",
+                            Map.of(),
+                            new byte[0],
+                            Duration.ofMillis(400)),
+                    servers,
+                    events::add,
+                    clock),
                 () -> PeerLoads.NONE,
                 new CachedPrompts(),
                 () -> 1,
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -26,9 +26,11 @@
 import org.teaseldeal.gateway.flow.RequestDispatcher;
 import org.teaseldeal.gateway.flow.RetryLimits;
 import org.teaseldeal.gateway.log.FleetLog;
+import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.peer.LoadExchange;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.plan.GatewayPlan;
+import org.teaseldeal.gateway.plan.PlannedService;
 import org.teaseldeal.gateway.plan.PrepaidCustomer;
 import org.teaseldeal.gateway.quarantine.RequestQuarantine;
 import org.teaseldeal.gateway.server.CachedPrompts;
@@ -51,6 +53,7 @@
   /** Time that a call between instances may take in addition to the wait that it asks for. */
   private static final Duration CALL_OVERHEAD_TIMEOUT = Duration.ofMillis(150);
 
+  private static final Duration PROBE_TIMEOUT = Duration.ofMillis(400);
   private static final Duration SHUTDOWN_GRACE = Duration.ofSeconds(8);
   private static final int CALL_BYTES = 250;
   private static final int EVENT_BYTES = 60;
@@ -116,7 +119,20 @@
                 tokenRequests,
                 new RequestQuarantine(name, servers::lists, this::onEvent, time),
                 new ModelDialect(),
-                this::sendToServer,
+                new ServerLinks(
+                    this::sendToServer,
+                    this::probeServer,
+                    server ->
+                        new HttpCallRequest(
+                            server.address(),
+                            "GET",
+                            PlannedService.DEFAULT_HEALTH_PATH,
+                            Map.of(),
+                            new byte[0],
+                            PROBE_TIMEOUT),
+                    servers,
+                    this::onEvent,
+                    time),
                 fleet.isEnabled(Mechanism.LOADS) ? loadExchange::peerLoads : () -> PeerLoads.NONE,
                 cachedPrompts,
                 () -> fleet.memberNames().size(),
@@ -368,6 +384,22 @@
     return call;
   }
 
+  /** Probes a backend server, which answers unless it is down. */
+  private HttpCall probeServer(HttpCallRequest request, HttpListener listener) {
+    boolean down = fleet.server(request.address()).isDown();
+    time.schedule(
+        fleet.network().oneWayDelay().multipliedBy(2),
+        () -> {
+          if (down) {
+            listener.onFailure(HttpFailure.NOT_SENT, "the server is down");
+          } else {
+            listener.onHead(200, Map.of());
+            listener.onEnd(AnswerEnd.LENGTH);
+          }
+        });
+    return () -> {};
+  }
+
   private final class ServerCall implements HttpCall, ModelServer.Listener {
     private final HttpCallRequest request;
     private final HttpListener listener;
