Send requests through another instance while the path to a server is lost

Callers of an instance that was cut off from all backend servers got 503, and 504 where connections went silent, though other instances reached every server.

Cause: a request could reach a server only on the instance's own links, and a failure of those links was taken for one of the server: it was excluded for a second, ejected after five, and the requests that ran there were counted as crashes, which instances tell each other.

The instance that has the caller keeps tokens, choice of the server, attempts, deadline and order of events. REFUSED and UNREACHABLE prove that nothing was sent; after anything else the request may have run.

A server that can't be reached here counts as down only if two other instances in a row report the same, or, without others, if other servers answer here. Losing a path discards failures of its server. If no connection can be opened and no instance relays, requests are refused at once.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerHealth.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerHealth.java
@@ -49,6 +49,7 @@
     private double meanSeconds;
     private double overdueSeconds;
     private int ejections;
+    private boolean ejectedForFailures;
     private Instant ejectedUntil = Instant.MIN;
     private Instant rampStart = Instant.MIN;
   }
@@ -137,6 +138,18 @@
     observations(server).consecutiveFailures++;
   }
 
+  /** Discards the failures of a server, and its ejection if failures were the cause. */
+  public void forgetFailures(BackendServerId server) {
+    Observations observations = observations(server);
+    observations.consecutiveFailures = 0;
+    if (observations.ejectedForFailures) {
+      observations.ejectedForFailures = false;
+      observations.ejections--;
+      observations.ejectedUntil = Instant.MIN;
+      observations.rampStart = Instant.MIN;
+    }
+  }
+
   /** Ejects servers that have become unhealthy, as far as the limit of ejected servers allows. */
   public void update(Instant now) {
     double poolMedian = medianSeconds();
@@ -217,6 +230,7 @@
     long factor = 1L << Math.min(observations.ejections, 16);
     Duration ejection = firstEjection.multipliedBy(factor);
     observations.ejections++;
+    observations.ejectedForFailures = observations.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES;
     observations.ejectedUntil =
         now.plus(ejection.compareTo(longestEjection) > 0 ? longestEjection : ejection);
     observations.rampStart = observations.ejectedUntil;
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerPaths.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerPaths.java
@@ -138,6 +138,16 @@
         && lastReceivedAt.isBefore(firstLostAt);
   }
 
+  /**
+   * Returns whether all paths are lost and no connection could be opened on any of them, so that a
+   * request sent from here would fail as well.
+   */
+  public boolean canConnectNowhere() {
+    return areAllLost()
+        && paths.values().stream()
+            .allMatch(path -> !path.isLost() || path.evidence == Evidence.CONNECT_FAILED);
+  }
+
   /** Returns the number of servers that can't be reached from here. */
   public int lostCount() {
     return areAllLost() ? paths.size() : lostPaths;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -36,6 +36,7 @@
    * @param resumeAfter the id of the last event that the caller has received; empty if the stream
    *     starts from the beginning
    * @param fingerprint a hash that is equal for all attempts of the caller
+   * @param relayed whether it was sent through another instance
    */
   record Placed(
       String request,
@@ -49,7 +50,8 @@
       Duration heardAgo,
       int candidates,
       String resumeAfter,
-      String fingerprint)
+      String fingerprint,
+      boolean relayed)
       implements GatewayEvent {}
 
   /**
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -11,6 +11,7 @@
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpCall;
+import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
 
@@ -30,6 +31,7 @@
   private final long uncachedTokens;
 
   private final boolean streamed;
+  private final boolean relayed;
   private final Instant startedAt;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private final EventSplitter eventSplitter = new EventSplitter();
@@ -51,12 +53,14 @@
       GatewayComponents components,
       BackendServer server,
       long uncachedTokens,
-      boolean streamed) {
+      boolean streamed,
+      boolean relayed) {
     this.flow = flow;
     this.components = components;
     this.server = server;
     this.uncachedTokens = uncachedTokens;
     this.streamed = streamed;
+    this.relayed = relayed;
     this.unsharedTokens = flow.request().prompt().map(PromptDescription::unsharedTokens).orElse(0L);
     this.startedAt = components.clock().instant();
     this.lastReceivedAt = startedAt;
@@ -64,8 +68,11 @@
 
   void start(ForwardingTerms terms) {
     server.onRequestSent(uncachedTokens);
+    HttpCallRequest request = components.dialect().forward(flow.request(), terms);
     HttpCall sent =
-        components.links().send(server, components.dialect().forward(flow.request(), terms), this);
+        relayed
+            ? components.links().sendThroughRelay(server, request, this)
+            : components.links().sendDirectly(server, request, this);
     if (!ended) {
       call = sent;
     }
@@ -75,6 +82,11 @@
     return server;
   }
 
+  /** Whether the request was sent through another instance. */
+  boolean relayed() {
+    return relayed;
+  }
+
   /**
    * Whether the server may have read the prompt: it answered, or enough time has passed to read it.
    */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
@@ -14,6 +14,7 @@
 import org.teaseldeal.gateway.account.PrepaidAccounts;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.path.RequestRelay;
 import org.teaseldeal.net.HttpServer;
 
 /**
@@ -33,6 +34,7 @@
   private final ScheduledExecutorService loop;
   private final HttpServer callerServer;
   private final RequestDispatcher dispatcher;
+  private final RequestRelay relay;
   private final PrepaidAccounts accounts;
   private final EventSink events;
   private final InstantSource clock;
@@ -46,6 +48,7 @@
    * Creates a drain whose grace period begins now; {@link #run()} carries it out.
    *
    * @param callerServer accepts the callers' connections
+   * @param relay relays requests of other instances
    * @param loop the event loop that serves the callers' connections
    * @param clock a monotonic clock, which doesn't follow adjustments of the time of day
    * @param grace the time until the process is killed
@@ -54,6 +57,7 @@
       ScheduledExecutorService loop,
       HttpServer callerServer,
       RequestDispatcher dispatcher,
+      RequestRelay relay,
       PrepaidAccounts accounts,
       EventSink events,
       InstantSource clock,
@@ -61,6 +65,7 @@
     this.loop = loop;
     this.callerServer = callerServer;
     this.dispatcher = dispatcher;
+    this.relay = relay;
     this.accounts = accounts;
     this.events = events;
     this.clock = clock;
@@ -86,6 +91,7 @@
     events.accept(
         new GatewayEvent.InstanceState("draining", dispatcher.openRequests() + " requests"));
     dispatcher.drain(phases.admission());
+    relay.drain();
     accounts.close();
   }
 
@@ -95,7 +101,7 @@
           phases.advance(
               clock.instant(),
               new Outstanding(
-                  callerServer.unansweredRequests(),
+                  callerServer.unansweredRequests() + relay.openRequests(),
                   callerServer.openConnections(),
                   accounts.allReturned()));
       if (next != phase) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -18,10 +18,12 @@
 import org.teaseldeal.decisions.RetryAfterJitter;
 import org.teaseldeal.decisions.RetryWindow;
 import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.plan.PlannedService;
 import org.teaseldeal.gateway.plan.PrepaidCustomer;
 import org.teaseldeal.gateway.plan.Route;
+import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpExchange;
 import org.teaseldeal.net.HttpHandler;
@@ -88,6 +90,20 @@
             components.peerLoads(),
             components.cachedPrompts(),
             components.random());
+    components.links().setListener(new LinkObserver());
+  }
+
+  /** Keeps failures of this instance's paths apart from failures of servers. */
+  private final class LinkObserver implements ServerLinks.Listener {
+    @Override
+    public void onPathLost(BackendServer server) {
+      selector.forgetFailures(server);
+    }
+
+    @Override
+    public void onUnreachable(BackendServer server) {
+      components.quarantine().onUnreachable(server.incarnation());
+    }
   }
 
   /** The number of requests that have no final answer yet. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -14,6 +14,7 @@
 import org.teaseldeal.gateway.account.ReservationListener;
 import org.teaseldeal.gateway.account.TokenRequests;
 import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.path.ServerLinks.Way;
 import org.teaseldeal.gateway.plan.PrepaidCustomer;
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.gateway.server.BackendServer;
@@ -57,6 +58,12 @@
    */
   private static final Duration UNREACHABLE_EXCLUSION = Duration.ofSeconds(1);
 
+  /**
+   * The silence after which a request is sent elsewhere if the path to its server is lost. An open
+   * connection may outlive the path, so it counts as long as something arrives on it.
+   */
+  private static final Duration LOST_PATH_SILENCE = Duration.ofMillis(300);
+
   /** How long a full server is not chosen: long enough for a few of its requests to end. */
   private static final Duration FULL_EXCLUSION = Duration.ofMillis(100);
 
@@ -212,7 +219,7 @@
     } else if (stage == Stage.SERVER) {
       send();
     } else if (stage == Stage.ANSWER) {
-      if (attempt != null) {
+      if (attempt != null && !attempt.relayed()) {
         components.links().onSilent(attempt.server(), attempt.silence());
       }
       failOverIfSilent();
@@ -255,14 +262,24 @@
       return;
     }
     BackendServer server = chosen.get().server();
+    Way way = components.links().way(server, connectFailures > 0);
+    if (way == Way.NONE) {
+      giveUp(ErrorKind.NO_BACKEND_SERVER, "no server can be reached, nor an instance that does");
+      return;
+    }
     stage = Stage.ANSWER;
     sendCount++;
     placementDelay = Duration.between(arrivedAt, now());
-    components.events().accept(placedEvent(chosen.get()));
+    components.events().accept(placedEvent(chosen.get(), way));
     components.cachedPrompts().onSent(server.incarnation(), sharedPartIds(), now());
     Attempt next =
         new Attempt(
-            this, components, server, chosen.get().uncachedTokens(), route.kind().streamed());
+            this,
+            components,
+            server,
+            chosen.get().uncachedTokens(),
+            route.kind().streamed(),
+            way == Way.RELAY);
     attempt = next;
     next.start(
         new ForwardingTerms(
@@ -274,7 +291,7 @@
             answer.lastEventId().isEmpty() ? Optional.empty() : Optional.of(answer.lastEventId())));
   }
 
-  private GatewayEvent.Placed placedEvent(ServerSelector.Selection chosen) {
+  private GatewayEvent.Placed placedEvent(ServerSelector.Selection chosen, Way way) {
     BackendServer server = chosen.server();
     long unshared = request.prompt().map(PromptDescription::unsharedTokens).orElse(0L);
     return new GatewayEvent.Placed(
@@ -289,7 +306,8 @@
         chosen.loadAge(),
         chosen.candidates(),
         answer.lastEventId(),
-        fingerprint());
+        fingerprint(),
+        way == Way.RELAY);
   }
 
   private String fingerprint() {
@@ -311,7 +329,9 @@
 
   private void waitOrGiveUp() {
     Duration waiting = Duration.between(waitingForServerSince, now());
-    if (waiting.compareTo(MAX_WAIT_FOR_SERVER) > 0 || !failedIncarnations.isEmpty()) {
+    if (waiting.compareTo(MAX_WAIT_FOR_SERVER) > 0
+        || !failedIncarnations.isEmpty()
+        || connectFailures > 0) {
       giveUp(ErrorKind.NO_BACKEND_SERVER, "no server of the service can be reached");
     }
   }
@@ -327,13 +347,20 @@
     if (silent == null || !route.repeatable() || sendCount >= route.maxAttempts()) {
       return;
     }
-    if (!isOverdue(silent)) {
+    if (!isOverdue(silent) && !hasLostItsPath(silent)) {
       return;
     }
     silent.cancel();
     onAttemptFailed(silent, AttemptFailure.MAY_HAVE_RUN, "silent");
   }
 
+  /** Returns whether the answer can't arrive because the path to its server is lost. */
+  private boolean hasLostItsPath(Attempt waiting) {
+    return !waiting.relayed()
+        && waiting.silence().compareTo(LOST_PATH_SILENCE) > 0
+        && components.links().isLost(waiting.server());
+  }
+
   private boolean isOverdue(Attempt waiting) {
     return waiting.silence().compareTo(dispatcher.maxSilence(route)) > 0;
   }
@@ -413,7 +440,11 @@
         .accept(
             new GatewayEvent.AttemptFailed(
                 request.id(), server.id().name(), sendCount, reason.name(), detail, failed.age()));
-    failedIncarnations.add(server.incarnation());
+    boolean mayBeRelayed =
+        reason == AttemptFailure.NOT_SENT && !failed.relayed() && components.links().hasRelays();
+    if (!mayBeRelayed) {
+      failedIncarnations.add(server.incarnation());
+    }
     if (reason.provesNotRun()) {
       components.cachedPrompts().onNotRun(server.incarnation(), sharedPartIds());
     }
@@ -422,7 +453,6 @@
       case NOT_SENT -> {
         sendCount--;
         connectFailures++;
-        components.quarantine().onUnreachable(server.incarnation());
         server.excludeUntil(now().plus(UNREACHABLE_EXCLUSION));
         resendIf(connectFailures < MAX_CONNECT_FAILURES, ErrorKind.NO_BACKEND_SERVER, detail);
       }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -205,6 +205,11 @@
     }
   }
 
+  /** Discards failures of a server that may have been failures of the path to it. */
+  void forgetFailures(BackendServer server) {
+    health(server.service()).forgetFailures(server.id());
+  }
+
   /**
    * Records a failure of the server. It is ignored if the server has restarted since, as a failure
    * of the earlier process says nothing about the new one.
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -0,0 +1,84 @@
+package org.teaseldeal.gateway.path;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.teaseldeal.gateway.path.RelayMessages.Result;
+import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.HttpFailure;
+import org.teaseldeal.net.HttpListener;
+
+/**
+ * Translates a relay's answer into the backend server's answer or the reason that there is none.
+ */
+final class RelayedCall implements HttpListener {
+  /** Receives what became of the request besides its answer. */
+  interface Outcome {
+    /** Called when the relay has passed on the head of the server's answer. */
+    void onAnswered();
+
+    /** Called if the relay did not send the request and another instance may. */
+    void onRefused(String detail);
+
+    /** Called if the relay could not connect to the server. */
+    void onUnreachable(String detail);
+
+    /** Called if the request may have reached the server and its answer did not begin. */
+    void onNoAnswer(String detail);
+  }
+
+  private final HttpListener listener;
+  private final Outcome outcome;
+  private final ByteArrayOutputStream detail = new ByteArrayOutputStream(0);
+  private @Nullable Result result;
+  private AnswerEnd announcedEnd = AnswerEnd.CONNECTION_CLOSED;
+
+  RelayedCall(HttpListener listener, Outcome outcome) {
+    this.listener = listener;
+    this.outcome = outcome;
+  }
+
+  @Override
+  public void onHead(int status, Map<String, String> headers) {
+    result = RelayMessages.result(headers);
+    if (result == Result.ANSWER) {
+      announcedEnd = RelayMessages.answerEnd(headers);
+      outcome.onAnswered();
+      listener.onHead(status, RelayMessages.withoutRelayHeaders(headers));
+    }
+  }
+
+  @Override
+  public void onBodyPart(byte[] part) {
+    if (result == Result.ANSWER) {
+      listener.onBodyPart(part);
+    } else {
+      detail.writeBytes(part);
+    }
+  }
+
+  @Override
+  public void onEnd(AnswerEnd end) {
+    String text = detail.toString(StandardCharsets.UTF_8);
+    switch (result) {
+      case ANSWER -> listener.onEnd(announcedEnd);
+      case UNREACHABLE -> outcome.onUnreachable(text);
+      case NO_ANSWER -> outcome.onNoAnswer(text);
+      case null, default -> outcome.onRefused(text);
+    }
+  }
+
+  @Override
+  public void onFailure(HttpFailure failure, String text) {
+    if (failure == HttpFailure.NOT_SENT) {
+      outcome.onRefused(text);
+    } else if (result == Result.ANSWER) {
+      listener.onFailure(HttpFailure.BROKEN_ANSWER, text);
+    } else if (result == Result.REFUSED || result == Result.UNREACHABLE) {
+      outcome.onRefused(text);
+    } else {
+      outcome.onNoAnswer(text);
+    }
+  }
+}
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -3,11 +3,18 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Function;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.decisions.RelayPeers;
 import org.teaseldeal.decisions.ServerPaths;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
@@ -19,36 +26,82 @@
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
 
-/** Sends requests to backend servers and observes whether this instance's paths to them work. */
+/**
+ * Sends requests to backend servers, and observes whether this instance's own paths to them work.
+ * Requests to a server whose path is lost are sent through another instance.
+ */
 public final class ServerLinks {
+  /** The way that a request takes to a server. */
+  public enum Way {
+    DIRECT,
+    RELAY,
+    /** Neither this instance nor another one that it knows of reaches the server. */
+    NONE
+  }
+
+  /** Receives conclusions about servers that this instance can't reach. */
+  public interface Listener {
+    /** Called when this instance has lost its path; earlier failures may have been the path's. */
+    void onPathLost(BackendServer server);
+
+    /** Called when neither this instance nor the ones that it asked can connect to the server. */
+    void onUnreachable(BackendServer server);
+  }
+
+  /**
+   * The number of instances that have to report a server as unreachable in a row. One of them may
+   * have lost its own paths a moment ago without having noticed yet.
+   */
+  private static final int UNREACHABLE_REPORTS = 2;
+
+  /** The maximum number of instances that are asked to relay a request. */
+  private static final int MAX_RELAYS = 4;
+
   /** The name of the paths in events about what this instance depends on. */
   private static final String DEPENDENCY = "backend servers, directly";
 
+  private final String instance;
   private final BackendPort direct;
+  private final BackendPort peers;
+  private final Supplier<List<String>> peerAddresses;
+  private final RelayPeers relays;
   private final BackendPort probes;
   private final Function<BackendServer, HttpCallRequest> probeRequests;
   private final ServerDirectory servers;
   private final EventSink events;
   private final InstantSource clock;
   private final ServerPaths paths = new ServerPaths(new PathEvents());
+  private final Map<BackendServerId, Integer> unreachableReports = new HashMap<>();
+  private Listener listener = new NoListener();
   private long lastSeenChanges = -1;
   private boolean allLost;
 
   /**
    * Creates the links of an instance.
    *
+   * @param instance the name of this instance
    * @param direct sends requests on pooled connections
+   * @param peers sends requests to other instances
+   * @param peerAddresses supplies the addresses of the other instances
    * @param probes sends each request on a new connection
    * @param probeRequests creates a request that a server answers at once, with its timeout
    */
   public ServerLinks(
+      String instance,
       BackendPort direct,
+      BackendPort peers,
+      Supplier<List<String>> peerAddresses,
       BackendPort probes,
       Function<BackendServer, HttpCallRequest> probeRequests,
       ServerDirectory servers,
       EventSink events,
-      InstantSource clock) {
+      InstantSource clock,
+      RandomGenerator random) {
+    this.instance = instance;
     this.direct = direct;
+    this.peers = peers;
+    this.peerAddresses = peerAddresses;
+    this.relays = new RelayPeers(random);
     this.probes = probes;
     this.probeRequests = probeRequests;
     this.servers = servers;
@@ -56,11 +109,64 @@
     this.clock = clock;
   }
 
-  /** Sends a request to {@code server} and reports its answer or failure to {@code listener}. */
-  public HttpCall send(BackendServer server, HttpCallRequest request, HttpListener listener) {
+  /** Sets the only listener. */
+  public void setListener(Listener newListener) {
+    listener = newListener;
+  }
+
+  /**
+   * Returns the way that a request to {@code server} takes.
+   *
+   * @param avoidDirect whether a connection for this request has failed, which may be the first
+   *     sign of a partition
+   */
+  public Way way(BackendServer server, boolean avoidDirect) {
+    boolean lost = paths.isLost(server.id());
+    if (!lost && !avoidDirect) {
+      return Way.DIRECT;
+    }
+    if (relays.hasUsable(peerAddresses.get(), clock.instant())) {
+      return Way.RELAY;
+    }
+    return paths.canConnectNowhere() ? Way.NONE : Way.DIRECT;
+  }
+
+  /** Returns whether this instance knows others that may relay requests. */
+  public boolean hasRelays() {
+    return relays.hasUsable(peerAddresses.get(), clock.instant());
+  }
+
+  /**
+   * Sends a request to {@code server} on this instance's own path, and reports its answer or
+   * failure to {@code listener}.
+   */
+  public HttpCall sendDirectly(
+      BackendServer server, HttpCallRequest request, HttpListener listener) {
     return direct.send(request, new ObservedCall(server.id(), listener));
   }
 
+  /**
+   * Sends a request to {@code server} through another instance. An instance that refuses is
+   * replaced by the next one. {@link HttpFailure#NOT_SENT} means that the request did not reach the
+   * server by any of them.
+   */
+  public HttpCall sendThroughRelay(
+      BackendServer server, HttpCallRequest request, HttpListener listener) {
+    RelayAttempts attempts = new RelayAttempts(server, request, listener);
+    attempts.sendToNext("no other instance can relay it");
+    return attempts;
+  }
+
+  /** Returns whether this instance's own path to {@code server} is lost. */
+  public boolean isLost(BackendServer server) {
+    return paths.isLost(server.id());
+  }
+
+  /** Returns whether this instance reaches no server by itself, as far as it can tell. */
+  public boolean areAllLost() {
+    return paths.areAllLost();
+  }
+
   /** Records that a request sent to {@code server} has received nothing for {@code silence}. */
   public void onSilent(BackendServer server, Duration silence) {
     paths.onSilent(server.id(), silence, clock.instant());
@@ -78,6 +184,7 @@
       Set<BackendServerId> listed =
           servers.all().stream().map(BackendServer::id).collect(Collectors.toSet());
       paths.onListed(listed);
+      unreachableReports.keySet().retainAll(listed);
     }
     for (BackendServerId id : paths.takeDueProbes(clock.instant())) {
       servers.find(id).ifPresentOrElse(this::probe, () -> onUnlisted(id));
@@ -88,6 +195,7 @@
   /** Discards what is known of the path to a server that has been replaced under its id. */
   public void onReplaced(BackendServer earlier) {
     paths.onReplaced(earlier.id());
+    unreachableReports.remove(earlier.id());
   }
 
   private void onUnlisted(BackendServerId id) {
@@ -95,7 +203,43 @@
   }
 
   private void probe(BackendServer server) {
-    probes.send(probeRequests.apply(server), new Probe(server.id()));
+    HttpCallRequest request = probeRequests.apply(server);
+    probes.send(request, new Probe(server.id()));
+    if (paths.isLost(server.id())) {
+      probeThroughRelay(server, request);
+    }
+  }
+
+  /**
+   * Asks another instance whether it reaches a server that this one doesn't. This tells a lost path
+   * from a server that is down, and finds instances that can relay requests.
+   */
+  private void probeThroughRelay(BackendServer server, HttpCallRequest request) {
+    Instant now = clock.instant();
+    relays
+        .chooseToTest(peerAddresses.get(), now)
+        .ifPresent(
+            peer ->
+                peers.send(
+                    relayRequest(peer, server, request),
+                    new RelayedCall(new IgnoredAnswer(), new RelayedProbe(server, peer))));
+  }
+
+  private HttpCallRequest relayRequest(String peer, BackendServer server, HttpCallRequest request) {
+    return new HttpCallRequest(
+        peer,
+        "POST",
+        RequestRelay.PATH,
+        RelayMessages.encode(instance, server, request),
+        request.body(),
+        request.timeout());
+  }
+
+  private void onReportedUnreachable(BackendServer server) {
+    int reports = unreachableReports.merge(server.id(), 1, Integer::sum);
+    if (reports == UNREACHABLE_REPORTS && servers.lists(server.incarnation())) {
+      listener.onUnreachable(server);
+    }
   }
 
   private void reportIfAllLostChanged() {
@@ -118,6 +262,8 @@
       events.accept(
           new GatewayEvent.ServerPath(
               server.name(), address(server), false, evidence.name(), Duration.ZERO));
+      unreachableReports.remove(server);
+      servers.find(server).ifPresent(listener::onPathLost);
     }
 
     @Override
@@ -170,6 +316,128 @@
     }
   }
 
+  /** A request that is offered to one instance after the other until one relays it. */
+  private final class RelayAttempts implements HttpCall, RelayedCall.Outcome {
+    private final BackendServer server;
+    private final HttpCallRequest request;
+    private final HttpListener listener;
+    private final Instant startedAt = clock.instant();
+    private final Set<String> tried = new HashSet<>();
+    private HttpCall call = () -> {};
+    private String peer = "";
+    private boolean cancelled;
+
+    RelayAttempts(BackendServer server, HttpCallRequest request, HttpListener listener) {
+      this.server = server;
+      this.request = request;
+      this.listener = listener;
+    }
+
+    void sendToNext(String refusal) {
+      Instant now = clock.instant();
+      Duration timeLeft = request.timeout().minus(Duration.between(startedAt, now));
+      Optional<String> next =
+          tried.size() < MAX_RELAYS && timeLeft.isPositive()
+              ? relays.choose(peerAddresses.get(), tried, now)
+              : Optional.empty();
+      if (next.isEmpty()) {
+        listener.onFailure(HttpFailure.NOT_SENT, refusal);
+        return;
+      }
+      peer = next.get();
+      tried.add(peer);
+      HttpCallRequest relayed = relayRequest(peer, server, request.withTimeout(timeLeft));
+      HttpCall sent = peers.send(relayed, new RelayedCall(listener, this));
+      // The call may have failed at once and been replaced by the next one.
+      if (peer.equals(relayed.address())) {
+        call = sent;
+      }
+    }
+
+    @Override
+    public void cancel() {
+      cancelled = true;
+      call.cancel();
+    }
+
+    @Override
+    public void onAnswered() {
+      relays.onRelayed(peer, clock.instant());
+    }
+
+    @Override
+    public void onRefused(String detail) {
+      relays.onFailed(peer, clock.instant());
+      if (!cancelled) {
+        sendToNext("by " + peer + ": " + detail);
+      }
+    }
+
+    @Override
+    public void onUnreachable(String detail) {
+      listener.onFailure(HttpFailure.NOT_SENT, "by " + peer + ": " + detail);
+    }
+
+    @Override
+    public void onNoAnswer(String detail) {
+      listener.onFailure(HttpFailure.NO_ANSWER, "by " + peer + ": " + detail);
+    }
+  }
+
+  /** The outcome of a probe that another instance relayed. */
+  private final class RelayedProbe implements RelayedCall.Outcome {
+    private final BackendServer server;
+    private final String peer;
+
+    RelayedProbe(BackendServer server, String peer) {
+      this.server = server;
+      this.peer = peer;
+    }
+
+    @Override
+    public void onAnswered() {
+      relays.onRelayed(peer, clock.instant());
+      unreachableReports.remove(server.id());
+      server.excludeUntil(Instant.MIN);
+    }
+
+    @Override
+    public void onRefused(String detail) {
+      relays.onFailed(peer, clock.instant());
+    }
+
+    @Override
+    public void onUnreachable(String detail) {
+      relays.onRelayed(peer, clock.instant());
+      onReportedUnreachable(server);
+    }
+
+    @Override
+    public void onNoAnswer(String detail) {}
+  }
+
+  private static final class IgnoredAnswer implements HttpListener {
+    @Override
+    public void onHead(int status, Map<String, String> headers) {}
+
+    @Override
+    public void onBodyPart(byte[] part) {}
+
+    @Override
+    public void onEnd(AnswerEnd end) {}
+
+    @Override
+    public void onFailure(HttpFailure failure, String detail) {}
+  }
+
+  private static final class NoListener implements Listener {
+    @Override
+    public void onPathLost(BackendServer server) {}
+
+    @Override
+    public void onUnreachable(BackendServer server) {}
+  }
+
   /** A request whose answer shows only that the path works. */
   private final class Probe implements HttpListener {
     private final BackendServerId server;
@@ -191,9 +459,17 @@
     @Override
     public void onEnd(AnswerEnd end) {}
 
+    /** Without another instance to ask, answers of other servers show that the path is not lost. */
+    private void reportIfOthersAnswer() {
+      if (peerAddresses.get().isEmpty() && paths.isLost(server) && !paths.areAllLost()) {
+        servers.find(server).ifPresent(ServerLinks.this::onReportedUnreachable);
+      }
+    }
+
     @Override
     public void onFailure(HttpFailure failure, String detail) {
       if (!answered) {
+        reportIfOthersAnswer();
         paths.onProbeFailed(
             server,
             failure == HttpFailure.NOT_SENT
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -112,10 +112,15 @@
                 quarantine,
                 new FakeDialect(),
                 new ServerLinks(
+                    "instance-1",
                     (request, listener) -> {
                       sent.add(new SentRequest(request, listener));
                       return () -> {};
                     },
+                    (request, listener) -> {
+                      throw new AssertionError("unexpected request to another instance");
+                    },
+                    List::of,
                     (request, listener) -> {
                       probes.add(new SentRequest(request, listener));
                       return () -> {};
@@ -130,7 +135,8 @@
                             Duration.ofMillis(400)),
                     servers,
                     events::add,
-                    clock),
+                    clock,
+                    new Random(1)),
                 () -> PeerLoads.NONE,
                 new CachedPrompts(),
                 () -> 1,
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -120,7 +120,12 @@
                 new RequestQuarantine(name, servers::lists, this::onEvent, time),
                 new ModelDialect(),
                 new ServerLinks(
+                    name,
                     this::sendToServer,
+                    (request, listener) -> {
+                      throw new IllegalStateException("the model has no relays");
+                    },
+                    List::of,
                     this::probeServer,
                     server ->
                         new HttpCallRequest(
@@ -132,7 +137,8 @@
                             PROBE_TIMEOUT),
                     servers,
                     this::onEvent,
-                    time),
+                    time,
+                    new Random(fleet.nextSeed())),
                 fleet.isEnabled(Mechanism.LOADS) ? loadExchange::peerLoads : () -> PeerLoads.NONE,
                 cachedPrompts,
                 () -> fleet.memberNames().size(),
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
@@ -64,12 +64,13 @@
     return finished || listener.acceptsAnswer(status, headers);
   }
 
-  synchronized void deliverHead(int status, Map<String, String> headers) {
+  synchronized void deliverHead(int status, Map<String, String> headers, AnswerEnd announcedEnd) {
     if (finished) {
       return;
     }
     headReceived = true;
     cancelTimeout();
+    runCallback(() -> listener.onEndAnnounced(announcedEnd));
     runCallback(() -> listener.onHead(status, headers));
   }
 
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -176,10 +176,11 @@
     }
     keepAlive = HttpUtil.isKeepAlive(head);
     serverIdleTimeout = KeepAliveHeader.parseTimeout(headers);
-    announcedEnd = announcedEnd(current.request(), head);
+    AnswerEnd end = announcedEnd(current.request(), head);
+    announcedEnd = end;
     remainingBytes =
-        announcedEnd == AnswerEnd.LENGTH ? HttpUtil.getContentLength(head, NO_LENGTH) : NO_LENGTH;
-    current.deliverHead(head.status().code(), headers);
+        end == AnswerEnd.LENGTH ? HttpUtil.getContentLength(head, NO_LENGTH) : NO_LENGTH;
+    current.deliverHead(head.status().code(), headers, end);
   }
 
   private static AnswerEnd announcedEnd(HttpCallRequest request, HttpResponse head) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpCallRequest.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpCallRequest.java
@@ -22,4 +22,9 @@
   public HttpCallRequest {
     headers = Map.copyOf(headers);
   }
+
+  /** Returns this request with another timeout. */
+  public HttpCallRequest withTimeout(Duration newTimeout) {
+    return new HttpCallRequest(address, method, path, headers, body, newTimeout);
+  }
 }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
@@ -19,6 +19,9 @@
     return true;
   }
 
+  /** Called right before {@link #onHead} with how the head says that the answer's end is marked. */
+  default void onEndAnnounced(AnswerEnd end) {}
+
   /** Receives the answer's head; header names are in lower case. */
   void onHead(int status, Map<String, String> headers);
 
