Ask a second instance if the first one doesn't reach a server either

A request is now offered to a second instance then, first to the one that reached this server last. A server counts as down after the reports of two different instances.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -49,8 +49,8 @@
   }
 
   /**
-   * The number of instances that have to report a server as unreachable in a row. One of them may
-   * have lost its own paths a moment ago without having noticed yet.
+   * The number of instances that have to report a server as unreachable, unless there are fewer.
+   * One of them may have lost its own path as well.
    */
   private static final int UNREACHABLE_REPORTS = 2;
 
@@ -71,7 +71,8 @@
   private final EventSink events;
   private final InstantSource clock;
   private final ServerPaths paths = new ServerPaths(new PathEvents());
-  private final Map<BackendServerId, Integer> unreachableReports = new HashMap<>();
+  private final Map<BackendServerId, Set<String>> unreachableReports = new HashMap<>();
+  private final Map<BackendServerId, String> lastRelays = new HashMap<>();
   private Listener listener = new NoListener();
   private long lastSeenChanges = -1;
   private boolean allLost;
@@ -185,6 +186,7 @@
           servers.all().stream().map(BackendServer::id).collect(Collectors.toSet());
       paths.onListed(listed);
       unreachableReports.keySet().retainAll(listed);
+      lastRelays.keySet().retainAll(listed);
     }
     for (BackendServerId id : paths.takeDueProbes(clock.instant())) {
       servers.find(id).ifPresentOrElse(this::probe, () -> onUnlisted(id));
@@ -235,13 +237,27 @@
         request.timeout());
   }
 
-  private void onReportedUnreachable(BackendServer server) {
-    int reports = unreachableReports.merge(server.id(), 1, Integer::sum);
-    if (reports == UNREACHABLE_REPORTS && servers.lists(server.incarnation())) {
+  /**
+   * Records that {@code reporter} can't connect to a server that this instance doesn't reach
+   * either.
+   */
+  private void onReportedUnreachable(BackendServer server, String reporter) {
+    lastRelays.remove(server.id(), reporter);
+    Set<String> reporters = unreachableReports.computeIfAbsent(server.id(), id -> new HashSet<>());
+    int needed = Math.clamp(peerAddresses.get().size(), 1, UNREACHABLE_REPORTS);
+    if (reporters.add(reporter)
+        && reporters.size() == needed
+        && servers.lists(server.incarnation())) {
       listener.onUnreachable(server);
     }
   }
 
+  private void onRelayed(BackendServer server, String peer) {
+    relays.onRelayed(peer, clock.instant());
+    lastRelays.put(server.id(), peer);
+    unreachableReports.remove(server.id());
+  }
+
   private void reportIfAllLostChanged() {
     boolean lost = paths.areAllLost();
     if (lost != allLost) {
@@ -326,6 +342,7 @@
     private HttpCall call = () -> {};
     private String peer = "";
     private boolean cancelled;
+    private int unreachable;
 
     RelayAttempts(BackendServer server, HttpCallRequest request, HttpListener listener) {
       this.server = server;
@@ -337,9 +354,7 @@
       Instant now = clock.instant();
       Duration timeLeft = request.timeout().minus(Duration.between(startedAt, now));
       Optional<String> next =
-          tried.size() < MAX_RELAYS && timeLeft.isPositive()
-              ? relays.choose(peerAddresses.get(), tried, now)
-              : Optional.empty();
+          tried.size() < MAX_RELAYS && timeLeft.isPositive() ? chooseRelay(now) : Optional.empty();
       if (next.isEmpty()) {
         listener.onFailure(HttpFailure.NOT_SENT, refusal);
         return;
@@ -354,6 +369,14 @@
       }
     }
 
+    /** Prefers the instance that reached this server last: others may be partitioned from it. */
+    private Optional<String> chooseRelay(Instant now) {
+      Set<String> candidates = new HashSet<>(peerAddresses.get());
+      return Optional.ofNullable(lastRelays.get(server.id()))
+          .filter(last -> candidates.contains(last) && !tried.contains(last))
+          .or(() -> relays.choose(peerAddresses.get(), tried, now));
+    }
+
     @Override
     public void cancel() {
       cancelled = true;
@@ -362,20 +385,30 @@
 
     @Override
     public void onAnswered() {
-      relays.onRelayed(peer, clock.instant());
+      onRelayed(server, peer);
     }
 
     @Override
     public void onRefused(String detail) {
       relays.onFailed(peer, clock.instant());
-      if (!cancelled) {
-        sendToNext("by " + peer + ": " + detail);
-      }
+      lastRelays.remove(server.id(), peer);
+      sendToNextUnlessCancelled(detail);
     }
 
     @Override
     public void onUnreachable(String detail) {
-      listener.onFailure(HttpFailure.NOT_SENT, "by " + peer + ": " + detail);
+      onReportedUnreachable(server, peer);
+      if (++unreachable < UNREACHABLE_REPORTS) {
+        sendToNextUnlessCancelled(detail);
+      } else {
+        listener.onFailure(HttpFailure.NOT_SENT, "by " + peer + ": " + detail);
+      }
+    }
+
+    private void sendToNextUnlessCancelled(String detail) {
+      if (!cancelled) {
+        sendToNext("by " + peer + ": " + detail);
+      }
     }
 
     @Override
@@ -396,8 +429,7 @@
 
     @Override
     public void onAnswered() {
-      relays.onRelayed(peer, clock.instant());
-      unreachableReports.remove(server.id());
+      onRelayed(server, peer);
       server.excludeUntil(Instant.MIN);
     }
 
@@ -408,8 +440,7 @@
 
     @Override
     public void onUnreachable(String detail) {
-      relays.onRelayed(peer, clock.instant());
-      onReportedUnreachable(server);
+      onReportedUnreachable(server, peer);
     }
 
     @Override
@@ -462,7 +493,7 @@
     /** Without another instance to ask, answers of other servers show that the path is not lost. */
     private void reportIfOthersAnswer() {
       if (peerAddresses.get().isEmpty() && paths.isLost(server) && !paths.areAllLost()) {
-        servers.find(server).ifPresent(ServerLinks.this::onReportedUnreachable);
+        servers.find(server).ifPresent(unreached -> onReportedUnreachable(unreached, instance));
       }
     }
 
