Send brittle servers no more requests than they have room for

While servers of a service announce it, an instance has a window of its own at each: at first its even share of the slots, so that none waits there. A rejection shrinks the window and holds back further requests, growth is slow, and both are slower the more instances there are and the fewer rejections a server endures. Windows below one request are paced. A server that comes back starts with a quarter. A request without room waits up to its aim, 0.4 s at most, and is refused as not run with a time to come back.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -165,6 +165,16 @@
       String server, String address, boolean reachable, String evidence, Duration lostFor)
       implements GatewayEvent {}
 
+  /**
+   * The servers of a service have announced that they fail if they have to reject too many
+   * requests, or that they don't any more.
+   *
+   * @param maxRejections the rejections in a second that a server endures; 0 if {@code brittle} is
+   *     false
+   */
+  record ServersBrittle(String service, boolean brittle, int maxRejections)
+      implements GatewayEvent {}
+
   /**
    * The use of a customer's prepaid total, as this instance knows it.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -125,6 +125,9 @@
     status = answerStatus;
     headers = components.dialect().answerHeaders(answerHeaders);
     verdict = components.dialect().verdict(answerStatus, answerHeaders);
+    if (verdict == AnswerVerdict.GENUINE || verdict == AnswerVerdict.NOT_RUN) {
+      flow.onAnswerHead(server, components.dialect().maxRejectionsPerSecond(answerHeaders));
+    }
     String contentType = headers.get(CONTENT_TYPE);
     eventStream =
         streamed
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.gateway.flow;
 
 import java.util.Map;
+import java.util.OptionalInt;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.api.Result;
 import org.teaseldeal.net.HttpAnswer;
@@ -27,6 +28,14 @@
   /** Interprets the status and headers of an answer. */
   AnswerVerdict verdict(int status, Map<String, String> headers);
 
+  /**
+   * The number of rejections per second from which on the server that sent an answer fails; empty
+   * if it announces none.
+   */
+  default OptionalInt maxRejectionsPerSecond(Map<String, String> headers) {
+    return OptionalInt.empty();
+  }
+
   /** The headers of a backend server's answer that are passed on to the caller. */
   Map<String, String> answerHeaders(Map<String, String> headers);
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -89,6 +89,8 @@
             components.servers(),
             components.peerLoads(),
             components.cachedPrompts(),
+            components.instances(),
+            components.events(),
             components.random());
     components.links().setListener(new LinkObserver());
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.ErrorKind;
@@ -269,6 +270,7 @@
     }
     stage = Stage.ANSWER;
     sendCount++;
+    dispatcher.selector().onSent(server, now());
     placementDelay = Duration.between(arrivedAt, now());
     components.events().accept(placedEvent(chosen.get(), way));
     components.cachedPrompts().onSent(server.incarnation(), sharedPartIds(), now());
@@ -329,6 +331,13 @@
 
   private void waitOrGiveUp() {
     Duration waiting = Duration.between(waitingForServerSince, now());
+    if (dispatcher.selector().limitsRequests(service, now())) {
+      // The servers would fail if they had to reject it.
+      if (waiting.compareTo(shorter(MAX_WAIT_FOR_SERVER, route.aim())) > 0) {
+        giveUp(ErrorKind.OVERLOADED, "the servers of the service can take no more requests");
+      }
+      return;
+    }
     if (waiting.compareTo(MAX_WAIT_FOR_SERVER) > 0
         || !failedIncarnations.isEmpty()
         || connectFailures > 0) {
@@ -336,6 +345,10 @@
     }
   }
 
+  private static Duration shorter(Duration one, Duration other) {
+    return one.compareTo(other) < 0 ? one : other;
+  }
+
   /**
    * Sends the request to another server if the present one has sent nothing for too long.
    *
@@ -365,6 +378,10 @@
     return waiting.silence().compareTo(dispatcher.maxSilence(route)) > 0;
   }
 
+  void onAnswerHead(BackendServer server, OptionalInt maxRejections) {
+    dispatcher.selector().onAnswerHead(server, maxRejections, now());
+  }
+
   void onEvent(int status, Map<String, String> headers, EventSplitter.Event event) {
     if (stage == Stage.ENDED) {
       return;
@@ -462,6 +479,7 @@
       }
       case NOT_RUN -> {
         server.excludeUntil(now().plus(FULL_EXCLUSION));
+        dispatcher.selector().onRejected(server, now());
         resendIf(mayRetry(), ErrorKind.OVERLOADED, detail);
       }
       case SERVER_ERROR -> resendIf(true, ErrorKind.BACKEND_FAILED, detail);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -7,12 +7,17 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.Set;
+import java.util.function.IntSupplier;
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.decisions.BrittleLimits;
 import org.teaseldeal.decisions.PromptPlacement;
 import org.teaseldeal.decisions.ServerHealth;
+import org.teaseldeal.gateway.event.EventSink;
+import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.peer.PeerLoad;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.server.BackendServer;
@@ -56,7 +61,10 @@
   private final Supplier<PeerLoads> peerLoads;
   private final CachedPrompts cachedPrompts;
   private final RandomGenerator random;
+  private final IntSupplier instances;
+  private final EventSink events;
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
+  private final Map<String, BrittleLimits> limitsByService = new HashMap<>();
   private final Map<BackendServerId, ServerIncarnation> knownIncarnations = new HashMap<>();
   private long lastSeenChanges = -1;
   private Instant nextUpdate = Instant.MIN;
@@ -65,7 +73,11 @@
       ServerDirectory servers,
       Supplier<PeerLoads> peerLoads,
       CachedPrompts cachedPrompts,
+      IntSupplier instances,
+      EventSink events,
       RandomGenerator random) {
+    this.instances = instances;
+    this.events = events;
     this.servers = servers;
     this.peerLoads = peerLoads;
     this.cachedPrompts = cachedPrompts;
@@ -93,13 +105,15 @@
     Map<String, Set<BackendServerId>> listedByService = new HashMap<>();
     for (BackendServer server : servers.all()) {
       listedByService.computeIfAbsent(server.service(), name -> new HashSet<>()).add(server.id());
-      forgetEarlierIncarnation(server);
+      forgetEarlierIncarnation(server, now);
     }
     listedByService.keySet().forEach(this::health);
     healthByService.forEach(
         (service, health) ->
             health.onListed(
                 listedByService.getOrDefault(service, Set.of()), now, lastSeenChanges < 0));
+    limitsByService.forEach(
+        (service, limits) -> limits.retain(listedByService.getOrDefault(service, Set.of())));
     knownIncarnations.keySet().removeIf(id -> servers.find(id).isEmpty());
     lastSeenChanges = servers.changes();
   }
@@ -110,9 +124,11 @@
    * <p>Otherwise the new process of a server that restarts under its id would get no requests until
    * the ejection of its predecessor ends, or few because its predecessor was slow.
    */
-  private void forgetEarlierIncarnation(BackendServer server) {
+  private void forgetEarlierIncarnation(BackendServer server, Instant now) {
     if (!server.incarnation().equals(knownIncarnations.put(server.id(), server.incarnation()))) {
       health(server.service()).forget(server.id());
+      limits(server.service())
+          .onListed(server.id(), server.maxConcurrentRequests(), instances.getAsInt(), now);
     }
   }
 
@@ -139,14 +155,17 @@
     refreshFromList(now);
     ServerHealth health = health(service);
     List<BackendServer> ready = servers.ready(service);
+    PeerLoads loads = peerLoads.get();
     List<BackendServer> untried =
-        ready.stream().filter(server -> !tried.contains(server.incarnation())).toList();
+        ready.stream()
+            .filter(server -> !tried.contains(server.incarnation()))
+            .filter(server -> hasRoom(server, loads, now))
+            .toList();
     List<BackendServer> healthy =
         untried.stream()
             .filter(server -> !server.isExcluded(now) && health.isEligible(server.id(), now))
             .toList();
     List<BackendServer> candidates = healthy.isEmpty() ? untried : healthy;
-    PeerLoads loads = peerLoads.get();
     List<PromptPlacement.Candidate> views =
         candidates.stream()
             .map(server -> candidate(server, loads.at(server.id()), prompt))
@@ -194,6 +213,65 @@
     return tokens;
   }
 
+  private BrittleLimits limits(String service) {
+    return limitsByService.computeIfAbsent(service, name -> new BrittleLimits(random));
+  }
+
+  private boolean hasRoom(BackendServer server, PeerLoads loads, Instant now) {
+    BrittleLimits limits = limitsByService.get(server.service());
+    return limits == null
+        || !limits.isInForce(now)
+        || limits.hasRoom(
+            server.id(), server.maxConcurrentRequests(), fleetLoad(server, loads), now);
+  }
+
+  private BrittleLimits.FleetLoad fleetLoad(BackendServer server, PeerLoads loads) {
+    return new BrittleLimits.FleetLoad(
+        server.running(), loads.at(server.id()).running(), Math.max(1, instances.getAsInt()));
+  }
+
+  /** Whether the servers of a service get no more requests than they have room for. */
+  boolean limitsRequests(String service, Instant now) {
+    BrittleLimits limits = limitsByService.get(service);
+    return limits != null && limits.isInForce(now);
+  }
+
+  /**
+   * Records whether a server announces that it fails from a number of rejections on. All servers of
+   * its service do so at the same time.
+   */
+  void onAnswerHead(BackendServer server, OptionalInt maxRejections, Instant now) {
+    BrittleLimits limits = limitsByService.get(server.service());
+    boolean before = limits != null && limits.isInForce(now);
+    if (maxRejections.isPresent()) {
+      limits(server.service()).onAnnounced(maxRejections.getAsInt(), now);
+    } else if (before) {
+      limits(server.service()).onNotAnnounced();
+    }
+    if (before != maxRejections.isPresent()) {
+      events.accept(
+          new GatewayEvent.ServersBrittle(
+              server.service(), maxRejections.isPresent(), maxRejections.orElse(0)));
+    }
+  }
+
+  /** Records that a request was sent to a server. */
+  void onSent(BackendServer server, Instant now) {
+    BrittleLimits limits = limitsByService.get(server.service());
+    if (limits != null) {
+      limits.onSent(server.id(), now);
+    }
+  }
+
+  /** Records that a server rejected a request for want of room. */
+  void onRejected(BackendServer server, Instant now) {
+    BrittleLimits limits = limitsByService.get(server.service());
+    if (limits != null) {
+      limits.onRejected(
+          server.id(), server.maxConcurrentRequests(), fleetLoad(server, peerLoads.get()), now);
+    }
+  }
+
   /**
    * Records a complete answer.
    *
@@ -202,6 +280,7 @@
   void onAnswered(BackendServer server, Duration took, double work) {
     if (servers.lists(server.incarnation())) {
       health(server.service()).onAnswered(server.id(), took, work);
+      limits(server.service()).onAnswered(took);
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -63,6 +63,8 @@
       case GatewayEvent.Dependency dependency -> onDependency(dependency);
       case GatewayEvent.ServerPath path ->
           count(path.reachable() ? "server_paths_regained" : "server_paths_lost");
+      case GatewayEvent.ServersBrittle brittle ->
+          count(brittle.brittle() ? "services_brittle" : "services_no_longer_brittle");
       case GatewayEvent.AccountLevel level -> accounts.put(level.customer(), level);
       case GatewayEvent.AccountTakenOver taken ->
           registry
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.api.Result;
 import org.teaseldeal.gateway.flow.AnswerVerdict;
@@ -18,6 +19,9 @@
   /** The status of an answer from a server other than the intended one. */
   private static final int OTHER_SERVER_STATUS = 421;
 
+  /** In an answer: the rejections per second from which on the server fails. */
+  public static final String BRITTLE_HEADER = "brittle";
+
   /** The host of all requests. */
   public static final String HOST = "desk.example";
 
@@ -62,6 +66,12 @@
     return status == OTHER_SERVER_STATUS ? AnswerVerdict.OTHER_SERVER : AnswerVerdict.GENUINE;
   }
 
+  @Override
+  public OptionalInt maxRejectionsPerSecond(Map<String, String> headers) {
+    String value = headers.get(BRITTLE_HEADER);
+    return value == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(value));
+  }
+
   @Override
   public Map<String, String> answerHeaders(Map<String, String> headers) {
     return headers;
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -61,6 +61,12 @@
       answer(200);
     }
 
+    /** Answers as a server that fails if it has to reject more than {@code maxRejections}. */
+    void answerAsBrittle(int maxRejections) {
+      listener.onHead(200, Map.of(FakeDialect.BRITTLE_HEADER, Integer.toString(maxRejections)));
+      listener.onEnd(AnswerEnd.LENGTH);
+    }
+
     void answer(int status) {
       listener.onHead(status, Map.of());
       listener.onEnd(AnswerEnd.LENGTH);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
@@ -24,7 +24,8 @@
 
   private final ServerDirectory servers = new ServerDirectory();
   private final ServerSelector selector =
-      new ServerSelector(servers, () -> PeerLoads.NONE, new CachedPrompts(), new Random(1));
+      new ServerSelector(
+          servers, () -> PeerLoads.NONE, new CachedPrompts(), () -> 1, event -> {}, new Random(1));
 
   @BeforeEach
   void list() {
