Tell a server that a relay doesn't list from a relay that refuses

An instance that doesn't list a server, because it is leaving or the list comes late, was held for one that doesn't relay and not asked for half a second. Paths to leaving servers are not probed any more, requests that are relayed count among those that a stop cuts off, and a relayed probe no longer lifts the exclusion of a server, whatever its reason was.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
@@ -120,7 +120,7 @@
       case ACCEPTING, SHORT_ONLY -> {}
       case REFUSING -> dispatcher.refuseAllNotRun();
       case ABORTING -> {
-        abortedRequests = dispatcher.openRequests();
+        abortedRequests = dispatcher.openRequests() + relay.openRequests();
         dispatcher.abortAll();
       }
       case CLOSING -> callerServer.stopAcceptingAsync();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
@@ -24,10 +24,16 @@
     ANSWER,
     /** The relay did not try; another instance may. Nothing was sent. */
     REFUSED,
+    /** The relay's list doesn't contain the server as ready. Nothing was sent. */
+    NOT_LISTED,
     /** The relay could not connect to the server. Nothing was sent. */
     UNREACHABLE,
     /** The request was sent, and the server's answer did not begin. */
-    NO_ANSWER
+    NO_ANSWER;
+
+    boolean provesNotSent() {
+      return this == REFUSED || this == NOT_LISTED || this == UNREACHABLE;
+    }
   }
 
   private static final String PREFIX = "teaseldeal-relay-";
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -21,6 +21,9 @@
     /** Called if the relay did not send the request and another instance may. */
     void onRefused(String detail);
 
+    /** Called if the relay's list doesn't contain the server; another instance's may. */
+    void onNotListed(String detail);
+
     /** Called if the relay could not connect to the server. */
     void onUnreachable(String detail);
 
@@ -63,6 +66,7 @@
     String text = detail.toString(StandardCharsets.UTF_8);
     switch (result) {
       case ANSWER -> listener.onEnd(announcedEnd);
+      case NOT_LISTED -> outcome.onNotListed(text);
       case UNREACHABLE -> outcome.onUnreachable(text);
       case NO_ANSWER -> outcome.onNoAnswer(text);
       case null, default -> outcome.onRefused(text);
@@ -75,7 +79,7 @@
       outcome.onRefused(text);
     } else if (result == Result.ANSWER) {
       listener.onFailure(HttpFailure.BROKEN_ANSWER, text);
-    } else if (result == Result.REFUSED || result == Result.UNREACHABLE) {
+    } else if (result != null && result.provesNotSent()) {
       outcome.onRefused(text);
     } else {
       outcome.onNoAnswer(text);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
@@ -90,9 +90,11 @@
             .find(relayed.server().id())
             .filter(listed -> listed.incarnation().equals(relayed.server()))
             .filter(BackendServer::isListedAsReady);
-    String refusal = refusal(relayed, server);
+    String refusal = refusal();
     if (!refusal.isEmpty()) {
       respond(exchange, UNAVAILABLE, Result.REFUSED, refusal);
+    } else if (server.isEmpty()) {
+      respond(exchange, UNAVAILABLE, Result.NOT_LISTED, "the server isn't listed here as ready");
     } else if (links.isLost(server.orElseThrow())) {
       respond(exchange, UNAVAILABLE, Result.UNREACHABLE, "the server can't be reached from here");
     } else {
@@ -101,13 +103,10 @@
   }
 
   /** Why a request is not relayed; empty if it is. */
-  private String refusal(Relayed relayed, Optional<BackendServer> server) {
+  private String refusal() {
     if (draining) {
       return "the instance stops";
     }
-    if (server.isEmpty()) {
-      return "server " + relayed.server().id().name() + " isn't listed as ready";
-    }
     if (links.areAllLost()) {
       return "no server can be reached from here";
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -73,7 +73,7 @@
   private final ServerPaths paths = new ServerPaths(new PathEvents());
   private final Map<BackendServerId, Set<String>> unreachableReports = new HashMap<>();
   private final Map<BackendServerId, String> lastRelays = new HashMap<>();
-  private Listener listener = new NoListener();
+  private Listener pathListener = new NoListener();
   private long lastSeenChanges = -1;
   private boolean allLost;
 
@@ -112,7 +112,7 @@
 
   /** Sets the only listener. */
   public void setListener(Listener newListener) {
-    listener = newListener;
+    pathListener = newListener;
   }
 
   /**
@@ -183,7 +183,10 @@
     if (lastSeenChanges != servers.changes()) {
       lastSeenChanges = servers.changes();
       Set<BackendServerId> listed =
-          servers.all().stream().map(BackendServer::id).collect(Collectors.toSet());
+          servers.all().stream()
+              .filter(BackendServer::isListedAsReady)
+              .map(BackendServer::id)
+              .collect(Collectors.toSet());
       paths.onListed(listed);
       unreachableReports.keySet().retainAll(listed);
       lastRelays.keySet().retainAll(listed);
@@ -248,7 +251,7 @@
     if (reporters.add(reporter)
         && reporters.size() == needed
         && servers.lists(server.incarnation())) {
-      listener.onUnreachable(server);
+      pathListener.onUnreachable(server);
     }
   }
 
@@ -279,7 +282,7 @@
           new GatewayEvent.ServerPath(
               server.name(), address(server), false, evidence.name(), Duration.ZERO));
       unreachableReports.remove(server);
-      servers.find(server).ifPresent(listener::onPathLost);
+      servers.find(server).ifPresent(pathListener::onPathLost);
     }
 
     @Override
@@ -395,6 +398,11 @@
       sendToNextUnlessCancelled(detail);
     }
 
+    @Override
+    public void onNotListed(String detail) {
+      sendToNextUnlessCancelled(detail);
+    }
+
     @Override
     public void onUnreachable(String detail) {
       onReportedUnreachable(server, peer);
@@ -430,7 +438,6 @@
     @Override
     public void onAnswered() {
       onRelayed(server, peer);
-      server.excludeUntil(Instant.MIN);
     }
 
     @Override
@@ -438,6 +445,9 @@
       relays.onFailed(peer, clock.instant());
     }
 
+    @Override
+    public void onNotListed(String detail) {}
+
     @Override
     public void onUnreachable(String detail) {
       onReportedUnreachable(server, peer);
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.path;
+
+import org.jspecify.annotations.NullMarked;
