Don't hold a server for failed when a relay fails

A relay that is killed ends all requests that it passes on; five of them at one server would have got that server ejected at the instance that sent them.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -498,7 +498,10 @@
   private void onMayHaveRun(Attempt failed, String detail) {
     boolean deadlinePassed = !now().isBefore(deadline.minus(TIMER_TOLERANCE));
     if (!deadlinePassed || isOverdue(failed)) {
-      dispatcher.selector().onFailed(failed.server());
+      if (!failed.relayed()) {
+        // The relay may have failed instead of the server.
+        dispatcher.selector().onFailed(failed.server());
+      }
       components.quarantine().onConnectionLost(fingerprint(), failed.server().incarnation());
     }
     if (deadlinePassed) {
