Ask once whether another instance can relay, without copying the list

ServerLinks.way repeated hasRelays, and the choice of a relay copied the list of instances into a set for each relayed request to look up one name. Behaviour is as before: ServerPathsTests, ServerLinksTests, BrittleServerTests and PartitionedFromServersTests pass on it.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -126,7 +126,7 @@
     if (!lost && !avoidDirect) {
       return Way.DIRECT;
     }
-    if (relays.hasUsable(peerAddresses.get(), clock.instant())) {
+    if (hasRelays()) {
       return Way.RELAY;
     }
     return paths.canConnectNowhere() ? Way.NONE : Way.DIRECT;
@@ -374,10 +374,10 @@
 
     /** Prefers the instance that reached this server last: others may be partitioned from it. */
     private Optional<String> chooseRelay(Instant now) {
-      Set<String> candidates = new HashSet<>(peerAddresses.get());
+      List<String> candidates = peerAddresses.get();
       return Optional.ofNullable(lastRelays.get(server.id()))
           .filter(last -> candidates.contains(last) && !tried.contains(last))
-          .or(() -> relays.choose(peerAddresses.get(), tried, now));
+          .or(() -> relays.choose(candidates, tried, now));
     }
 
     @Override
