Log the software version of backend servers, and which streams callers take up

Callers' streams held events of two software versions of a service. No log line said at which version a request ran, nor that a caller took up a stream of an earlier attempt, so the hypotheses of the incident couldn't be told apart. Placed names the server's version, the caller's last event and the attempt it resumes; ServerListed names the version. No decision uses either yet.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -33,8 +33,11 @@
    * @param readAgain the tokens that the server has to read although earlier prompts shared them
    * @param heardAgo the age of the other instances' load figures
    * @param candidates the number of servers that the choice was made from
+   * @param version the version of the server's software
    * @param resumeAfter the id of the last event that the caller has received; empty if the stream
    *     starts from the beginning
+   * @param resumes the caller's attempt that brought the stream's first event, if the caller takes
+   *     up a stream of an earlier attempt; otherwise empty
    * @param fingerprint a hash that is equal for all attempts of the caller
    * @param relayed whether it was sent through another instance
    */
@@ -42,6 +45,7 @@
       String request,
       String service,
       String server,
+      String version,
       int attempt,
       int running,
       int othersRunning,
@@ -50,6 +54,7 @@
       Duration heardAgo,
       int candidates,
       String resumeAfter,
+      String resumes,
       String fingerprint,
       boolean relayed)
       implements GatewayEvent {}
@@ -135,8 +140,12 @@
   /** A published plan could not be read. The previous plan remains the current one. */
   record PlanUnreadable(long offset, String detail) implements GatewayEvent {}
 
-  /** A backend server was listed, restarted, is leaving, or was removed from the list. */
-  record ServerListed(String server, String service, String address, String state)
+  /**
+   * A backend server was listed, restarted, is leaving, or was removed from the list.
+   *
+   * @param version the version of its software; empty if only its id is known
+   */
+  record ServerListed(String server, String service, String address, String version, String state)
       implements GatewayEvent {}
 
   /**
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerRequest.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerRequest.java
@@ -17,6 +17,7 @@
  * @param callerTimeout how long the caller waits for an answer, if it said so
  * @param key the API key that identifies the customer, if there is one
  * @param prompt the caller's description of its prompt, if the request has one
+ * @param resumption the stream that the caller takes up again, if it does
  */
 public record CallerRequest(
     String id,
@@ -27,7 +28,8 @@
     byte[] body,
     Optional<Duration> callerTimeout,
     Optional<String> key,
-    Optional<PromptDescription> prompt) {
+    Optional<PromptDescription> prompt,
+    Optional<Resumption> resumption) {
   public CallerRequest {
     headers = List.copyOf(headers);
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -300,6 +300,7 @@
         request.id(),
         service,
         server.id().name(),
+        server.softwareVersion(),
         sendCount,
         server.running(),
         chosen.peerLoad().running(),
@@ -307,11 +308,19 @@
         Math.max(0, chosen.uncachedTokens() - unshared),
         chosen.loadAge(),
         chosen.candidates(),
-        answer.lastEventId(),
+        resumeAfter(),
+        request.resumption().flatMap(Resumption::firstAttempt).orElse(""),
         fingerprint(),
         way == Way.RELAY);
   }
 
+  /** The id of the last event that the caller has received; empty if it has received none. */
+  private String resumeAfter() {
+    return answer.lastEventId().isEmpty()
+        ? request.resumption().flatMap(Resumption::lastEventId).orElse("")
+        : answer.lastEventId();
+  }
+
   private String fingerprint() {
     if (fingerprint == null) {
       fingerprint = request.fingerprint();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -15,6 +15,7 @@
   private final String service;
   private final String address;
   private final String dataCentre;
+  private final String softwareVersion;
   private final int maxConcurrentRequests;
   private final Runnable onLoadChange;
   private boolean leaving;
@@ -33,6 +34,7 @@
     this.service = listing.service();
     this.address = listing.address();
     this.dataCentre = listing.dataCentre();
+    this.softwareVersion = listing.softwareVersion();
     this.maxConcurrentRequests = listing.maxConcurrentRequests();
     this.leaving = listing.leaving();
   }
@@ -62,6 +64,14 @@
     return dataCentre;
   }
 
+  /**
+   * The version of the server's software. A stream goes on only at a server of the version that
+   * began it.
+   */
+  public String softwareVersion() {
+    return softwareVersion;
+  }
+
   /** The number of requests that the server runs at once. */
   public int maxConcurrentRequests() {
     return maxConcurrentRequests;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerListing.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerListing.java
@@ -11,6 +11,8 @@
  * @param service the name of the service that the server belongs to
  * @param address the address as {@code host:port}, with an IP address as the host
  * @param dataCentre the data centre in which the server runs
+ * @param softwareVersion the version of the server's software, an opaque text; what two versions
+ *     write doesn't fit together
  * @param maxConcurrentRequests the number of requests that the server runs at once
  * @param leaving whether the server accepts no new requests
  * @param startedAt when the server's process started, by its own clock; empty if the server doesn't
@@ -21,6 +23,7 @@
     String service,
     String address,
     String dataCentre,
+    String softwareVersion,
     int maxConcurrentRequests,
     boolean leaving,
     Optional<Instant> startedAt) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -37,6 +37,7 @@
             exchange.body(),
             Optional.empty(),
             Optional.empty(),
+            Optional.empty(),
             Optional.empty()));
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -155,7 +155,14 @@
   void list(String id, String address, Instant start) {
     servers.put(
         new ServerListing(
-            new BackendServerId(id), SERVICE, address, "hall-a", 6, false, Optional.of(start)));
+            new BackendServerId(id),
+            SERVICE,
+            address,
+            "hall-a",
+            "v1",
+            6,
+            false,
+            Optional.of(start)));
     dispatcher.tick();
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
@@ -94,6 +94,13 @@
 
   private static ServerListing listing(String id, Instant start) {
     return new ServerListing(
-        new BackendServerId(id), "models", "10.0.0.1:80", "hall-a", 64, false, Optional.of(start));
+        new BackendServerId(id),
+        "models",
+        "10.0.0.1:80",
+        "hall-a",
+        "v1",
+        64,
+        false,
+        Optional.of(start));
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
@@ -70,6 +70,7 @@
               "register",
               "10.0.0." + i + ":80",
               "hall-a",
+              "v1",
               6,
               false,
               Optional.of(Instant.EPOCH)));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadExchangeTests.java
@@ -139,6 +139,6 @@
   }
 
   private static ServerListing listing(Optional<Instant> startedAt) {
-    return new ServerListing(ENGINE, "models", "10.0.0.9:80", "hall-a", 64, false, startedAt);
+    return new ServerListing(ENGINE, "models", "10.0.0.9:80", "hall-a", "v1", 64, false, startedAt);
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadFleet.java
@@ -182,6 +182,7 @@
         "models",
         "10.0.0.9:" + (8000 + index),
         "hall-a",
+        "v1",
         16,
         false,
         Optional.of(Instant.EPOCH));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
@@ -82,6 +82,7 @@
             "desk",
             "10.0.0.7:81",
             "hall-b",
+            "v1",
             32,
             false,
             Optional.of(SECOND_START)));
@@ -249,6 +250,7 @@
         "models",
         "10.0.0.1:80",
         "hall-a",
+        "v1",
         64,
         leaving,
         Optional.of(start));
@@ -256,6 +258,13 @@
 
   private static ServerListing listing(String id, boolean leaving) {
     return new ServerListing(
-        new BackendServerId(id), "models", "10.0.0.1:80", "hall-a", 64, leaving, Optional.empty());
+        new BackendServerId(id),
+        "models",
+        "10.0.0.1:80",
+        "hall-a",
+        "v1",
+        64,
+        leaving,
+        Optional.empty());
   }
 }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -51,7 +51,8 @@
             new byte[0],
             Optional.of(call.timeLeft()),
             Optional.of(request.customer()),
-            prompt));
+            prompt,
+            Optional.empty()));
   }
 
   static String path(Scenario.Kind kind) {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -185,6 +185,7 @@
             engine ? ModelFleet.ENGINE_SERVICE : ModelFleet.PLAIN_SERVICE,
             server.name(),
             "",
+            "",
             fleet.maxConcurrentRequests(engine),
             false,
             Optional.of(fleet.startTimeOf(server))));
