Go on with a stream inside its answer only at the version that began it

Callers got streams with events of two software versions: a server broke a stream off, and the instance sent the rest of it on to any server of the service. What two versions write doesn't fit together.

Cause: the servers of a service were taken for interchangeable. Now the version of the server whose first event was handed to the caller binds all later attempts of the answer. If no server of that version is ready, one that announced within the last second that it leaves is used, as it still serves; if there is none either the stream is broken off at once, so that the caller may take it up elsewhere.

--- a/teaseldeal-api/src/main/java/org/teaseldeal/api/ErrorKind.java
+++ b/teaseldeal-api/src/main/java/org/teaseldeal/api/ErrorKind.java
@@ -40,6 +40,7 @@
   BACKEND_FAILED(502, UNKNOWN, "The backend server failed while running the request", false),
   BACKEND_REFUSED(502, RAN, "The backend server answered with an error", false),
   STREAM_BROKEN(502, RAN, "The answer broke off and could not be resumed", false),
+  STREAM_NOT_RESUMABLE(503, NOT_RUN, "The stream can't go on after its last event", true),
   LOG_UNAVAILABLE(
       503, NOT_RUN, "The platform's log cannot be reached, so the request is not run", true),
   DRAINING(503, NOT_RUN, "The instance is shutting down", true),
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -33,6 +33,8 @@
    * @param readAgain the tokens that the server has to read although earlier prompts shared them
    * @param heardAgo the age of the other instances' load figures
    * @param candidates the number of servers that the choice was made from
+   * @param otherVersions the number of servers that were left out because the stream began at
+   *     another software version
    * @param version the version of the server's software
    * @param resumeAfter the id of the last event that the caller has received; empty if the stream
    *     starts from the beginning
@@ -53,6 +55,7 @@
       long readAgain,
       Duration heardAgo,
       int candidates,
+      int otherVersions,
       String resumeAfter,
       String resumes,
       String fingerprint,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -126,6 +126,10 @@
   private int sendCount;
   private int connectFailures;
   private boolean mayHaveRun;
+
+  /** The software version of the server whose events the caller has; null if it has none. */
+  private @Nullable String streamVersion;
+
   private @Nullable Attempt attempt;
   private Instant waitingForServerSince = Instant.MAX;
 
@@ -257,7 +261,14 @@
     Optional<ServerSelector.Selection> chosen =
         dispatcher
             .selector()
-            .select(service, request.prompt(), route.aim(), failedIncarnations, now());
+            .select(
+                new ServerSelector.Criteria(
+                    service,
+                    request.prompt(),
+                    route.aim(),
+                    failedIncarnations,
+                    Optional.ofNullable(streamVersion)),
+                now());
     if (chosen.isEmpty()) {
       waitOrGiveUp();
       return;
@@ -308,6 +319,7 @@
         Math.max(0, chosen.uncachedTokens() - unshared),
         chosen.loadAge(),
         chosen.candidates(),
+        chosen.otherVersions(),
         resumeAfter(),
         request.resumption().flatMap(Resumption::firstAttempt).orElse(""),
         fingerprint(),
@@ -340,6 +352,12 @@
 
   private void waitOrGiveUp() {
     Duration waiting = Duration.between(waitingForServerSince, now());
+    String version = streamVersion;
+    if (version != null && !dispatcher.selector().serves(service, version, now())) {
+      // The caller may find one sooner at another instance, or begin the stream anew.
+      giveUp(ErrorKind.STREAM_NOT_RESUMABLE, "no server of software version " + version);
+      return;
+    }
     if (dispatcher.selector().limitsRequests(service, now())) {
       // The servers would fail if they had to reject it.
       if (waiting.compareTo(shorter(MAX_WAIT_FOR_SERVER, route.aim())) > 0) {
@@ -395,6 +413,10 @@
     if (stage == Stage.ENDED) {
       return;
     }
+    Attempt source = attempt;
+    if (streamVersion == null && source != null) {
+      streamVersion = source.server().softwareVersion();
+    }
     answer.sendEvent(status, headers, event);
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -42,10 +42,36 @@
    */
   private static final Duration UPDATE_INTERVAL = Duration.ofMillis(100);
 
+  /**
+   * How long after its announcement a leaving server is still chosen for a stream that no other
+   * server can continue. Servers serve on for two seconds, and the announcement reaches an instance
+   * some time after it was made.
+   */
+  private static final Duration LEAVING_SERVER_USE = Duration.ofSeconds(1);
+
+  /**
+   * What a server is chosen for.
+   *
+   * @param service the name of the service
+   * @param prompt the prompt; empty for a service without prompts
+   * @param targetTime the time within which the answer should begin
+   * @param tried the incarnations that failed this request before; a server that has restarted
+   *     since may be chosen again
+   * @param softwareVersion the only version at which a stream that has begun may go on; empty if
+   *     any version may serve the request
+   */
+  record Criteria(
+      String service,
+      Optional<PromptDescription> prompt,
+      Duration targetTime,
+      Set<ServerIncarnation> tried,
+      Optional<String> softwareVersion) {}
+
   /**
    * The chosen server and the data that led to the choice.
    *
    * @param candidates the number of servers that the choice was made from
+   * @param otherVersions the number of servers that were left out because of their version
    * @param peerLoad the load that the other instances were presumed to have at the server
    * @param uncachedTokens the number of prompt tokens that the server has to read
    * @param loadAge the age of the other instances' load figures
@@ -53,6 +79,7 @@
   record Selection(
       BackendServer server,
       int candidates,
+      int otherVersions,
       PeerLoad peerLoad,
       long uncachedTokens,
       Duration loadAge) {}
@@ -138,27 +165,16 @@
         service, name -> new ServerHealth(MIN_EJECTION, MAX_EJECTION, RAMP_UP));
   }
 
-  /**
-   * Chooses a server of {@code service}.
-   *
-   * @param prompt the prompt; empty for a service without prompts
-   * @param targetTime the time within which the answer should begin
-   * @param tried the incarnations that failed this request before; a server that has restarted
-   *     since may be chosen again
-   */
-  Optional<Selection> select(
-      String service,
-      Optional<PromptDescription> prompt,
-      Duration targetTime,
-      Set<ServerIncarnation> tried,
-      Instant now) {
+  /** Chooses a server; empty if there is none with room for the request. */
+  Optional<Selection> select(Criteria criteria, Instant now) {
     refreshFromList(now);
-    ServerHealth health = health(service);
-    List<BackendServer> ready = servers.ready(service);
+    ServerHealth health = health(criteria.service());
+    Optional<PromptDescription> prompt = criteria.prompt();
+    List<BackendServer> eligible = eligible(criteria, now);
     PeerLoads loads = peerLoads.get();
     List<BackendServer> untried =
-        ready.stream()
-            .filter(server -> !tried.contains(server.incarnation()))
+        eligible.stream()
+            .filter(server -> !criteria.tried().contains(server.incarnation()))
             .filter(server -> hasRoom(server, loads, now))
             .toList();
     List<BackendServer> healthy =
@@ -171,18 +187,48 @@
             .map(server -> candidate(server, loads.at(server.id()), prompt))
             .toList();
     String prefix = prompt.map(PromptDescription::lastSharedPartId).orElse("");
-    return PromptPlacement.choose(views, new PromptPlacement.Prompt(prefix, targetTime), random)
+    return PromptPlacement.choose(
+            views, new PromptPlacement.Prompt(prefix, criteria.targetTime()), random)
         .flatMap(servers::find)
         .map(
             server ->
                 new Selection(
                     server,
                     candidates.size(),
+                    servers.ready(criteria.service()).size() - eligible.size(),
                     loads.at(server.id()),
                     uncachedTokens(server, prompt),
                     loads.age()));
   }
 
+  /**
+   * The servers that may run the request. If no ready server has the version that a stream needs,
+   * these are the servers of that version that have just announced that they leave.
+   */
+  private List<BackendServer> eligible(Criteria criteria, Instant now) {
+    List<BackendServer> ready = servers.ready(criteria.service());
+    if (criteria.softwareVersion().isEmpty()) {
+      return ready;
+    }
+    String version = criteria.softwareVersion().get();
+    List<BackendServer> fitting = ofVersion(ready, version);
+    return fitting.isEmpty()
+        ? ofVersion(servers.leaving(criteria.service(), now.minus(LEAVING_SERVER_USE)), version)
+        : fitting;
+  }
+
+  private static List<BackendServer> ofVersion(List<BackendServer> servers, String version) {
+    return servers.stream().filter(server -> server.softwareVersion().equals(version)).toList();
+  }
+
+  /** Whether any server of a software version may run requests of a service. */
+  boolean serves(String service, String version, Instant now) {
+    return !eligible(
+            new Criteria(service, Optional.empty(), Duration.ZERO, Set.of(), Optional.of(version)),
+            now)
+        .isEmpty();
+  }
+
   private PromptPlacement.Candidate candidate(
       BackendServer server, PeerLoad peerLoad, Optional<PromptDescription> prompt) {
     long tokensToRead = uncachedTokens(server, prompt);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
@@ -20,8 +21,13 @@
   private final Map<BackendServerId, Instant> graceEnds = new HashMap<>();
   private final Map<String, Map<BackendServerId, BackendServer>> byService = new HashMap<>();
   private final Set<BackendServerId> unusable = new HashSet<>();
+
+  /** When this instance learned that a listed server leaves. */
+  private final Map<BackendServerId, Instant> leavingSince = new HashMap<>();
+
   private final DepartedServers departed = new DepartedServers();
   private Consumer<BackendServer> replacedListener = earlier -> {};
+  private Instant now = Instant.MIN;
   private long changes;
   private long loadChanges;
 
@@ -88,6 +94,7 @@
   private ListingChange leave(BackendServer server) {
     changes++;
     server.markLeaving();
+    leavingSince.put(server.id(), now);
     return ListingChange.LEAVING;
   }
 
@@ -104,6 +111,7 @@
     changes++;
     unusable.remove(server.id());
     graceEnds.remove(server.id());
+    leavingSince.remove(server.id());
     servers.remove(server.id());
     server.markLeaving();
     Map<BackendServerId, BackendServer> ofService = byService.get(server.service());
@@ -155,7 +163,8 @@
    * Removes and returns the servers whose grace period has ended without a new listing, and the
    * servers whose listing without a start time is not accepted any more.
    */
-  public List<BackendServer> tick(Instant now) {
+  public List<BackendServer> tick(Instant time) {
+    now = time;
     departed.tick(now);
     Set<BackendServer> removed = new LinkedHashSet<>();
     graceEnds.forEach(
@@ -220,6 +229,19 @@
         .toList();
   }
 
+  /**
+   * The servers of a service that announced after {@code earliest} that they leave. They still
+   * serve for a while.
+   */
+  public List<BackendServer> leaving(String service, Instant earliest) {
+    return leavingSince.entrySet().stream()
+        .filter(each -> each.getValue().isAfter(earliest))
+        .map(each -> servers.get(each.getKey()))
+        .filter(Objects::nonNull)
+        .filter(server -> server.service().equals(service) && !unusable.contains(server.id()))
+        .toList();
+  }
+
   /** The listed server with an id. */
   public Optional<BackendServer> find(BackendServerId id) {
     return Optional.ofNullable(servers.get(id));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
@@ -83,7 +83,10 @@
 
   private int candidates() {
     return selector
-        .select("models", Optional.empty(), Duration.ofSeconds(1), Set.of(), NOW)
+        .select(
+            new ServerSelector.Criteria(
+                "models", Optional.empty(), Duration.ofSeconds(1), Set.of(), Optional.empty()),
+            NOW)
         .orElseThrow()
         .candidates();
   }
