Let callers take up streams only at the version that began them, known to several instances

Callers whose stream broke took it up at another instance, and got events of another software version: half to three quarters of them, also after the first instance was killed.

Cause: which version began a stream was known only to the instance that began it, and nobody asked.

Now the instance that hands a stream's first event to its caller tells its version to three others, chosen by a hash of customer, service and attempt, in a datagram each; instances that join are told of the streams that run. Whoever gets Resumes looks it up, else asks (all others up to ten instances, else five). A stream that nobody knows, or whose version no server has, is refused at once as not run (503), with a time to come back if an instance didn't answer or the version may return. The customer is part of the key, so another customer's attempt says nothing. Events say how a version became known and why a stream didn't go on; explain and the metrics show both.

Ruled out: the version worked out from the request id, as the versions change while streams run; all instances told of all streams, which grows with the square of the fleet.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -62,6 +62,36 @@
       boolean relayed)
       implements GatewayEvent {}
 
+  /**
+   * The version at which a stream goes on that its caller takes up again was determined.
+   *
+   * @param resumes the caller's attempt that brought the stream's first event
+   * @param resumeAfter the id of the last event that the caller has received; empty if it gave none
+   * @param version the software version of the server that began the stream
+   * @param source how this instance knows the version
+   * @param took how long it took to determine it
+   */
+  record StreamTakenUp(
+      String request,
+      String resumes,
+      String resumeAfter,
+      String version,
+      String source,
+      Duration took)
+      implements GatewayEvent {}
+
+  /**
+   * A stream does not go on, neither inside its answer nor for a caller that takes it up.
+   *
+   * @param resumes the caller's attempt that brought the stream's first event; empty if it is this
+   *     one, or if the caller didn't name it
+   * @param version the software version of the server that began the stream; empty if unknown
+   * @param reason why it doesn't go on, in lower case with underscores
+   */
+  record StreamNotResumed(
+      String request, String service, String resumes, String version, String reason)
+      implements GatewayEvent {}
+
   /**
    * A request's answer began, or continued after a pause, later than its target. {@link
    * RequestEnded} follows.
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
@@ -13,11 +13,13 @@
 import org.teaseldeal.gateway.quarantine.RequestQuarantine;
 import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.stream.StreamOrigins;
 
 /**
  * The components that handle requests and what they depend on.
  *
  * @param plan the current plan; null until one is known
+ * @param streamOrigins the software versions of the backend servers at which streams began
  * @param peerLoads the load that the other instances have outstanding at the backend servers
  * @param cachedPrompts the prompt parts that are presumably in the backend servers' caches
  * @param instances the number of instances, including this one
@@ -27,6 +29,7 @@
     ServerDirectory servers,
     TokenRequests tokens,
     RequestQuarantine quarantine,
+    StreamOrigins streamOrigins,
     Dialect dialect,
     ServerLinks links,
     Supplier<PeerLoads> peerLoads,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -4,6 +4,7 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -20,6 +21,8 @@
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerIncarnation;
+import org.teaseldeal.gateway.stream.StreamKey;
+import org.teaseldeal.gateway.stream.StreamOrigins;
 import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpExchange;
@@ -34,6 +37,8 @@
 final class RequestFlow implements ReservationListener {
   /** The resource or event that the request currently waits for. */
   private enum Stage {
+    /** The software version at which a stream that the caller takes up began. */
+    STREAM_VERSION,
     TOKENS,
     SERVER,
     ANSWER,
@@ -50,6 +55,16 @@
 
   private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
+  /** Why a stream doesn't go on. The name appears in logs and metrics. */
+  private enum NotResumed {
+    /** No instance knows at which version the stream began. */
+    UNKNOWN_STREAM,
+    /** The caller didn't name the attempt that brought the first event. */
+    ATTEMPT_NOT_NAMED,
+    /** No server of the version is left. */
+    NO_SERVER_OF_VERSION
+  }
+
   /** The outcome of a request for which a backend server's answer was passed on. */
   private static final String ANSWERED = "answered";
 
@@ -118,7 +133,7 @@
   private final Instant deadline;
   private final Set<ServerIncarnation> failedIncarnations = new HashSet<>();
 
-  private Stage stage = Stage.TOKENS;
+  private Stage stage = Stage.STREAM_VERSION;
   private Reservation reservation = Reservation.NONE;
   private Duration tokenWait = Duration.ZERO;
   private Duration placementDelay = Duration.ZERO;
@@ -127,7 +142,10 @@
   private int connectFailures;
   private boolean mayHaveRun;
 
-  /** The software version of the server whose events the caller has; null if it has none. */
+  /**
+   * The software version of the server whose events the caller has, in this answer or from earlier
+   * attempts; null if it has none or if the version isn't known yet.
+   */
   private @Nullable String streamVersion;
 
   private @Nullable Attempt attempt;
@@ -170,6 +188,101 @@
 
   void start() {
     exchange.onCallerDisconnect(this::onCallerDisconnected);
+    if (route.kind().streamed() && request.resumption().isPresent()) {
+      resolveStreamVersion(request.resumption().get());
+    } else {
+      reserveTokens();
+    }
+  }
+
+  /**
+   * Determines at which version the stream began that the caller takes up. A stream of an unknown
+   * version is refused, as what two versions write doesn't fit together.
+   */
+  private void resolveStreamVersion(Resumption resumption) {
+    if (resumption.firstAttempt().isEmpty()) {
+      refuseResumption(NotResumed.ATTEMPT_NOT_NAMED, "the first attempt isn't named", false);
+      return;
+    }
+    components
+        .streamOrigins()
+        .resolve(streamKey(resumption.firstAttempt().get()), this::onStreamVersion);
+  }
+
+  private void onStreamVersion(StreamOrigins.Resolution resolution) {
+    if (stage != Stage.STREAM_VERSION) {
+      return;
+    }
+    switch (resolution) {
+      case StreamOrigins.Resolution.Known known -> {
+        streamVersion = known.version();
+        components
+            .events()
+            .accept(
+                new GatewayEvent.StreamTakenUp(
+                    request.id(),
+                    resumedAttempt(),
+                    resumeAfter(),
+                    known.version(),
+                    known.source().name(),
+                    Duration.between(arrivedAt, now())));
+        if (dispatcher.selector().serves(service, known.version(), now())) {
+          reserveTokens();
+        } else {
+          refuseResumption(
+              NotResumed.NO_SERVER_OF_VERSION,
+              "no server of software version " + known.version(),
+              true);
+        }
+      }
+      case StreamOrigins.Resolution.Unknown unknown ->
+          refuseResumption(
+              NotResumed.UNKNOWN_STREAM,
+              "no instance knows the stream, %d did not answer".formatted(unknown.unreachable()),
+              unknown.unreachable() > 0);
+    }
+  }
+
+  /**
+   * Refuses to go on with a stream.
+   *
+   * @param mayChange whether another attempt of the caller may succeed
+   */
+  private void refuseResumption(NotResumed reason, String detail, boolean mayChange) {
+    reportNotResumed(reason);
+    refuse(
+        mayChange
+            ? Problem.retryable(
+                ErrorKind.STREAM_NOT_RESUMABLE,
+                detail,
+                dispatcher.withJitter(NO_SERVER_RETRY_AFTER))
+            : Problem.of(ErrorKind.STREAM_NOT_RESUMABLE, detail));
+  }
+
+  private void reportNotResumed(NotResumed reason) {
+    String version = streamVersion;
+    components
+        .events()
+        .accept(
+            new GatewayEvent.StreamNotResumed(
+                request.id(),
+                service,
+                resumedAttempt(),
+                version == null ? "" : version,
+                reason.name().toLowerCase(Locale.ROOT)));
+  }
+
+  private StreamKey streamKey(String attemptId) {
+    return StreamKey.of(customer.map(PrepaidCustomer::name).orElse(""), service, attemptId);
+  }
+
+  /** The attempt whose stream the caller takes up; empty if it begins a stream. */
+  private String resumedAttempt() {
+    return request.resumption().flatMap(Resumption::firstAttempt).orElse("");
+  }
+
+  private void reserveTokens() {
+    stage = Stage.TOKENS;
     if (customer.isPresent() && request.prompt().isPresent()) {
       reserve(customer.get().name(), request.prompt().get().maxTokens());
     } else {
@@ -235,7 +348,8 @@
    * Refuses the request if it still waits for tokens or for a server and no server can have run it.
    */
   void refuseIfNotRun() {
-    boolean waiting = stage == Stage.TOKENS || stage == Stage.SERVER;
+    boolean waiting =
+        stage == Stage.STREAM_VERSION || stage == Stage.TOKENS || stage == Stage.SERVER;
     if (waiting && !mayHaveRun) {
       refuse(dispatcher.drainingProblem());
     }
@@ -321,7 +435,7 @@
         chosen.candidates(),
         chosen.otherVersions(),
         resumeAfter(),
-        request.resumption().flatMap(Resumption::firstAttempt).orElse(""),
+        resumedAttempt(),
         fingerprint(),
         way == Way.RELAY);
   }
@@ -355,6 +469,7 @@
     String version = streamVersion;
     if (version != null && !dispatcher.selector().serves(service, version, now())) {
       // The caller may find one sooner at another instance, or begin the stream anew.
+      reportNotResumed(NotResumed.NO_SERVER_OF_VERSION);
       giveUp(ErrorKind.STREAM_NOT_RESUMABLE, "no server of software version " + version);
       return;
     }
@@ -413,13 +528,26 @@
     if (stage == Stage.ENDED) {
       return;
     }
-    Attempt source = attempt;
-    if (streamVersion == null && source != null) {
-      streamVersion = source.server().softwareVersion();
+    if (!answer.hasBegun() && attempt != null) {
+      recordStreamVersion(attempt.server().softwareVersion());
     }
     answer.sendEvent(status, headers, event);
   }
 
+  /** Records the version of the stream whose first event is about to be sent to the caller. */
+  private void recordStreamVersion(String version) {
+    streamVersion = version;
+    if (!route.resumable()) {
+      return;
+    }
+    components.streamOrigins().onBegun(streamKey(request.id()), version);
+    if (!resumedAttempt().isEmpty()) {
+      // The caller's next attempt names the one that began the stream, which may be about to
+      // be forgotten.
+      components.streamOrigins().onBegun(streamKey(resumedAttempt()), version);
+    }
+  }
+
   void onStreamEnd(int status, Map<String, String> headers) {
     if (stage == Stage.ENDED) {
       return;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -51,6 +51,8 @@
   public void accept(GatewayEvent event) {
     switch (event) {
       case GatewayEvent.Placed placed -> count(placed.attempt() == 1 ? "sends" : "repeats");
+      case GatewayEvent.StreamTakenUp taken -> count("streams_taken_up_", taken.source());
+      case GatewayEvent.StreamNotResumed refused -> count("streams_not_resumed_", refused.reason());
       case GatewayEvent.AttemptFailed failed -> count("attempts_failed_", failed.failure());
       case GatewayEvent.AnswerEnded ended -> onAnswerEnded(ended);
       case GatewayEvent.RequestEnded ended -> onRequestEnded(ended);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -33,6 +33,9 @@
 import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerListing;
+import org.teaseldeal.gateway.stream.StreamKey;
+import org.teaseldeal.gateway.stream.StreamOrigins;
+import org.teaseldeal.gateway.stream.StreamPeers;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpFailure;
@@ -80,6 +83,13 @@
   final List<GatewayEvent> events = new ArrayList<>();
   final RequestDispatcher dispatcher;
 
+  /** What the other instance answers if it is asked for a stream's version. */
+  StreamPeers.Answer peerAnswer = new StreamPeers.Answer.Unknown();
+
+  private final StreamOrigins streamOrigins =
+      new StreamOrigins(
+          "instance-1", () -> Set.of("instance-1", "instance-2"), new OnePeer(), clock);
+
   /** Whether the configuration has been read. */
   boolean configured = true;
 
@@ -116,6 +126,7 @@
                 servers,
                 new TokenRequests(accounts, holders, new NoPeers(), () -> true, events::add, clock),
                 quarantine,
+                streamOrigins,
                 new FakeDialect(),
                 new ServerLinks(
                     "instance-1",
@@ -193,6 +204,17 @@
         List.of(new WeightedService(SERVICE, 1)));
   }
 
+  /** Another instance, which gives {@link #peerAnswer} to every question. */
+  private final class OnePeer implements StreamPeers {
+    @Override
+    public void announce(String instance, StreamKey stream, String version) {}
+
+    @Override
+    public void ask(String instance, StreamKey stream, Consumer<Answer> answer) {
+      answer.accept(peerAnswer);
+    }
+  }
+
   /** A port without peers, for a single instance that holds every customer itself. */
   private static final class NoPeers implements HolderPort {
     @Override
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -29,6 +29,7 @@
 import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.peer.LoadExchange;
 import org.teaseldeal.gateway.peer.PeerLoads;
+import org.teaseldeal.gateway.peer.StreamOriginMessage;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.plan.PlannedService;
 import org.teaseldeal.gateway.plan.PrepaidCustomer;
@@ -36,6 +37,9 @@
 import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerListing;
+import org.teaseldeal.gateway.stream.StreamKey;
+import org.teaseldeal.gateway.stream.StreamOrigins;
+import org.teaseldeal.gateway.stream.StreamPeers;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
@@ -70,6 +74,7 @@
   private final TokenRequests tokenRequests;
   private final TokenDraws tokenDraws;
   private final LoadExchange loadExchange;
+  private final StreamOrigins streamOrigins;
   private final RequestDispatcher dispatcher;
   private final Set<ModelExchange> openExchanges = new LinkedHashSet<>();
   private @Nullable GatewayPlan plan;
@@ -111,6 +116,7 @@
             Optional::of,
             this::sendDatagram,
             time);
+    streamOrigins = new StreamOrigins(name, fleet::memberNames, new RemoteStreams(), time);
     dispatcher =
         new RequestDispatcher(
             new GatewayComponents(
@@ -118,6 +124,7 @@
                 servers,
                 tokenRequests,
                 new RequestQuarantine(name, servers::lists, this::onEvent, time),
+                streamOrigins,
                 new ModelDialect(),
                 new ServerLinks(
                     name,
@@ -221,6 +228,7 @@
     accountLog.tick();
     accounts.onLogReachable(!accountLog.failing());
     loadExchange.tick();
+    streamOrigins.tick();
     accounts.tick();
     tokenRequests.tick();
     if (fleet.isEnabled(Mechanism.DRAWS)) {
@@ -289,7 +297,12 @@
   }
 
   private void receiveDatagram(byte[] message) {
-    loadExchange.receive(message);
+    if (StreamOriginMessage.isEncodedIn(message)) {
+      StreamOriginMessage origin = StreamOriginMessage.decode(message);
+      streamOrigins.onAnnounced(origin.stream(), origin.version());
+    } else {
+      loadExchange.receive(message);
+    }
   }
 
   /**
@@ -349,6 +362,30 @@
             reply.accept(OptionalLong.of(other.accounts.giveToPeer(customer, requestedTokens))));
   }
 
+  /** Tells and asks for streams' versions over the simulated network. */
+  private final class RemoteStreams implements StreamPeers {
+    @Override
+    public void announce(String instance, StreamKey stream, String version) {
+      sendDatagram(instance, new StreamOriginMessage(stream, version).encode());
+    }
+
+    @Override
+    public void ask(String instance, StreamKey stream, Consumer<Answer> answer) {
+      callPeer(
+          instance,
+          CALL_OVERHEAD_TIMEOUT,
+          new Answer.Unreachable("no answer"),
+          answer,
+          (other, reply) ->
+              reply.accept(
+                  other
+                      .streamOrigins
+                      .find(stream)
+                      .<Answer>map(Answer.Known::new)
+                      .orElseGet(Answer.Unknown::new)));
+    }
+  }
+
   /** Calls token holders over the simulated network, as the gateway's peer calls do. */
   private final class RemoteHolders implements HolderPort {
     @Override
--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/Cause.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/Cause.java
@@ -49,6 +49,10 @@
       history ->
           "Its answer was cut off midway and could not be resumed: %s."
               .formatted(history.end().text("detail"))),
+  STREAM_NOT_RESUMABLE(
+      history ->
+          "Its caller took up a stream that can't go on after its last event: %s."
+              .formatted(history.end().text("detail"))),
   QUARANTINED(history -> "It had crashed several backend servers, so it is no longer sent to any."),
   NOT_READY(history -> "The instance was starting and had no plan yet.");
 
