Let streams go on whose service has had one software version only

While all servers of a service have had the same version for longer than streams last, each stream began at it. VersionHistory sees the list of servers; each change of the versions is noted on the fleet's log, so that a process that has just started knows them too. A version that any note or the list names within half a minute forbids the conclusion. While the list can't be read the others are asked first.

A listing of a known process with another version replaces it: without a start time nothing else tells that the server was restarted.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -200,13 +200,22 @@
    * version is refused, as what two versions write doesn't fit together.
    */
   private void resolveStreamVersion(Resumption resumption) {
-    if (resumption.firstAttempt().isEmpty()) {
-      refuseResumption(NotResumed.ATTEMPT_NOT_NAMED, "the first attempt isn't named", false);
+    if (resumption.firstAttempt().isPresent()) {
+      components
+          .streamOrigins()
+          .resolve(streamKey(resumption.firstAttempt().get()), service, this::onStreamVersion);
       return;
     }
-    components
-        .streamOrigins()
-        .resolve(streamKey(resumption.firstAttempt().get()), this::onStreamVersion);
+    Optional<String> only = components.streamOrigins().onlyVersion(service);
+    if (only.isPresent()) {
+      onStreamVersion(
+          new StreamOrigins.Resolution.Known(only.get(), StreamOrigins.Source.ONLY_VERSION));
+    } else {
+      refuseResumption(
+          NotResumed.ATTEMPT_NOT_NAMED,
+          "the attempt that brought the first event isn't named",
+          false);
+    }
   }
 
   private void onStreamVersion(StreamOrigins.Resolution resolution) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -6,6 +6,8 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Optional;
 import org.teaseldeal.api.Preconditions;
 import org.teaseldeal.net.IpAddresses;
@@ -21,6 +23,11 @@
   private static final String ACCOUNT = "account";
   private static final String CRASH = "crash";
   private static final String PRESENCE = "presence";
+  private static final String VERSIONS = "versions";
+
+  /** More versions than ever serve side by side; bounds the memory that a foreign note takes. */
+  private static final int MAX_VERSIONS = 1_000;
+
   private static final int KEY_PARTS = 3;
 
   /**
@@ -75,6 +82,10 @@
               : record(
                   key(CRASH, crash.instance(), crash.fingerprint()),
                   out -> out.writeInt(crash.count()));
+      case SharedNote.ServiceVersions versions ->
+          record(
+              key(VERSIONS, versions.instance(), versions.service()),
+              out -> writeVersions(versions, out));
       case SharedNote.UnreadableAccount unreadable ->
           throw new IllegalArgumentException("an unreadable account note can't be encoded");
       case SharedNote.Presence presence ->
@@ -135,12 +146,36 @@
       case ACCOUNT -> decodeAccount(layout, instance, subject, in);
       case CRASH -> new SharedNote.Crash(instance, subject, limitedCrashes(in.readInt()));
       case PRESENCE -> new SharedNote.Presence(instance, validatedAddress(in.readUTF()));
+      case VERSIONS ->
+          new SharedNote.ServiceVersions(instance, subject, in.readLong(), readVersions(in));
       default ->
           throw new IllegalArgumentException(
-              "kind was '%s', expected account, crash or presence".formatted(kind));
+              "kind was '%s', expected account, crash, presence or versions".formatted(kind));
     };
   }
 
+  private static void writeVersions(SharedNote.ServiceVersions note, DataOutputStream out)
+      throws IOException {
+    out.writeLong(note.wallMillis());
+    out.writeInt(note.versions().size());
+    for (SharedNote.VersionSeen seen : note.versions()) {
+      out.writeUTF(seen.version());
+      out.writeLong(seen.millisAgo());
+    }
+  }
+
+  private static List<SharedNote.VersionSeen> readVersions(DataInputStream in) throws IOException {
+    int count = in.readInt();
+    Preconditions.require(
+        count >= 0 && count <= MAX_VERSIONS,
+        "versions were %d, expected 0 to %d".formatted(count, MAX_VERSIONS));
+    List<SharedNote.VersionSeen> versions = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      versions.add(new SharedNote.VersionSeen(in.readUTF(), in.readLong()));
+    }
+    return versions;
+  }
+
   /**
    * Reads a positive count, limited such that sums can't overflow; a larger count has no further
    * effect. A withdrawn count has an empty value instead.
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.log;
 
+import java.util.List;
 import org.teaseldeal.api.Preconditions;
 
 /**
@@ -84,6 +85,32 @@
    */
   record Crash(String instance, String fingerprint, int count) implements SharedNote {}
 
+  /**
+   * The software versions of a service's servers that an instance has seen listed lately.
+   *
+   * @param wallMillis the machine's wall clock when the note was composed, in milliseconds since
+   *     1970
+   */
+  record ServiceVersions(
+      String instance, String service, long wallMillis, List<VersionSeen> versions)
+      implements SharedNote {
+    public ServiceVersions {
+      Preconditions.requireText(service, "service");
+      versions = List.copyOf(versions);
+    }
+  }
+
+  /**
+   * A software version of which a server was listed.
+   *
+   * @param millisAgo how long before the note it was listed last; 0 if it still was
+   */
+  record VersionSeen(String version, long millisAgo) {
+    public VersionSeen {
+      Preconditions.requireNotNegative(millisAgo, "milliseconds since the version was listed");
+    }
+  }
+
   /** The address at which the other instances reach an instance. */
   record Presence(String instance, String peerAddress) implements SharedNote {}
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -64,6 +64,10 @@
     if (!listing.incarnation().equals(known.incarnation())) {
       return ListingChange.NONE;
     }
+    if (!listing.softwareVersion().equals(known.softwareVersion())) {
+      // A process never changes its version, so this is a later one without a start time.
+      return replace(known, listing);
+    }
     boolean hadExpired = graceEnds.remove(listing.id()) != null;
     boolean back = unusable.remove(listing.id()) || hadExpired;
     if (!known.isListedAsReady()) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.teaseldeal.decisions.StreamBackupChoice;
@@ -21,6 +22,8 @@
   public enum Source {
     /** This instance began the stream, or was told of it. */
     STORED,
+    /** All servers have had the same version for longer than streams last. */
+    ONLY_VERSION,
     /** Another instance answered. */
     PEER
   }
@@ -42,6 +45,8 @@
   private final Supplier<Set<String>> fleet;
   private final StreamPeers peers;
   private final InstantSource clock;
+  private final VersionHistory history;
+  private final BooleanSupplier listIsCurrent;
   private final StreamBackupChoice choice = new StreamBackupChoice();
   private final VersionTable versions = new VersionTable();
   private Set<String> announcedTo = Set.of();
@@ -51,12 +56,20 @@
    *
    * @param fleet the names of all instances; an unmodifiable set, which is replaced by another one
    *     at each change
+   * @param listIsCurrent whether the list of servers was read a short time ago
    */
   public StreamOrigins(
-      String instance, Supplier<Set<String>> fleet, StreamPeers peers, InstantSource clock) {
+      String instance,
+      Supplier<Set<String>> fleet,
+      StreamPeers peers,
+      VersionHistory history,
+      BooleanSupplier listIsCurrent,
+      InstantSource clock) {
     this.instance = instance;
     this.fleet = fleet;
     this.peers = peers;
+    this.history = history;
+    this.listIsCurrent = listIsCurrent;
     this.clock = clock;
   }
 
@@ -102,16 +115,39 @@
     return versions.size();
   }
 
+  /** The version of a stream that can only have begun at one version, whoever began it. */
+  public Optional<String> onlyVersion(String service) {
+    return history.onlyVersion(service);
+  }
+
   /**
    * Determines the version of a stream, at once or as soon as an instance that knows it has
    * answered; {@code result} is called exactly once.
+   *
+   * <p>While the list of servers can't be read, other instances may know of versions that this one
+   * doesn't, so they are asked before it concludes that there is only one.
    */
-  public void resolve(StreamKey stream, Consumer<Resolution> result) {
+  public void resolve(StreamKey stream, String service, Consumer<Resolution> result) {
     Optional<String> stored = find(stream);
     if (stored.isPresent()) {
       result.accept(new Resolution.Known(stored.get(), Source.STORED));
       return;
     }
+    Optional<String> only = onlyVersion(service);
+    if (only.isPresent() && listIsCurrent.getAsBoolean()) {
+      result.accept(new Resolution.Known(only.get(), Source.ONLY_VERSION));
+      return;
+    }
+    ask(
+        stream,
+        resolution ->
+            result.accept(
+                resolution instanceof Resolution.Unknown && only.isPresent()
+                    ? new Resolution.Known(only.get(), Source.ONLY_VERSION)
+                    : resolution));
+  }
+
+  private void ask(StreamKey stream, Consumer<Resolution> result) {
     List<String> asked = choice.asked(stream.hash(), instance, fleet.get());
     if (asked.isEmpty()) {
       result.accept(new Resolution.Unknown(0));
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/VersionTable.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/VersionTable.java
@@ -10,8 +10,7 @@
 
 /** The software versions at which streams began, for as long as their callers may come back. */
 final class VersionTable {
-  /** Callers come back within the deadline of their first attempt, of half a minute at most. */
-  private static final Duration RETENTION = Duration.ofSeconds(30);
+  private static final Duration RETENTION = VersionHistory.LONGEST_STREAM;
 
   /**
    * Limits memory use to some megabytes. An instance stores the streams of three others besides its
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -36,6 +36,7 @@
 import org.teaseldeal.gateway.stream.StreamKey;
 import org.teaseldeal.gateway.stream.StreamOrigins;
 import org.teaseldeal.gateway.stream.StreamPeers;
+import org.teaseldeal.gateway.stream.VersionHistory;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpFailure;
@@ -86,9 +87,18 @@
   /** What the other instance answers if it is asked for a stream's version. */
   StreamPeers.Answer peerAnswer = new StreamPeers.Answer.Unknown();
 
-  private final StreamOrigins streamOrigins =
+  /** Whether the list of servers was read a short time ago. */
+  boolean listIsCurrent = true;
+
+  final VersionHistory versionHistory = new VersionHistory("instance-1", servers, clock, clock);
+  final StreamOrigins streamOrigins =
       new StreamOrigins(
-          "instance-1", () -> Set.of("instance-1", "instance-2"), new OnePeer(), clock);
+          "instance-1",
+          () -> Set.of("instance-1", "instance-2"),
+          new OnePeer(),
+          versionHistory,
+          () -> listIsCurrent,
+          clock);
 
   /** Whether the configuration has been read. */
   boolean configured = true;
@@ -105,6 +115,7 @@
             List.of(new PlannedService(SERVICE, 100, 0)),
             List.of(),
             CallerLimits.untilPublished());
+    versionHistory.onLoaded(List.of(), true);
     ClockReading reading = new ClockReading(0, 0);
     TokenHolders holders = new TokenHolders("instance-1", () -> ONLY_INSTANCE);
     PrepaidAccounts accounts =
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
@@ -256,6 +256,27 @@
         Optional.of(start));
   }
 
+  /**
+   * A server that restarts under its id with other software must not be taken for the earlier one.
+   */
+  @Test
+  void replacesServerThatIsListedWithAnotherSoftwareVersion() {
+    servers.put(listing("a", false));
+    ListingChange change =
+        servers.put(
+            new ServerListing(
+                new BackendServerId("a"),
+                "models",
+                "10.0.0.1:80",
+                "hall-a",
+                "v2",
+                64,
+                false,
+                Optional.empty()));
+    assertEquals(ListingChange.RESTARTED, change);
+    assertEquals("v2", find("a").softwareVersion());
+  }
+
   private static ServerListing listing(String id, boolean leaving) {
     return new ServerListing(
         new BackendServerId(id),
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -40,6 +40,7 @@
 import org.teaseldeal.gateway.stream.StreamKey;
 import org.teaseldeal.gateway.stream.StreamOrigins;
 import org.teaseldeal.gateway.stream.StreamPeers;
+import org.teaseldeal.gateway.stream.VersionHistory;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
@@ -116,7 +117,11 @@
             Optional::of,
             this::sendDatagram,
             time);
-    streamOrigins = new StreamOrigins(name, fleet::memberNames, new RemoteStreams(), time);
+    VersionHistory versions = new VersionHistory(name, servers, time, time);
+    versions.onLoaded(List.of(), true);
+    streamOrigins =
+        new StreamOrigins(
+            name, fleet::memberNames, new RemoteStreams(), versions, () -> true, time);
     dispatcher =
         new RequestDispatcher(
             new GatewayComponents(
