--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
@@ -261,9 +261,9 @@
    */
   @Test
   void replacesServerThatIsListedWithAnotherSoftwareVersion() {
-    servers.put(listing("a", false));
+    directory.put(listing("a", false));
     ListingChange change =
-        servers.put(
+        directory.put(
             new ServerListing(
                 new BackendServerId("a"),
                 "models",
