Test who knows at which software version a stream began

Fleets of 2, 7, 95 and 420 instances: the instance that began the streams is killed, a third of the instances is killed while messages are lost, instances join later, nobody knows, another customer's attempt is named; a stream costs at most three messages at any size.

--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
@@ -0,0 +1,132 @@
+package org.teaseldeal.gateway.stream;
+
+import java.time.Instant;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.log.SharedNote;
+import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerListing;
+
+/** Instances that tell each other the versions of streams; each may be down, and messages lost. */
+final class StreamFleet {
+  static final String SERVICE = "models";
+
+  final ManualClock clock = new ManualClock();
+  final Set<String> down = new HashSet<>();
+
+  /** One in this many messages is lost; 0 if none is. */
+  int messagesPerLoss;
+
+  int messages;
+  private final Random random = new Random(1);
+  private final Map<String, Member> members = new HashMap<>();
+  private final Map<String, SharedNote> notes = new HashMap<>();
+  private Set<String> names = Set.of();
+
+  /** One instance and the list of servers as it knows it. */
+  final class Member implements StreamPeers {
+    final ServerDirectory servers = new ServerDirectory();
+    final VersionHistory history;
+    final StreamOrigins origins;
+    boolean listIsCurrent = true;
+
+    private Member(String name) {
+      history = new VersionHistory(name, servers, clock, clock);
+      origins = new StreamOrigins(name, () -> names, this, history, () -> listIsCurrent, clock);
+      history.onLoaded(List.copyOf(notes.values()), true);
+    }
+
+    @Override
+    public void announce(String instance, StreamKey stream, String version) {
+      messages++;
+      boolean lost = messagesPerLoss > 0 && random.nextInt(messagesPerLoss) == 0;
+      if (!lost && !down.contains(instance)) {
+        member(instance).origins.onAnnounced(stream, version);
+      }
+    }
+
+    @Override
+    public void ask(String instance, StreamKey stream, Consumer<Answer> answer) {
+      messages++;
+      if (down.contains(instance)) {
+        answer.accept(new Answer.Unreachable("down"));
+        return;
+      }
+      answer.accept(
+          member(instance)
+              .origins
+              .find(stream)
+              .<Answer>map(Answer.Known::new)
+              .orElseGet(Answer.Unknown::new));
+    }
+
+    /** Lists a server, and shares the note that this causes. */
+    void list(String server, String version) {
+      servers.put(
+          new ServerListing(
+              new BackendServerId(server),
+              SERVICE,
+              "10.0.0.1:80",
+              "hall-a",
+              version,
+              8,
+              false,
+              Optional.of(Instant.EPOCH)));
+      shareNotes();
+    }
+
+    void unlist(String server) {
+      servers.remove(new BackendServerId(server));
+      shareNotes();
+    }
+
+    private void shareNotes() {
+      history.tick();
+      history.notesToWrite(clock.instant()).forEach(note -> notes.put(note.instance(), note));
+    }
+
+    /** The version of a stream; empty if nobody knows it. */
+    Optional<String> resolve(StreamKey stream) {
+      StreamOrigins.Resolution[] found = new StreamOrigins.Resolution[1];
+      origins.resolve(stream, SERVICE, resolution -> found[0] = resolution);
+      return switch (found[0]) {
+        case StreamOrigins.Resolution.Known known -> Optional.of(known.version());
+        case StreamOrigins.Resolution.Unknown unknown -> Optional.empty();
+      };
+    }
+  }
+
+  /** Starts a process of an instance, in place of an earlier one. */
+  Member start(String name) {
+    Member started = new Member(name);
+    members.put(name, started);
+    Set<String> joined = new HashSet<>(names);
+    joined.add(name);
+    names = Set.copyOf(joined);
+    return started;
+  }
+
+  Member member(String name) {
+    Member found = members.get(name);
+    if (found == null) {
+      throw new IllegalArgumentException("no instance " + name);
+    }
+    return found;
+  }
+
+  static String name(int index) {
+    return "instance-" + index;
+  }
+
+  static StreamKey stream(int index) {
+    return StreamKey.of("trawler", SERVICE, "r-" + index);
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamOriginsTests.java
@@ -0,0 +1,125 @@
+package org.teaseldeal.gateway.stream;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.teaseldeal.gateway.stream.StreamFleet.Member;
+
+/** Tests of who knows at which software version a stream began. */
+class StreamOriginsTests {
+  private static final int STREAMS = 200;
+
+  private final StreamFleet fleet = new StreamFleet();
+
+  /** Starts instances before servers of two versions. */
+  private void start(int instances) {
+    for (int i = 0; i < instances; i++) {
+      Member member = fleet.start(StreamFleet.name(i));
+      member.list("a", "v1");
+      member.list("b", "v2");
+    }
+  }
+
+  private void begin(int instances) {
+    for (int i = 0; i < STREAMS; i++) {
+      fleet.member(StreamFleet.name(i % instances)).origins.onBegun(StreamFleet.stream(i), "v1");
+    }
+  }
+
+  /** The streams whose version a running instance other than their first one can determine. */
+  private long known(int instances) {
+    long known = 0;
+    for (int i = 0; i < STREAMS; i++) {
+      int asked = (i + 1) % instances;
+      while (fleet.down.contains(StreamFleet.name(asked))) {
+        asked = (asked + 1) % instances;
+      }
+      Optional<String> version =
+          fleet.member(StreamFleet.name(asked)).resolve(StreamFleet.stream(i));
+      assertTrue(version.isEmpty() || version.get().equals("v1"), "was " + version);
+      known += version.isPresent() ? 1 : 0;
+    }
+    return known;
+  }
+
+  /** An instance is killed; the callers of all its streams come to the others. */
+  @ParameterizedTest
+  @ValueSource(ints = {2, 7, 95})
+  void versionsOutliveTheInstanceThatBeganTheStreams(int instances) {
+    start(instances);
+    begin(instances);
+    fleet.down.add(StreamFleet.name(0));
+    assertEquals(STREAMS, known(instances));
+  }
+
+  /** A third of the instances is killed at once, and one in five messages is lost. */
+  @ParameterizedTest
+  @ValueSource(ints = {7, 95})
+  void mostVersionsOutliveAThirdOfTheInstances(int instances) {
+    fleet.messagesPerLoss = 5;
+    start(instances);
+    begin(instances);
+    for (int i = 0; i < instances / 3; i++) {
+      fleet.down.add(StreamFleet.name(3 * i));
+    }
+    assertTrue(known(instances) >= STREAMS / 2, "known were " + known(instances));
+  }
+
+  /** An instance whose streams only instances know that were replaced since is killed itself. */
+  @Test
+  void versionsAreToldToInstancesThatJoinLater() {
+    start(1);
+    Member first = fleet.member(StreamFleet.name(0));
+    first.origins.onBegun(StreamFleet.stream(1), "v1");
+    Member second = fleet.start(StreamFleet.name(1));
+    first.origins.tick();
+    fleet.down.add(StreamFleet.name(0));
+    assertEquals(Optional.of("v1"), second.resolve(StreamFleet.stream(1)));
+  }
+
+  /** A stream costs a fixed number of messages, however many instances there are. */
+  @ParameterizedTest
+  @ValueSource(ints = {7, 95, 420})
+  void messagesOfAStreamDontGrowWithTheFleet(int instances) {
+    start(instances);
+    fleet.messages = 0;
+    begin(instances);
+    assertTrue(fleet.messages <= 3 * STREAMS, "messages were " + fleet.messages);
+  }
+
+  /** What nobody knows must not be guessed while servers of two versions serve. */
+  @Test
+  void unknownStreamStaysUnknown() {
+    start(7);
+    assertEquals(
+        Optional.empty(), fleet.member(StreamFleet.name(0)).resolve(StreamFleet.stream(1)));
+  }
+
+  /** A caller that names another customer's attempt must not learn its version. */
+  @Test
+  void keyContainsTheCustomerAndTheService() {
+    StreamKey key = StreamKey.of("trawler", "models", "r-1");
+    assertEquals(key, StreamKey.of("trawler", "models", "r-1"));
+    assertNotEquals(key, StreamKey.of("ferry", "models", "r-1"));
+    assertNotEquals(key, StreamKey.of("trawler", "models-2", "r-1"));
+    assertNotEquals(key, StreamKey.of("trawler", "models", "r-2"));
+  }
+
+  @Test
+  void streamIsForgottenOnceItsCallerCanNoLongerComeBack() {
+    start(2);
+    Member first = fleet.member(StreamFleet.name(0));
+    first.origins.onBegun(StreamFleet.stream(1), "v1");
+    fleet.clock.advance(VersionHistory.LONGEST_STREAM.minusMillis(1));
+    assertEquals(Optional.of("v1"), first.origins.find(StreamFleet.stream(1)));
+    fleet.clock.advance(Duration.ofMillis(1));
+    assertEquals(Optional.empty(), first.origins.find(StreamFleet.stream(1)));
+    assertEquals(0, first.origins.storedStreams());
+  }
+}
