Don't go on with a stream at a server that may have restarted unnoticed

A server that restarts under its id may run another version before the list shows it; the id that a request expects is still right. Streams that broke with it were taken up at once and would go on at the new process.

RestartEvidence: several connections that end at the same time, or a connection that can't be opened, hold until a heartbeat of the same incarnation that was written later, or until something arrives on a connection from before. A single answer that breaks off is no evidence, else servers that fail some answers would get no streams taken up. Only streams that have begun are kept away.

Not covered: a restart that is quicker than a connection attempt, seen by an instance that had no stream there.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -82,6 +82,11 @@
     return server;
   }
 
+  /** When the request was sent. */
+  Instant startedAt() {
+    return startedAt;
+  }
+
   /** Whether the request was sent through another instance. */
   boolean relayed() {
     return relayed;
@@ -245,5 +250,8 @@
 
   private void markReceived() {
     lastReceivedAt = components.clock().instant();
+    if (!relayed) {
+      server.onReceived(startedAt, lastReceivedAt);
+    }
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -625,6 +625,11 @@
         .accept(
             new GatewayEvent.AttemptFailed(
                 request.id(), server.id().name(), sendCount, reason.name(), detail, failed.age()));
+    if (!failed.relayed() && reason == AttemptFailure.NOT_SENT) {
+      server.onConnectFailed(now());
+    } else if (!failed.relayed() && reason == AttemptFailure.MAY_HAVE_RUN) {
+      server.onConnectionLost(failed.startedAt(), now());
+    }
     boolean mayBeRelayed =
         reason == AttemptFailure.NOT_SENT && !failed.relayed() && components.links().hasRelays();
     if (!mayBeRelayed) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -202,8 +202,10 @@
   }
 
   /**
-   * The servers that may run the request. If no ready server has the version that a stream needs,
-   * these are the servers of that version that have just announced that they leave.
+   * The servers that may run the request. A stream that has begun goes only to servers of its
+   * version that can't have been restarted with another one unnoticed. If no ready server has the
+   * version that a stream needs, these are the servers of that version that have just announced
+   * that they leave.
    */
   private List<BackendServer> eligible(Criteria criteria, Instant now) {
     List<BackendServer> ready = servers.ready(criteria.service());
@@ -218,7 +220,9 @@
   }
 
   private static List<BackendServer> ofVersion(List<BackendServer> servers, String version) {
-    return servers.stream().filter(server -> server.softwareVersion().equals(version)).toList();
+    return servers.stream()
+        .filter(server -> server.softwareVersion().equals(version) && !server.mayHaveRestarted())
+        .toList();
   }
 
   /** Whether any server of a software version may run requests of a service. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -22,6 +22,7 @@
   private int running;
   private long promptTokensAhead;
   private Instant excludeUntil = Instant.MIN;
+  private final RestartEvidence restartEvidence = new RestartEvidence();
 
   /**
    * Creates a server.
@@ -110,6 +111,34 @@
     leaving = true;
   }
 
+  /**
+   * Whether another process may have taken this one's place since its last heartbeat, possibly with
+   * another software version under the same id.
+   */
+  public boolean mayHaveRestarted() {
+    return restartEvidence.mayHaveRestarted();
+  }
+
+  /** Records that no connection to the server could be opened. */
+  public void onConnectFailed(Instant now) {
+    restartEvidence.onConnectFailed(now);
+  }
+
+  /** Records that a connection on which a request was sent at {@code sentAt} ended early. */
+  public void onConnectionLost(Instant sentAt, Instant now) {
+    restartEvidence.onConnectionLost(sentAt, now);
+  }
+
+  /** Records that something arrived in answer to a request that was sent at {@code sentAt}. */
+  public void onReceived(Instant sentAt, Instant now) {
+    restartEvidence.onReceived(sentAt, now);
+  }
+
+  /** Records a heartbeat of this incarnation that was read from the server list. */
+  void onHeartbeat(Instant now) {
+    restartEvidence.onHeartbeat(now);
+  }
+
   /** Counts a request that was sent to the server. */
   public void onRequestSent(long promptTokens) {
     running++;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -68,6 +68,7 @@
       // A process never changes its version, so this is a later one without a start time.
       return replace(known, listing);
     }
+    known.onHeartbeat(now);
     boolean hadExpired = graceEnds.remove(listing.id()) != null;
     boolean back = unusable.remove(listing.id()) || hadExpired;
     if (!known.isListedAsReady()) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
@@ -75,6 +75,78 @@
     assertEquals(3, candidates());
   }
 
+  /** A stream must not go on at a server that may have restarted with other software. */
+  @Test
+  void choosesNoServerForABegunStreamThatMayHaveRestartedUnnoticed() {
+    for (String id : new String[] {"a", "b"}) {
+      find(id).onConnectionLost(NOW.minusSeconds(1), NOW);
+      find(id).onConnectionLost(NOW.minusSeconds(2), NOW.plusMillis(1));
+    }
+    assertEquals(1, candidatesOfVersion("v1", NOW));
+    assertEquals(3, candidates());
+    Instant later = NOW.plusMillis(500);
+    heartbeat("a", later.minusMillis(1));
+    heartbeat("b", later);
+    assertEquals(2, candidatesOfVersion("v1", later));
+  }
+
+  /** A server breaks off an answer but runs on, as its other answers show. */
+  @Test
+  void choosesServerForABegunStreamWhoseProcessGoesOn() {
+    BackendServer server = find("a");
+    server.onConnectionLost(NOW.minusSeconds(1), NOW);
+    assertEquals(3, candidatesOfVersion("v1", NOW));
+    server.onConnectionLost(NOW.minusSeconds(1), NOW);
+    assertEquals(2, candidatesOfVersion("v1", NOW));
+    Instant later = NOW.plusMillis(101);
+    server.onReceived(NOW.plusMillis(1), later);
+    assertEquals(2, candidatesOfVersion("v1", later));
+    server.onReceived(NOW.minusMillis(1), later);
+    assertEquals(3, candidatesOfVersion("v1", later));
+  }
+
+  /** The last servers of a version have announced that they leave; they serve a little longer. */
+  @Test
+  void choosesLeavingServersForABegunStreamOnlyForAWhileAndIfNoOtherIsLeft() {
+    servers.put(listing("d", "v0", false));
+    servers.put(listing("e", "v0", false));
+    servers.tick(NOW);
+    servers.put(listing("d", "v0", true));
+    assertEquals(1, candidatesOfVersion("v0", NOW));
+    servers.put(listing("e", "v0", true));
+    Instant end = NOW.plusSeconds(1);
+    assertEquals(2, candidatesOfVersion("v0", end.minusMillis(1)));
+    assertEquals(0, candidatesOfVersion("v0", end));
+    assertEquals(3, candidates());
+  }
+
+  private void heartbeat(String id, Instant at) {
+    servers.tick(at);
+    servers.put(listing(id, NOW));
+  }
+
+  private int candidatesOfVersion(String version, Instant now) {
+    return selector
+        .select(
+            new ServerSelector.Criteria(
+                "models", Optional.empty(), Duration.ofSeconds(1), Set.of(), Optional.of(version)),
+            now)
+        .map(ServerSelector.Selection::candidates)
+        .orElse(0);
+  }
+
+  private static ServerListing listing(String id, String version, boolean leaving) {
+    return new ServerListing(
+        new BackendServerId(id),
+        "models",
+        "10.0.0.1:80",
+        "hall-a",
+        version,
+        64,
+        leaving,
+        Optional.of(NOW));
+  }
+
   private void fail(BackendServer server) {
     for (int i = 0; i < MANY_FAILURES; i++) {
       selector.onFailed(server);
