--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -625,10 +625,8 @@
         .accept(
             new GatewayEvent.AttemptFailed(
                 request.id(), server.id().name(), sendCount, reason.name(), detail, failed.age()));
-    if (!failed.relayed() && reason == AttemptFailure.NOT_SENT) {
-      server.onConnectFailed(now());
-    } else if (!failed.relayed() && reason == AttemptFailure.MAY_HAVE_RUN) {
-      server.onConnectionLost(failed.startedAt(), now());
+    if (!failed.relayed()) {
+      recordRestartEvidence(failed, reason);
     }
     boolean mayBeRelayed =
         reason == AttemptFailure.NOT_SENT && !failed.relayed() && components.links().hasRelays();
@@ -660,6 +658,15 @@
     }
   }
 
+  private void recordRestartEvidence(Attempt failed, AttemptFailure reason) {
+    boolean lost = reason == AttemptFailure.MAY_HAVE_RUN;
+    if (reason == AttemptFailure.NOT_SENT || (lost && !failed.hasReceived())) {
+      failed.server().onUnanswered(now());
+    } else if (lost) {
+      failed.server().onConnectionLost(failed.startedAt(), now());
+    }
+  }
+
   /**
    * Handles an attempt that may have run.
    *
