Let the model play several software versions, releases and callers that take up streams

Engines of a scenario run as many versions as it says and restart with the next one in a release; callers take up a stream whose connection broke.

--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
@@ -58,10 +58,17 @@
         }
       }
       case ENGINE_CRASH ->
-          randomSubset(
-                  fleet.serverNames().stream().filter(name -> name.startsWith("engine")).toList(),
-                  fault.share())
+          randomSubset(engineNames(), fault.share())
               .forEach(name -> fleet.crashServer(fleet.server(name), fault.lasting()));
+      case RELEASE -> {
+        List<String> chosen = randomSubset(engineNames(), fault.share());
+        for (int i = 0; i < chosen.size(); i++) {
+          ModelServer engine = fleet.server(chosen.get(i));
+          fleet
+              .time()
+              .schedule(fault.gap().multipliedBy(i), () -> fleet.replace(engine, fault.lasting()));
+        }
+      }
       case BURST -> {
         load.setLoadFactor(fault.factor());
         fleet.time().schedule(fault.lasting(), () -> load.setLoadFactor(1));
@@ -92,6 +99,10 @@
     }
   }
 
+  private List<String> engineNames() {
+    return fleet.serverNames().stream().filter(name -> name.startsWith("engine")).toList();
+  }
+
   private List<String> randomSubset(List<String> all, double share) {
     List<String> remaining = new ArrayList<>(all);
     List<String> chosen = new ArrayList<>();
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
@@ -3,6 +3,9 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.TreeSet;
+import org.teaseldeal.gateway.flow.Resumption;
 
 /** A caller with one request, which is sent a second time if the first attempt isn't served. */
 final class ModelCaller {
@@ -28,6 +31,12 @@
   private final VirtualTime time;
   private final ModelRequest request;
   private final long sentAtNanos;
+  private final Set<String> versions = new TreeSet<>();
+  private String firstAttempt = "";
+  private int events;
+  private long firstPartAtNanos = -1;
+  private long lastPartAtNanos;
+  private long longestPauseNanos;
   private int attempts;
   private boolean completed;
 
@@ -52,7 +61,8 @@
     }
     Attempt attempt = new Attempt();
     String id = request.number() + "-" + attempts;
-    ModelExchange exchange = new ModelExchange(id, request, timeLeft, attempt);
+    ModelExchange exchange =
+        new ModelExchange(id, request, timeLeft, takeUp().or(() -> begin(id)), attempt);
     fleet.registerAttempt(id, request);
     time.schedule(
         timeLeft,
@@ -65,6 +75,28 @@
     instance.get().accept(exchange);
   }
 
+  /** Returns the statement with which a stream is taken up of which events have arrived. */
+  private Optional<Resumption> takeUp() {
+    return events == 0
+        ? Optional.empty()
+        : Resumption.of(Optional.of(String.valueOf(events)), Optional.of(firstAttempt));
+  }
+
+  private Optional<Resumption> begin(String attempt) {
+    firstAttempt = attempt;
+    return Optional.empty();
+  }
+
+  private void recordPart() {
+    long now = time.elapsedNanos();
+    if (firstPartAtNanos < 0) {
+      firstPartAtNanos = now;
+    } else {
+      longestPauseNanos = Math.max(longestPauseNanos, now - lastPartAtNanos);
+    }
+    lastPartAtNanos = now;
+  }
+
   private void retryOrComplete(Duration delay, Outcome finalOutcome) {
     boolean inTime =
         time.elapsedNanos() - sentAtNanos + delay.toNanos() < request.kind().deadline().toNanos();
@@ -78,21 +110,23 @@
   private void complete(Outcome outcome) {
     if (!completed) {
       completed = true;
+      fleet.streamCheck().onStreamEnded(request.number(), versions);
       fleet.onRequestCompleted(request, outcome);
     }
   }
 
   private final class Attempt implements ModelExchange.ResponseListener {
-    private long firstPartAtNanos = -1;
-    private long lastPartAtNanos;
-    private long longestPauseNanos;
+    private final boolean takesUp = events > 0;
 
     @Override
     public void onResponse(int status, Map<String, String> headers) {
       if (status == OK) {
-        onBodyPart();
+        recordPart();
         onEnd();
-      } else if (status == NOT_FOUND || !headers.containsKey(ModelDialect.RETRY_AFTER_HEADER)) {
+        return;
+      }
+      recordAttempt(false);
+      if (status == NOT_FOUND || !headers.containsKey(ModelDialect.RETRY_AFTER_HEADER)) {
         Outcome outcome = status >= FIRST_SERVER_ERROR ? Outcome.FAILED : Outcome.REFUSED;
         retryOrComplete(DEFAULT_RETRY_DELAY, outcome);
       } else {
@@ -102,18 +136,15 @@
     }
 
     @Override
-    public void onBodyPart() {
-      long now = time.elapsedNanos();
-      if (firstPartAtNanos < 0) {
-        firstPartAtNanos = now;
-      } else {
-        longestPauseNanos = Math.max(longestPauseNanos, now - lastPartAtNanos);
-      }
-      lastPartAtNanos = now;
+    public void onEvent(String version) {
+      events++;
+      versions.add(version);
+      recordPart();
     }
 
     @Override
     public void onEnd() {
+      recordAttempt(true);
       long began = firstPartAtNanos + ONE_WAY_DELAY.toNanos() - sentAtNanos;
       boolean prompt = began <= request.kind().aim().toNanos();
       boolean steady =
@@ -123,11 +154,25 @@
 
     @Override
     public void onConnectionLost() {
-      if (firstPartAtNanos < 0) {
+      recordAttempt(false);
+      if (events == 0 || request.kind().resumable()) {
         retryOrComplete(DEFAULT_RETRY_DELAY, Outcome.FAILED);
       } else {
         complete(Outcome.FAILED);
       }
     }
+
+    private void recordAttempt(boolean answered) {
+      if (!request.kind().resumable()) {
+        return;
+      }
+      if (takesUp) {
+        if (fleet.servedByTwo(versions)) {
+          fleet.streamCheck().onTakenUp(answered);
+        }
+      } else {
+        fleet.streamCheck().onBegun(answered || events > 0);
+      }
+    }
   }
 }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -11,6 +11,7 @@
 import org.teaseldeal.gateway.flow.Dialect;
 import org.teaseldeal.gateway.flow.ForwardingTerms;
 import org.teaseldeal.gateway.flow.PromptDescription;
+import org.teaseldeal.gateway.flow.Resumption;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -28,6 +29,9 @@
   /** Header of a server's answer that marks the request as not run. */
   static final String NOT_RUN_HEADER = "full";
 
+  /** Header that carries the id of the last event that the caller has; 0 if it has none. */
+  static final String LAST_EVENT_HEADER = "last-event";
+
   /** Header that carries the attempt's id to the server. */
   static final String ATTEMPT_ID_HEADER = "request";
 
@@ -52,7 +56,7 @@
             Optional.of(call.timeLeft()),
             Optional.of(request.customer()),
             prompt,
-            Optional.empty()));
+            call.resumption()));
   }
 
   static String path(Scenario.Kind kind) {
@@ -70,11 +74,18 @@
         terms.address(),
         request.method(),
         request.target(),
-        Map.of(ATTEMPT_ID_HEADER, request.id()),
+        Map.of(ATTEMPT_ID_HEADER, request.id(), LAST_EVENT_HEADER, lastEvent(request, terms)),
         request.body(),
         terms.timeLeft());
   }
 
+  private static String lastEvent(CallerRequest request, ForwardingTerms terms) {
+    return terms
+        .resumeAfter()
+        .or(() -> request.resumption().flatMap(Resumption::lastEventId))
+        .orElse("0");
+  }
+
   @Override
   public boolean isAnswerTo(CallerRequest request, Map<String, String> headers) {
     return true;
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelEngine.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelEngine.java
@@ -18,11 +18,14 @@
     private final ModelRequest request;
     private final Listener listener;
     private long promptTokensLeft;
+    private final long tokensBefore;
     private long generatedTokens;
     private boolean usageRecorded;
 
-    ActiveRequest(ModelRequest request, Listener listener) {
+    ActiveRequest(ModelRequest request, long tokensBefore, Listener listener) {
       this.request = request;
+      this.tokensBefore = tokensBefore;
+      this.generatedTokens = tokensBefore;
       this.listener = listener;
     }
   }
@@ -63,8 +66,9 @@
   }
 
   @Override
-  public HttpCall run(ModelRequest request, Listener listener) {
-    ActiveRequest entry = new ActiveRequest(request, listener);
+  public HttpCall run(ModelRequest request, int eventsBefore, Listener listener) {
+    long tokensBefore = (long) eventsBefore * settings.tokensPerEvent();
+    ActiveRequest entry = new ActiveRequest(request, tokensBefore, listener);
     waiting.add(entry);
     startStep();
     return () -> {
@@ -149,10 +153,10 @@
   private void recordUsage(ActiveRequest entry) {
     if (!entry.usageRecorded) {
       entry.usageRecorded = true;
-      boolean read = entry.promptTokensLeft == 0 && entry.generatedTokens > 0;
+      long generated = entry.generatedTokens - entry.tokensBefore;
+      boolean read = entry.promptTokensLeft == 0 && generated > 0;
       meter.usedTokens(
-          entry.request.customer(),
-          (read ? entry.request.inputTokens() : 0) + entry.generatedTokens);
+          entry.request.customer(), (read ? entry.request.inputTokens() : 0) + generated);
     }
   }
 
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelExchange.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelExchange.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import org.teaseldeal.gateway.flow.Resumption;
 import org.teaseldeal.net.HttpExchange;
 import org.teaseldeal.net.ResponseStream;
 
@@ -13,7 +14,12 @@
   interface ResponseListener {
     void onResponse(int status, Map<String, String> headers);
 
-    void onBodyPart();
+    /**
+     * Called for each event of a stream.
+     *
+     * @param version the software version of the engine that wrote it
+     */
+    void onEvent(String version);
 
     void onEnd();
 
@@ -24,16 +30,22 @@
   private final String attemptId;
   private final ModelRequest request;
   private final Duration timeLeft;
+  private final Optional<Resumption> resumption;
   private final ResponseListener listener;
   private Runnable callerDisconnectAction = () -> {};
   private boolean responseStarted;
   private boolean ended;
 
   ModelExchange(
-      String attemptId, ModelRequest request, Duration timeLeft, ResponseListener listener) {
+      String attemptId,
+      ModelRequest request,
+      Duration timeLeft,
+      Optional<Resumption> resumption,
+      ResponseListener listener) {
     this.attemptId = attemptId;
     this.request = request;
     this.timeLeft = timeLeft;
+    this.resumption = resumption;
     this.listener = listener;
   }
 
@@ -49,6 +61,11 @@
     return timeLeft;
   }
 
+  /** Returns the caller's statement that it takes up a stream, if it does. */
+  Optional<Resumption> resumption() {
+    return resumption;
+  }
+
   /** Returns whether the answer is complete or the connection is closed. */
   boolean ended() {
     return ended;
@@ -141,7 +158,7 @@
     @Override
     public void write(byte[] part) {
       if (!ended && part.length > 0) {
-        listener.onBodyPart();
+        listener.onEvent(ModelFleet.versionIn(part));
       }
     }
 
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -58,6 +58,8 @@
   private final TokenMeter meter = new TokenMeter();
   private final Map<String, ModelServer> servers = new LinkedHashMap<>();
   private final Map<String, Instant> serverStarts = new HashMap<>();
+  private final Map<String, Integer> versions = new HashMap<>();
+  private final StreamCheck streamCheck = new StreamCheck();
   private final Map<String, ModelInstance> instances = new TreeMap<>();
   private final Map<String, Long> steadyClockOffsetsNanos = new HashMap<>();
   private final Map<String, ModelRequest> attempts = new HashMap<>();
@@ -98,6 +100,7 @@
   private SimulationResult simulate() {
     for (int i = 0; i < scenario.engines().count(); i++) {
       addServer(new ModelEngine("engine-" + i, time, scenario.engines(), meter));
+      versions.put("engine-" + i, i % scenario.engines().versions());
     }
     for (int i = 0; i < scenario.services().count(); i++) {
       addServer(new ModelService("desk-" + i, time, scenario.services()));
@@ -118,6 +121,7 @@
     load.stop();
     time.runUntil(end.plus(DRAIN_TIME));
     checkPrepaidTotals();
+    violations.addAll(streamCheck.violations());
     return result();
   }
 
@@ -202,8 +206,20 @@
         time.instant().toEpochMilli());
   }
 
-  static byte[] eventFrame(int number) {
-    return "id: %d\ndata: x\n\n".formatted(number).getBytes(StandardCharsets.UTF_8);
+  /** Returns an event of a stream as an engine of a software version writes it. */
+  static byte[] eventFrame(int number, String version) {
+    return "id: %d\ndata: %s\n\n".formatted(number, version).getBytes(StandardCharsets.UTF_8);
+  }
+
+  /** Returns the software version of the engine that wrote an event. */
+  static String versionIn(byte[] event) {
+    String text = new String(event, StandardCharsets.UTF_8);
+    return text.substring(text.indexOf("data: ") + "data: ".length()).strip();
+  }
+
+  /** Returns the software version of a server. */
+  String versionOf(ModelServer server) {
+    return "v" + versions.getOrDefault(server.name(), 0);
   }
 
   private GatewayPlan plan() {
@@ -216,13 +232,13 @@
                         ModelDialect.HOST,
                         ModelDialect.path(kind),
                         routeKind(kind),
-                        false,
+                        kind.resumable(),
                         !kind.streamed(),
                         kind.deadline(),
                         kind.aim(),
                         kind.pauseAim(),
                         0,
-                        kind.answer() == Scenario.Answer.REPEATABLE ? 2 : 1,
+                        kind.answer() == Scenario.Answer.REPEATABLE || kind.resumable() ? 2 : 1,
                         List.of(
                             new WeightedService(
                                 kind.streamed() ? ENGINE_SERVICE : PLAIN_SERVICE, 1))))
@@ -285,6 +301,11 @@
     return request;
   }
 
+  /** Records the streams that callers hold and take up. */
+  StreamCheck streamCheck() {
+    return streamCheck;
+  }
+
   void onRequestCompleted(ModelRequest request, ModelCaller.Outcome outcome) {
     Scenario.Kind kind = request.kind();
     double worth =
@@ -378,6 +399,26 @@
         });
   }
 
+  /** Whether at least two engines run one of these software versions. */
+  boolean servedByTwo(Set<String> wanted) {
+    return runningServers().stream()
+            .filter(ModelEngine.class::isInstance)
+            .filter(engine -> wanted.contains(versionOf(engine)))
+            .count()
+        >= 2;
+  }
+
+  /** Restarts an engine with the next software version. */
+  void replace(ModelServer engine, Duration lasting) {
+    crashServer(engine, lasting);
+    versions.merge(engine.name(), 1, (version, one) -> (version + one) % (allVersions() + 1));
+  }
+
+  /** The number of versions at the start; a release brings one more. */
+  private int allVersions() {
+    return scenario.engines().versions();
+  }
+
   private void updateListings(ModelServer server, boolean present) {
     if (present != server.isDown()) {
       instances.values().stream()
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -75,6 +75,7 @@
   private final TokenRequests tokenRequests;
   private final TokenDraws tokenDraws;
   private final LoadExchange loadExchange;
+  private final VersionHistory versionHistory;
   private final StreamOrigins streamOrigins;
   private final RequestDispatcher dispatcher;
   private final Set<ModelExchange> openExchanges = new LinkedHashSet<>();
@@ -117,11 +118,10 @@
             Optional::of,
             this::sendDatagram,
             time);
-    VersionHistory versions = new VersionHistory(name, servers, time, time);
-    versions.onLoaded(List.of(), true);
+    versionHistory = new VersionHistory(name, servers, time, time);
     streamOrigins =
         new StreamOrigins(
-            name, fleet::memberNames, new RemoteStreams(), versions, () -> true, time);
+            name, fleet::memberNames, new RemoteStreams(), versionHistory, () -> true, time);
     dispatcher =
         new RequestDispatcher(
             new GatewayComponents(
@@ -197,7 +197,7 @@
             engine ? ModelFleet.ENGINE_SERVICE : ModelFleet.PLAIN_SERVICE,
             server.name(),
             "",
-            "",
+            fleet.versionOf(server),
             fleet.maxConcurrentRequests(engine),
             false,
             Optional.of(fleet.startTimeOf(server))));
@@ -232,6 +232,7 @@
     }
     accountLog.tick();
     accounts.onLogReachable(!accountLog.failing());
+    versionHistory.tick();
     loadExchange.tick();
     streamOrigins.tick();
     accounts.tick();
@@ -455,6 +456,7 @@
     private final ModelServer server;
     private HttpCall serverRun = () -> {};
     private boolean headSent;
+    private String version = "";
     private int partCount;
     private boolean ended;
 
@@ -462,6 +464,8 @@
       this.request = request;
       this.listener = listener;
       this.server = fleet.server(request.address());
+      this.partCount =
+          Integer.parseInt(request.headers().getOrDefault(ModelDialect.LAST_EVENT_HEADER, "0"));
     }
 
     void start() {
@@ -488,7 +492,8 @@
                 if (!ended && !server.isDown()) {
                   String id = String.valueOf(request.headers().get(ModelDialect.ATTEMPT_ID_HEADER));
                   fleet.onAttemptStarted(id);
-                  serverRun = server.run(fleet.requestOf(id), this);
+                  version = fleet.versionOf(server);
+                  serverRun = server.run(fleet.requestOf(id), partCount, this);
                 }
               });
     }
@@ -526,7 +531,7 @@
       deliver(
           () -> {
             deliverHead(Map.of());
-            listener.onBodyPart(ModelFleet.eventFrame(part));
+            listener.onBodyPart(ModelFleet.eventFrame(part, version));
           });
     }
 
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelServer.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelServer.java
@@ -21,8 +21,13 @@
     void onCrash();
   }
 
-  /** Runs a request; the returned call closes the request's connection, which cancels it. */
-  HttpCall run(ModelRequest request, Listener listener);
+  /**
+   * Runs a request; the returned call closes the request's connection, which cancels it.
+   *
+   * @param eventsBefore the number of events that the caller already has, after which a stream goes
+   *     on
+   */
+  HttpCall run(ModelRequest request, int eventsBefore, Listener listener);
 
   /** Crashes the server, or starts it again; either way its requests and its cache are lost. */
   void setDown(boolean down);
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelService.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelService.java
@@ -43,7 +43,7 @@
   }
 
   @Override
-  public HttpCall run(ModelRequest request, Listener listener) {
+  public HttpCall run(ModelRequest request, int eventsBefore, Listener listener) {
     ActiveRequest entry = new ActiveRequest(request, listener);
     if (running.size() >= settings.maxConcurrentRequests() && waiting.size() >= settings.queue()) {
       listener.onQueueFull();
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
@@ -64,6 +64,7 @@
    * @param chunk the maximum number of prompt tokens read within one step
    * @param cacheTokens the capacity of each engine's cache for shared prompt parts
    * @param tokensPerEvent the tokens that one event of a stream carries
+   * @param versions the number of software versions that serve side by side
    */
   public record Engines(
       int count,
@@ -73,7 +74,8 @@
       double promptTokensPerMilli,
       int chunk,
       long cacheTokens,
-      int tokensPerEvent) {}
+      int tokensPerEvent,
+      int versions) {}
 
   /**
    * The servers of the plain service, which refuse requests beyond those that run and wait.
@@ -104,6 +106,7 @@
    * @param sharedTokens the length of that prefix in tokens
    * @param ownTokens the mean number of prompt tokens that no other request has
    * @param events the mean number of events of an answer
+   * @param resumable whether a stream may go on at another engine after its last event
    */
   public record Kind(
       String name,
@@ -117,7 +120,8 @@
       int subjects,
       int sharedTokens,
       int ownTokens,
-      int events) {
+      int events,
+      boolean resumable) {
     boolean streamed() {
       return answer == Answer.STREAM;
     }
@@ -137,6 +141,11 @@
     STOP,
     /** Engines crash and start again with empty caches. */
     ENGINE_CRASH,
+    /**
+     * Engines are replaced one after the other: each restarts under its name with the next software
+     * version.
+     */
+    RELEASE,
     /** The load of all customers increases. */
     BURST,
     /** The weight of the largest customer in the load is multiplied; the total stays the same. */
@@ -189,7 +198,8 @@
             engines.promptTokensPerMilli(),
             engines.chunk(),
             engines.cacheTokens(),
-            engines.tokensPerEvent()),
+            engines.tokensPerEvent(),
+            engines.versions()),
         new Services(
             scaled(services.count(), scale),
             services.maxConcurrentRequests(),
@@ -216,6 +226,7 @@
         scaled(kind.subjects(), scale),
         kind.sharedTokens(),
         kind.ownTokens(),
-        kind.events());
+        kind.events(),
+        kind.resumable());
   }
 }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ScenarioParser.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ScenarioParser.java
@@ -73,7 +73,8 @@
         table.doubleInRange("prompt_tokens_per_milli", 66, 0.1, 100_000),
         table.intInRange("chunk", 2_048, 1, MAX_COUNT),
         table.longInRange("cache_tokens", 300_000, 0, Long.MAX_VALUE),
-        table.intInRange("tokens_per_event", 4, 1, 1_000));
+        table.intInRange("tokens_per_event", 4, 1, 1_000),
+        table.intInRange("versions", 1, 1, 100));
   }
 
   private static Scenario.Services services(TomlReader table) {
@@ -97,7 +98,8 @@
         kind.intInRange("subjects", 100, 1, MAX_COUNT),
         kind.intInRange("shared_tokens", 0, 0, MAX_COUNT),
         kind.intInRange("own_tokens", 0, 0, MAX_COUNT),
-        kind.intInRange("events", 1, 1, MAX_COUNT));
+        kind.intInRange("events", 1, 1, MAX_COUNT),
+        kind.bool("resumable", false));
   }
 
   private static Scenario.Fault fault(TomlReader fault) {
