Explain a stream that is taken up with the attempt that began it

explain REQUEST shows the events of the attempt under resumes before those of the request, so the versions at which a stream began and went on stand side by side, also from the logs of two instances.

--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/Explanation.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/Explanation.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.operator.explain;
 
+import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
 import org.teaseldeal.operator.report.Report;
 
@@ -9,6 +10,7 @@
  * @param cause the explanation, in one sentence
  * @param beliefs the last events, before the request ended, that show the state on which its
  *     instance based its decisions
+ * @param began the events of the attempt that began the stream which the request takes up
  * @param events the events of the request itself
  * @param unreadableLines the number of lines in the files that could not be parsed and might
  *     contain further events
@@ -18,6 +20,7 @@
     String instance,
     String cause,
     List<String> beliefs,
+    @JsonInclude(JsonInclude.Include.NON_EMPTY) List<String> began,
     List<String> events,
     int unreadableLines)
     implements Report {
@@ -27,6 +30,7 @@
         history.end().instance(),
         Cause.of(history),
         history.knownState().stream().map(Explanation::timed).toList(),
+        history.resumed().stream().map(Explanation::timed).toList(),
         history.lines().stream().map(Explanation::timed).toList(),
         unreadableLines);
   }
@@ -41,6 +45,10 @@
     text.append(request).append(" at ").append(instance).append(": ").append(cause);
     text.append("\n\nState known to the instance:");
     beliefs.forEach(line -> text.append("\n  ").append(line));
+    if (!began.isEmpty()) {
+      text.append("\n\nEvents of the attempt that began its stream:");
+      began.forEach(line -> text.append("\n  ").append(line));
+    }
     text.append("\n\nEvents of the request:");
     events.forEach(line -> text.append("\n  ").append(line));
     if (unreadableLines > 0) {
--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/RequestHistory.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/explain/RequestHistory.java
@@ -14,11 +14,14 @@
  * The logged events of one request, and the state that its instance knew when the request ended.
  *
  * @param lines the events of the request, in order of time
+ * @param resumed the events of the attempt that began the stream which the request takes up, if it
+ *     takes up one
  * @param knownState the latest event of each kind at the instance that ended the request, up to its
  *     end
  * @param end the event that ended the request
  */
-record RequestHistory(List<EventLine> lines, List<EventLine> knownState, EventLine end) {
+record RequestHistory(
+    List<EventLine> lines, List<EventLine> resumed, List<EventLine> knownState, EventLine end) {
   private static final String ENDED = "RequestEnded";
 
   /** Finds the history of {@code request}; empty if no event says how it ended. */
@@ -30,7 +33,20 @@
     return requestLines.stream()
         .filter(line -> line.event().equals(ENDED))
         .findFirst()
-        .map(end -> new RequestHistory(requestLines, knownState(requestLines, end, sorted), end));
+        .map(
+            end ->
+                new RequestHistory(
+                    requestLines,
+                    resumed(requestLines, sorted),
+                    knownState(requestLines, end, sorted),
+                    end));
+  }
+
+  private static List<EventLine> resumed(List<EventLine> requestLines, List<EventLine> sorted) {
+    Set<String> attempts = new HashSet<>();
+    requestLines.forEach(line -> attempts.add(line.text("resumes")));
+    attempts.remove("");
+    return sorted.stream().filter(line -> attempts.contains(line.text("request"))).toList();
   }
 
   private static List<EventLine> knownState(
--- a/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/InstanceLogAnalyzer.java
+++ b/teaseldeal-operator/src/main/java/org/teaseldeal/operator/losses/InstanceLogAnalyzer.java
@@ -174,7 +174,7 @@
                   AttemptOutcome.REFUSED, LossCause.WAITED_FOR_SERVER, request.serverStateAge)
               : assessNoTokens(customer, entry);
       case "deadline-passed" -> assessFailed(request, LossCause.QUEUED_AT_SERVER, entry);
-      case "no-backend-server" ->
+      case "no-backend-server", "stream-not-resumable" ->
           new Assessment(
               AttemptOutcome.REFUSED, isolatedOr(LossCause.NO_SERVER), longestUnreachable(entry));
       case "overloaded" ->
--- a/teaseldeal-operator/src/test/java/org/teaseldeal/operator/ExplainCommandTests.java
+++ b/teaseldeal-operator/src/test/java/org/teaseldeal/operator/ExplainCommandTests.java
@@ -60,6 +60,22 @@
     transcript.verify();
   }
 
+  /** The versions at which a stream began and went on, at two instances, stand side by side. */
+  @Test
+  void showsWhereAStreamThatIsTakenUpBegan() throws IOException {
+    Files.writeString(
+        directory.resolve("c.log"),
+        """
+        {"time":"2026-03-01T11:00:00Z","instance":"a","event":"Placed","request":"r5","service":"models","server":"engine-1","version":"v1","attempt":1,"resumeAfter":"","resumes":""}
+        {"time":"2026-03-01T11:00:02Z","instance":"b","event":"StreamTakenUp","request":"r6","resumes":"r5","resumeAfter":"7","version":"v1","source":"PEER","took_ms":2.5}
+        {"time":"2026-03-01T11:00:02.1Z","instance":"b","event":"StreamNotResumed","request":"r6","service":"models","resumes":"r5","version":"v1","reason":"no_server_of_version"}
+        {"time":"2026-03-01T11:00:02.1Z","instance":"b","event":"RequestEnded","request":"r6","route":"query","customer":"trawler","outcome":"stream-not-resumable","status":503,"detail":"no server of software version v1","attempts":0,"plan":7,"waited_ms":0.0,"took_ms":3.0}
+        """);
+    transcript.run("explain", "r6", file("c.log"));
+
+    transcript.verify();
+  }
+
   @Test
   void reportsMissingRequestsAndUnreadableFiles() {
     transcript.run("explain", "r2", file("a.log"));
