--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/StreamBackupChoice.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/StreamBackupChoice.java
@@ -19,7 +19,7 @@
   /**
    * Enough that some remain if several instances end at once, and if messages are lost on the way.
    */
-  private static final int BACKUPS = 3;
+  private static final int BACKUPS = 2;
 
   /**
    * How many are asked: some more than the backups, as instances that have joined since take the
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
@@ -13,9 +13,9 @@
  * Knows at which software version of the backend servers streams began.
  *
  * <p>A stream may go on only at the version that began it. The instance that began it may be gone
- * when its caller takes the stream up at another one, so it tells the version to a few others as
- * soon as the first event is handed to the caller. Which ones follows from the stream's key, so
- * that any instance can ask them. A version that nobody knows is never guessed.
+ * when its caller takes the stream up at another one, so it tells the version to others as soon as
+ * the first event is handed to the caller. Which ones follows from the stream's key, so that any
+ * instance can ask them. A version that nobody knows is never guessed.
  */
 public final class StreamOrigins {
   /** How a version became known. The name appears in logs and metrics. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/VersionTable.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/VersionTable.java
@@ -13,7 +13,7 @@
   private static final Duration RETENTION = VersionHistory.LONGEST_STREAM;
 
   /**
-   * Limits memory use to some megabytes. An instance stores the streams of three others besides its
+   * Limits memory use to some megabytes. An instance stores the streams of two others besides its
    * own, up to some hundred a second. The oldest streams are dropped first, as most have ended.
    */
   private static final int MAX_STREAMS = 20_000;
