Note streams on the shared log while an instance hears no other

Found by the model, scenario software-versions-cut, 95 instances: three in ten are cut off from their peers for five seconds while a release goes on, the load rises, engines crash and instances lose power.

An instance that hears no other notes the streams that began since on the fleet's log, with those of the two seconds before it noticed; every instance reads it each second. While others are heard nothing is written. The model reads a second topic now, as deployments do, and judges only instances that are in touch.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -24,6 +24,10 @@
   private static final String CRASH = "crash";
   private static final String PRESENCE = "presence";
   private static final String VERSIONS = "versions";
+  private static final String STREAMS = "streams";
+
+  /** More streams than one instance begins within seconds. */
+  private static final int MAX_STREAMS = 10_000;
 
   /** More versions than ever serve side by side; bounds the memory that a foreign note takes. */
   private static final int MAX_VERSIONS = 1_000;
@@ -86,6 +90,8 @@
           record(
               key(VERSIONS, versions.instance(), versions.service()),
               out -> writeVersions(versions, out));
+      case SharedNote.StreamVersions streams ->
+          record(key(STREAMS, streams.instance(), ""), out -> writeStreams(streams, out));
       case SharedNote.UnreadableAccount unreadable ->
           throw new IllegalArgumentException("an unreadable account note can't be encoded");
       case SharedNote.Presence presence ->
@@ -148,12 +154,36 @@
       case PRESENCE -> new SharedNote.Presence(instance, validatedAddress(in.readUTF()));
       case VERSIONS ->
           new SharedNote.ServiceVersions(instance, subject, in.readLong(), readVersions(in));
+      case STREAMS -> new SharedNote.StreamVersions(instance, readStreams(in));
       default ->
           throw new IllegalArgumentException(
-              "kind was '%s', expected account, crash, presence or versions".formatted(kind));
+              "kind was '%s', expected account, crash, presence, versions or streams"
+                  .formatted(kind));
     };
   }
 
+  private static void writeStreams(SharedNote.StreamVersions note, DataOutputStream out)
+      throws IOException {
+    out.writeInt(note.streams().size());
+    for (SharedNote.VersionOfStream each : note.streams()) {
+      out.writeLong(each.stream());
+      out.writeUTF(each.version());
+    }
+  }
+
+  private static List<SharedNote.VersionOfStream> readStreams(DataInputStream in)
+      throws IOException {
+    int count = in.readInt();
+    Preconditions.require(
+        count >= 0 && count <= MAX_STREAMS,
+        "streams were %d, expected 0 to %d".formatted(count, MAX_STREAMS));
+    List<SharedNote.VersionOfStream> streams = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      streams.add(new SharedNote.VersionOfStream(in.readLong(), in.readUTF()));
+    }
+    return streams;
+  }
+
   private static void writeVersions(SharedNote.ServiceVersions note, DataOutputStream out)
       throws IOException {
     out.writeLong(note.wallMillis());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -111,6 +111,23 @@
     }
   }
 
+  /**
+   * The software versions at which streams began at an instance that could not tell its peers; each
+   * note holds only the streams that are new since the one before.
+   */
+  record StreamVersions(String instance, List<VersionOfStream> streams) implements SharedNote {
+    public StreamVersions {
+      streams = List.copyOf(streams);
+    }
+  }
+
+  /**
+   * The software version at which a stream began.
+   *
+   * @param stream the hash that identifies the stream
+   */
+  record VersionOfStream(long stream, String version) {}
+
   /** The address at which the other instances reach an instance. */
   record Presence(String instance, String peerAddress) implements SharedNote {}
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
@@ -1,6 +1,10 @@
 package org.teaseldeal.gateway.stream;
 
+import java.time.Duration;
+import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -8,6 +12,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.teaseldeal.decisions.StreamBackupChoice;
+import org.teaseldeal.gateway.log.LogParticipant;
+import org.teaseldeal.gateway.log.SharedNote;
 
 /**
  * Knows at which software version of the backend servers streams began.
@@ -15,9 +21,24 @@
  * <p>A stream may go on only at the version that began it. The instance that began it may be gone
  * when its caller takes the stream up at another one, so it tells the version to others as soon as
  * the first event is handed to the caller. Which ones follows from the stream's key, so that any
- * instance can ask them. A version that nobody knows is never guessed.
+ * instance can ask them. An instance that hears no other notes its streams on the shared log. A
+ * version that nobody knows is never guessed.
  */
-public final class StreamOrigins {
+public final class StreamOrigins implements LogParticipant {
+  /**
+   * While this instance hears no other, streams that began within this time before it noticed are
+   * noted on the shared log too; it notices after a second.
+   */
+  private static final Duration UNNOTICED_ISOLATION = Duration.ofSeconds(2);
+
+  /** The interval of notes while this instance hears no other. */
+  private static final Duration NOTE_INTERVAL = Duration.ofMillis(250);
+
+  /** The streams of one note take some tens of kilobytes at most. */
+  private static final int MAX_STREAMS_PER_NOTE = 1_000;
+
+  private record BegunStream(StreamKey stream, String version, Instant at) {}
+
   /** How a version became known. The name appears in logs and metrics. */
   public enum Source {
     /** This instance began the stream, or was told of it. */
@@ -47,16 +68,23 @@
   private final InstantSource clock;
   private final VersionHistory history;
   private final BooleanSupplier listIsCurrent;
+  private final BooleanSupplier hearsPeers;
   private final StreamBackupChoice choice = new StreamBackupChoice();
   private final VersionTable versions = new VersionTable();
   private Set<String> announcedTo = Set.of();
 
+  /** Streams begun here that no other instance may know, in the order in which they began. */
+  private final Deque<BegunStream> unnoted = new ArrayDeque<>();
+
+  private Instant nextNoteAt = Instant.MIN;
+
   /**
    * Creates the knowledge of an instance.
    *
    * @param fleet the names of all instances; an unmodifiable set, which is replaced by another one
    *     at each change
    * @param listIsCurrent whether the list of servers was read a short time ago
+   * @param hearsPeers whether messages of other instances arrive, or there is no other instance
    */
   public StreamOrigins(
       String instance,
@@ -64,18 +92,22 @@
       StreamPeers peers,
       VersionHistory history,
       BooleanSupplier listIsCurrent,
+      BooleanSupplier hearsPeers,
       InstantSource clock) {
     this.instance = instance;
     this.fleet = fleet;
     this.peers = peers;
     this.history = history;
     this.listIsCurrent = listIsCurrent;
+    this.hearsPeers = hearsPeers;
     this.clock = clock;
   }
 
   /** Records that a stream's first event is handed to its caller, and tells other instances. */
   public void onBegun(StreamKey stream, String version) {
-    versions.put(stream, version, true, clock.instant());
+    Instant now = clock.instant();
+    versions.put(stream, version, true, now);
+    unnoted.addLast(new BegunStream(stream, version, now));
     choice
         .backups(stream.hash(), instance, fleet.get())
         .forEach(name -> peers.announce(name, stream, version));
@@ -92,6 +124,7 @@
    * replaced since.
    */
   public void tick() {
+    discardAnnounced();
     Set<String> current = fleet.get();
     if (current == announcedTo) {
       return;
@@ -105,6 +138,52 @@
                 .forEach(name -> peers.announce(name, stream, version)));
   }
 
+  /** Discards streams that other instances have been told of while they could be reached. */
+  private void discardAnnounced() {
+    Instant earliest = clock.instant().minus(UNNOTICED_ISOLATION);
+    boolean isolated = !hearsPeers.getAsBoolean();
+    while (!unnoted.isEmpty()
+        && (unnoted.size() > MAX_STREAMS_PER_NOTE
+            || (!isolated && unnoted.getFirst().at().isBefore(earliest)))) {
+      unnoted.removeFirst();
+    }
+  }
+
+  /**
+   * Notes the streams that began while this instance hears no other. Their callers may take them up
+   * at instances that it can't tell, but that read the shared log.
+   */
+  @Override
+  public List<SharedNote> notesToWrite(Instant now) {
+    if (unnoted.isEmpty() || now.isBefore(nextNoteAt) || hearsPeers.getAsBoolean()) {
+      return List.of();
+    }
+    nextNoteAt = now.plus(NOTE_INTERVAL);
+    List<SharedNote.VersionOfStream> streams =
+        unnoted.stream()
+            .map(each -> new SharedNote.VersionOfStream(each.stream().hash(), each.version()))
+            .toList();
+    unnoted.clear();
+    return List.of(new SharedNote.StreamVersions(instance, streams));
+  }
+
+  @Override
+  public void onNote(SharedNote note, boolean own) {
+    if (!own && note instanceof SharedNote.StreamVersions noted) {
+      noted.streams().forEach(each -> onAnnounced(new StreamKey(each.stream()), each.version()));
+    }
+  }
+
+  @Override
+  public void onLoaded(List<SharedNote> notes, boolean first) {
+    notes.forEach(note -> onNote(note, !first && note.instance().equals(instance)));
+  }
+
+  @Override
+  public boolean awaitsPeerNotes() {
+    return false;
+  }
+
   /** The version of a stream as far as this instance knows it. */
   public Optional<String> find(StreamKey stream) {
     return versions.find(stream, clock.instant());
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -98,6 +98,7 @@
           new OnePeer(),
           versionHistory,
           () -> listIsCurrent,
+          () -> true,
           clock);
 
   /** Whether the configuration has been read. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
@@ -37,10 +37,13 @@
     final VersionHistory history;
     final StreamOrigins origins;
     boolean listIsCurrent = true;
+    boolean hearsPeers = true;
 
     private Member(String name) {
       history = new VersionHistory(name, servers, clock, clock);
-      origins = new StreamOrigins(name, () -> names, this, history, () -> listIsCurrent, clock);
+      origins =
+          new StreamOrigins(
+              name, () -> names, this, history, () -> listIsCurrent, () -> hearsPeers, clock);
       history.onLoaded(List.copyOf(notes.values()), true);
     }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamOriginsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamOriginsTests.java
@@ -5,10 +5,12 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.teaseldeal.gateway.log.SharedNote;
 import org.teaseldeal.gateway.stream.StreamFleet.Member;
 
 /** Tests of who knows at which software version a stream began. */
@@ -93,6 +95,40 @@
     assertTrue(fleet.messages <= 2 * STREAMS, "messages were " + fleet.messages);
   }
 
+  /** An instance is cut off from all others but not from the shared log; then it is killed. */
+  @Test
+  void instanceThatHearsNoOtherNotesItsStreamsOnTheLog() {
+    start(7);
+    Member isolated = fleet.member(StreamFleet.name(0));
+    fleet.messagesPerLoss = 1;
+    isolated.origins.onBegun(StreamFleet.stream(1), "v1");
+    isolated.origins.tick();
+    assertEquals(List.of(), isolated.origins.notesToWrite(fleet.clock.instant()));
+    fleet.clock.advance(Duration.ofSeconds(1));
+    isolated.hearsPeers = false;
+    isolated.origins.onBegun(StreamFleet.stream(2), "v2");
+    isolated.origins.tick();
+    List<SharedNote> notes = isolated.origins.notesToWrite(fleet.clock.instant());
+    assertEquals(List.of(), isolated.origins.notesToWrite(fleet.clock.instant()));
+    Member other = fleet.member(StreamFleet.name(1));
+    notes.forEach(note -> other.origins.onNote(note, false));
+    fleet.down.add(StreamFleet.name(0));
+    assertEquals(Optional.of("v1"), other.resolve(StreamFleet.stream(1)));
+    assertEquals(Optional.of("v2"), other.resolve(StreamFleet.stream(2)));
+  }
+
+  /** Streams that others were told of must not be written to the log. */
+  @Test
+  void instanceThatHearsOthersWritesNothingToTheLog() {
+    start(7);
+    Member member = fleet.member(StreamFleet.name(0));
+    member.origins.onBegun(StreamFleet.stream(1), "v1");
+    fleet.clock.advance(Duration.ofSeconds(3));
+    member.origins.tick();
+    member.hearsPeers = false;
+    assertEquals(List.of(), member.origins.notesToWrite(fleet.clock.instant()));
+  }
+
   /** What nobody knows must not be guessed while servers of two versions serve. */
   @Test
   void unknownStreamStaysUnknown() {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
@@ -42,8 +42,8 @@
                 () -> chosen.forEach(name -> fleet.network().setIsolated(name, false)));
       }
       case LOG_DOWN -> {
-        fleet.log().setDown(true);
-        fleet.time().schedule(fault.lasting(), () -> fleet.log().setDown(false));
+        fleet.setLogDown(true);
+        fleet.time().schedule(fault.lasting(), () -> fleet.setLogDown(false));
       }
       case POWER -> randomSubset(fleet.instanceNames(), fault.share()).forEach(fleet::losePower);
       case STOP -> {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
@@ -59,7 +59,7 @@
       retryOrComplete(DEFAULT_RETRY_DELAY, Outcome.FAILED);
       return;
     }
-    Attempt attempt = new Attempt();
+    Attempt attempt = new Attempt(instance.get().name());
     String id = request.number() + "-" + attempts;
     ModelExchange exchange =
         new ModelExchange(id, request, timeLeft, takeUp().or(() -> begin(id)), attempt);
@@ -116,8 +116,13 @@
   }
 
   private final class Attempt implements ModelExchange.ResponseListener {
+    private final String instance;
     private final boolean takesUp = events > 0;
 
+    Attempt(String instance) {
+      this.instance = instance;
+    }
+
     @Override
     public void onResponse(int status, Map<String, String> headers) {
       if (status == OK) {
@@ -163,7 +168,7 @@
     }
 
     private void recordAttempt(boolean answered) {
-      if (!request.kind().resumable()) {
+      if (!request.kind().resumable() || !fleet.inTouch(instance)) {
         return;
       }
       if (takesUp) {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -46,6 +46,9 @@
   /** Time until the instances' server lists show that a server went down or came up. */
   private static final Duration LISTING_DELAY = Duration.ofMillis(1_000);
 
+  /** Time after a disturbance until an instance counts as in touch again. */
+  private static final Duration STABILISATION_TIME = Duration.ofSeconds(3);
+
   private static final Duration MAX_PLAN_DELAY = Duration.ofMillis(200);
 
   private final Scenario scenario;
@@ -55,10 +58,15 @@
   private final SplittableRandom random;
   private final ModelNetwork network;
   private final ModelLog log;
+
+  /** A second topic of the log, for what concerns the fleet. */
+  private final ModelLog fleetTopic;
+
   private final TokenMeter meter = new TokenMeter();
   private final Map<String, ModelServer> servers = new LinkedHashMap<>();
   private final Map<String, Instant> serverStarts = new HashMap<>();
   private final Map<String, Integer> versions = new HashMap<>();
+  private final Map<String, Long> startedAtNanos = new HashMap<>();
   private final StreamCheck streamCheck = new StreamCheck();
   private final Map<String, ModelInstance> instances = new TreeMap<>();
   private final Map<String, Long> steadyClockOffsetsNanos = new HashMap<>();
@@ -82,6 +90,7 @@
     this.random = new SplittableRandom(seed);
     this.network = new ModelNetwork(time, scenario.links(), random.split());
     this.log = new ModelLog(time, network, scenario.log());
+    this.fleetTopic = new ModelLog(time, network, scenario.log());
     this.load = new LoadGenerator(scenario, random.split());
     this.faults = new FaultInjector(this, load, random.split());
   }
@@ -134,6 +143,7 @@
     steadyClockOffsetsNanos.putIfAbsent(name, 0L);
     ModelInstance instance = new ModelInstance(name, this, ++lastEpoch);
     instances.put(name, instance);
+    startedAtNanos.put(name, time.elapsedNanos());
     time.schedule(MAX_PLAN_DELAY, () -> instance.applyPlan(plan()));
     planOrders.remove(name);
   }
@@ -152,6 +162,16 @@
     return log;
   }
 
+  ModelLog fleetTopic() {
+    return fleetTopic;
+  }
+
+  /** Sets whether the log answers no call on any topic. */
+  void setLogDown(boolean down) {
+    log.setDown(down);
+    fleetTopic.setDown(down);
+  }
+
   Set<String> memberNames() {
     return memberNames;
   }
@@ -419,6 +439,13 @@
     return scenario.engines().versions();
   }
 
+  /** Whether an instance has run and been connected to its peers for as long as the rules ask. */
+  boolean inTouch(String instance) {
+    long startedAt = startedAtNanos.getOrDefault(instance, 0L);
+    return time.elapsedNanos() - startedAt >= STABILISATION_TIME.toNanos()
+        && network.connectedFor(instance, STABILISATION_TIME);
+  }
+
   private void updateListings(ModelServer server, boolean present) {
     if (present != server.isDown()) {
       instances.values().stream()
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -62,6 +62,10 @@
   private static final Duration SHUTDOWN_GRACE = Duration.ofSeconds(8);
   private static final int CALL_BYTES = 250;
   private static final int EVENT_BYTES = 60;
+
+  /** As long as instances of a deployment read their fleet's log at most. */
+  private static final Duration FLEET_LOG_READ_INTERVAL = Duration.ofSeconds(1);
+
   private static final RetryLimits RETRY_LIMITS = new RetryLimits(0.2, 100, Duration.ofSeconds(10));
 
   private final String name;
@@ -77,6 +81,7 @@
   private final LoadExchange loadExchange;
   private final VersionHistory versionHistory;
   private final StreamOrigins streamOrigins;
+  private final FleetLog fleetLog;
   private final RequestDispatcher dispatcher;
   private final Set<ModelExchange> openExchanges = new LinkedHashSet<>();
   private @Nullable GatewayPlan plan;
@@ -121,7 +126,21 @@
     versionHistory = new VersionHistory(name, servers, time, time);
     streamOrigins =
         new StreamOrigins(
-            name, fleet::memberNames, new RemoteStreams(), versionHistory, () -> true, time);
+            name,
+            fleet::memberNames,
+            new RemoteStreams(),
+            versionHistory,
+            () -> true,
+            this::peersReachable,
+            time);
+    fleetLog =
+        new FleetLog(
+            fleet.fleetTopic().clientOf(name),
+            name,
+            epoch,
+            time,
+            FLEET_LOG_READ_INTERVAL,
+            List.of(versionHistory, streamOrigins));
     dispatcher =
         new RequestDispatcher(
             new GatewayComponents(
@@ -173,7 +192,7 @@
 
   /** Returns whether the load balancer sends requests to this instance. */
   boolean ready() {
-    return alive && drain == null && plan != null && accountLog.ready();
+    return alive && drain == null && plan != null && accountLog.ready() && fleetLog.ready();
   }
 
   /** Puts a plan in force, unless the plan in force has the same or a later version. */
@@ -231,6 +250,7 @@
       return;
     }
     accountLog.tick();
+    fleetLog.tick();
     accounts.onLogReachable(!accountLog.failing());
     versionHistory.tick();
     loadExchange.tick();
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelNetwork.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelNetwork.java
@@ -28,6 +28,7 @@
   private final Map<String, Traffic> traffic = new HashMap<>();
   private final Set<String> partitioned = new HashSet<>();
   private final Set<String> isolated = new HashSet<>();
+  private final Map<String, Long> reconnectedAtNanos = new HashMap<>();
 
   ModelNetwork(VirtualTime time, Scenario.Links links, RandomGenerator random) {
     this.time = time;
@@ -47,6 +48,7 @@
       partitioned.add(instance);
     } else {
       partitioned.remove(instance);
+      reconnectedAtNanos.put(instance, time.elapsedNanos());
     }
   }
 
@@ -56,9 +58,18 @@
       isolated.add(instance);
     } else {
       isolated.remove(instance);
+      reconnectedAtNanos.put(instance, time.elapsedNanos());
     }
   }
 
+  /** Returns whether an instance has been connected to its peers for {@code span}. */
+  boolean connectedFor(String instance, Duration span) {
+    long since = reconnectedAtNanos.getOrDefault(instance, 0L);
+    return !partitioned.contains(instance)
+        && !isolated.contains(instance)
+        && time.elapsedNanos() - since >= span.toNanos();
+  }
+
   /** Returns whether messages pass between two nodes, each an instance or the log. */
   boolean isConnected(String from, String to) {
     boolean withLog = from.equals(ModelLog.NODE) || to.equals(ModelLog.NODE);
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/StreamCheck.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/StreamCheck.java
@@ -25,13 +25,16 @@
     }
   }
 
-  /** Records an attempt that begins a stream. */
+  /** Records an attempt at an instance in touch that begins a stream. */
   void onBegun(boolean answered) {
     begun++;
     served += answered ? 1 : 0;
   }
 
-  /** Records an attempt that takes up a stream while two engines of its version run. */
+  /**
+   * Records an attempt at an instance in touch that takes up a stream while two engines of its
+   * version run.
+   */
   void onTakenUp(boolean answered) {
     takenUp++;
     wentOn += answered ? 1 : 0;
