Let servers that leave single requests unanswered go on with streams

Callers would have got broken streams from servers that fail some requests.

Only connections that can't be opened, and several that end together, are evidence again.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -82,11 +82,6 @@
     return server;
   }
 
-  /** Whether anything of an answer has arrived. */
-  boolean hasReceived() {
-    return lastReceivedAt.isAfter(startedAt);
-  }
-
   /** When the request was sent. */
   Instant startedAt() {
     return startedAt;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -659,10 +659,9 @@
   }
 
   private void recordRestartEvidence(Attempt failed, AttemptFailure reason) {
-    boolean lost = reason == AttemptFailure.MAY_HAVE_RUN;
-    if (reason == AttemptFailure.NOT_SENT || (lost && !failed.hasReceived())) {
-      failed.server().onUnanswered(now());
-    } else if (lost) {
+    if (reason == AttemptFailure.NOT_SENT) {
+      failed.server().onConnectFailed(now());
+    } else if (reason == AttemptFailure.MAY_HAVE_RUN) {
       failed.server().onConnectionLost(failed.startedAt(), now());
     }
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -119,9 +119,9 @@
     return restartEvidence.mayHaveRestarted();
   }
 
-  /** Records that no connection to the server could be opened, or that it sent no answer. */
-  public void onUnanswered(Instant now) {
-    restartEvidence.onUnanswered(now);
+  /** Records that no connection to the server could be opened. */
+  public void onConnectFailed(Instant now) {
+    restartEvidence.onConnectFailed(now);
   }
 
   /** Records that a connection on which a request was sent at {@code sentAt} ended early. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/RestartEvidence.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/RestartEvidence.java
@@ -8,8 +8,8 @@
  * Evidence that a backend server may have been restarted since its last heartbeat.
  *
  * <p>A server that restarts under its id may run other software before the list shows it. When a
- * process ends, all connections to it end at once, and for a while requests get no answer; a single
- * answer that breaks off says nothing about its process.
+ * process ends, all connections to it end at once, and new ones are refused for a while. A single
+ * answer that breaks off, or never begins, says nothing about its process.
  */
 final class RestartEvidence {
   /** How far apart the connections of a process that ends are seen to end. */
@@ -27,8 +27,8 @@
     return losses >= LOSSES_OF_AN_ENDED_PROCESS;
   }
 
-  /** Records that a connection could not be opened, or ended before anything arrived on it. */
-  void onUnanswered(Instant now) {
+  /** Records that a connection could not be opened. */
+  void onConnectFailed(Instant now) {
     firstLossAt = now;
     losses = LOSSES_OF_AN_ENDED_PROCESS;
   }
