Give the stream of a request a class of its own

RequestFlow had grown by the version of its stream, how it is found and why it can't go on. CallerStream holds these; the flow decides. No change of behaviour.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -4,7 +4,6 @@
 import java.time.Instant;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
@@ -21,8 +20,6 @@
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerIncarnation;
-import org.teaseldeal.gateway.stream.StreamKey;
-import org.teaseldeal.gateway.stream.StreamOrigins;
 import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpExchange;
@@ -55,16 +52,6 @@
 
   private static final int FIRST_SERVER_ERROR_STATUS = 500;
 
-  /** Why a stream doesn't go on. The name appears in logs and metrics. */
-  private enum NotResumed {
-    /** No instance knows at which version the stream began. */
-    UNKNOWN_STREAM,
-    /** The caller didn't name the attempt that brought the first event. */
-    ATTEMPT_NOT_NAMED,
-    /** No server of the version is left. */
-    NO_SERVER_OF_VERSION
-  }
-
   /** The outcome of a request for which a backend server's answer was passed on. */
   private static final String ANSWERED = "answered";
 
@@ -128,6 +115,7 @@
   private final Optional<PrepaidCustomer> customer;
   private final String service;
   private final TokenUsage tokenUsage;
+  private final CallerStream stream;
   private final long planVersion;
   private final Instant arrivedAt;
   private final Instant deadline;
@@ -142,12 +130,6 @@
   private int connectFailures;
   private boolean mayHaveRun;
 
-  /**
-   * The software version of the server whose events the caller has, in this answer or from earlier
-   * attempts; null if it has none or if the version isn't known yet.
-   */
-  private @Nullable String streamVersion;
-
   private @Nullable Attempt attempt;
   private Instant waitingForServerSince = Instant.MAX;
 
@@ -165,6 +147,9 @@
     this.customer = admitted.customer();
     this.service = admitted.service();
     this.tokenUsage = new TokenUsage(request.prompt(), admitted.tokensPerEvent());
+    this.stream =
+        new CallerStream(
+            components, request, customer.map(PrepaidCustomer::name).orElse(""), service);
     this.planVersion = admitted.planVersion();
     this.arrivedAt = admitted.arrived();
     this.deadline = arrivedAt.plus(RequestDispatcher.maxDuration(request, route));
@@ -189,76 +174,35 @@
   void start() {
     exchange.onCallerDisconnect(this::onCallerDisconnected);
     if (route.kind().streamed() && request.resumption().isPresent()) {
-      resolveStreamVersion(request.resumption().get());
+      stream.resolve(this::onStreamResolved);
     } else {
       reserveTokens();
     }
   }
 
-  /**
-   * Determines at which version the stream began that the caller takes up. A stream of an unknown
-   * version is refused, as what two versions write doesn't fit together.
-   */
-  private void resolveStreamVersion(Resumption resumption) {
-    if (resumption.firstAttempt().isPresent()) {
-      components
-          .streamOrigins()
-          .resolve(streamKey(resumption.firstAttempt().get()), service, this::onStreamVersion);
-      return;
-    }
-    Optional<String> only = components.streamOrigins().onlyVersion(service);
-    if (only.isPresent()) {
-      onStreamVersion(
-          new StreamOrigins.Resolution.Known(only.get(), StreamOrigins.Source.ONLY_VERSION));
-    } else {
-      refuseResumption(
-          NotResumed.ATTEMPT_NOT_NAMED,
-          "the attempt that brought the first event isn't named",
-          false);
-    }
-  }
-
-  private void onStreamVersion(StreamOrigins.Resolution resolution) {
+  private void onStreamResolved(CallerStream.Resolution resolution) {
     if (stage != Stage.STREAM_VERSION) {
       return;
     }
     switch (resolution) {
-      case StreamOrigins.Resolution.Known known -> {
-        streamVersion = known.version();
-        components
-            .events()
-            .accept(
-                new GatewayEvent.StreamTakenUp(
-                    request.id(),
-                    resumedAttempt(),
-                    resumeAfter(),
-                    known.version(),
-                    known.source().name(),
-                    Duration.between(arrivedAt, now())));
+      case CallerStream.Resolution.Known known -> {
         if (dispatcher.selector().serves(service, known.version(), now())) {
           reserveTokens();
         } else {
-          refuseResumption(
-              NotResumed.NO_SERVER_OF_VERSION,
-              "no server of software version " + known.version(),
-              true);
+          stream.reportObstacle(CallerStream.Obstacle.NO_SERVER_OF_VERSION);
+          refuseResumption(noServerOf(known.version()), true);
         }
       }
-      case StreamOrigins.Resolution.Unknown unknown ->
-          refuseResumption(
-              NotResumed.UNKNOWN_STREAM,
-              "no instance knows the stream, %d did not answer".formatted(unknown.unreachable()),
-              unknown.unreachable() > 0);
+      case CallerStream.Resolution.Refused refused ->
+          refuseResumption(refused.detail(), refused.mayChange());
     }
   }
 
-  /**
-   * Refuses to go on with a stream.
-   *
-   * @param mayChange whether another attempt of the caller may succeed
-   */
-  private void refuseResumption(NotResumed reason, String detail, boolean mayChange) {
-    reportNotResumed(reason);
+  private static String noServerOf(String version) {
+    return "no server of software version " + version;
+  }
+
+  private void refuseResumption(String detail, boolean mayChange) {
     refuse(
         mayChange
             ? Problem.retryable(
@@ -268,28 +212,6 @@
             : Problem.of(ErrorKind.STREAM_NOT_RESUMABLE, detail));
   }
 
-  private void reportNotResumed(NotResumed reason) {
-    String version = streamVersion;
-    components
-        .events()
-        .accept(
-            new GatewayEvent.StreamNotResumed(
-                request.id(),
-                service,
-                resumedAttempt(),
-                version == null ? "" : version,
-                reason.name().toLowerCase(Locale.ROOT)));
-  }
-
-  private StreamKey streamKey(String attemptId) {
-    return StreamKey.of(customer.map(PrepaidCustomer::name).orElse(""), service, attemptId);
-  }
-
-  /** The attempt whose stream the caller takes up; empty if it begins a stream. */
-  private String resumedAttempt() {
-    return request.resumption().flatMap(Resumption::firstAttempt).orElse("");
-  }
-
   private void reserveTokens() {
     stage = Stage.TOKENS;
     if (customer.isPresent() && request.prompt().isPresent()) {
@@ -386,11 +308,7 @@
             .selector()
             .select(
                 new ServerSelector.Criteria(
-                    service,
-                    request.prompt(),
-                    route.aim(),
-                    failedIncarnations,
-                    Optional.ofNullable(streamVersion)),
+                    service, request.prompt(), route.aim(), failedIncarnations, stream.version()),
                 now());
     if (chosen.isEmpty()) {
       waitOrGiveUp();
@@ -444,16 +362,14 @@
         chosen.candidates(),
         chosen.otherVersions(),
         resumeAfter(),
-        resumedAttempt(),
+        stream.resumedAttempt(),
         fingerprint(),
         way == Way.RELAY);
   }
 
   /** The id of the last event that the caller has received; empty if it has received none. */
   private String resumeAfter() {
-    return answer.lastEventId().isEmpty()
-        ? request.resumption().flatMap(Resumption::lastEventId).orElse("")
-        : answer.lastEventId();
+    return answer.lastEventId().isEmpty() ? stream.lastEventBefore() : answer.lastEventId();
   }
 
   private String fingerprint() {
@@ -475,11 +391,11 @@
 
   private void waitOrGiveUp() {
     Duration waiting = Duration.between(waitingForServerSince, now());
-    String version = streamVersion;
-    if (version != null && !dispatcher.selector().serves(service, version, now())) {
+    Optional<String> version = stream.version();
+    if (version.isPresent() && !dispatcher.selector().serves(service, version.get(), now())) {
       // The caller may find one sooner at another instance, or begin the stream anew.
-      reportNotResumed(NotResumed.NO_SERVER_OF_VERSION);
-      giveUp(ErrorKind.STREAM_NOT_RESUMABLE, "no server of software version " + version);
+      stream.reportObstacle(CallerStream.Obstacle.NO_SERVER_OF_VERSION);
+      giveUp(ErrorKind.STREAM_NOT_RESUMABLE, noServerOf(version.get()));
       return;
     }
     if (dispatcher.selector().limitsRequests(service, now())) {
@@ -538,25 +454,11 @@
       return;
     }
     if (!answer.hasBegun() && attempt != null) {
-      recordStreamVersion(attempt.server().softwareVersion());
+      stream.onFirstEvent(attempt.server().softwareVersion(), route.resumable());
     }
     answer.sendEvent(status, headers, event);
   }
 
-  /** Records the version of the stream whose first event is about to be sent to the caller. */
-  private void recordStreamVersion(String version) {
-    streamVersion = version;
-    if (!route.resumable()) {
-      return;
-    }
-    components.streamOrigins().onBegun(streamKey(request.id()), version);
-    if (!resumedAttempt().isEmpty()) {
-      // The caller's next attempt names the one that began the stream, which may be about to
-      // be forgotten.
-      components.streamOrigins().onBegun(streamKey(resumedAttempt()), version);
-    }
-  }
-
   void onStreamEnd(int status, Map<String, String> headers) {
     if (stage == Stage.ENDED) {
       return;
