--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
@@ -1,10 +1,7 @@
 package org.teaseldeal.gateway.stream;
 
-import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -25,20 +22,6 @@
  * version that nobody knows is never guessed.
  */
 public final class StreamOrigins implements LogParticipant {
-  /**
-   * While this instance hears no other, streams that began within this time before it noticed are
-   * noted on the shared log too; it notices after a second.
-   */
-  private static final Duration UNNOTICED_ISOLATION = Duration.ofSeconds(2);
-
-  /** The interval of notes while this instance hears no other. */
-  private static final Duration NOTE_INTERVAL = Duration.ofMillis(250);
-
-  /** The streams of one note take some tens of kilobytes at most. */
-  private static final int MAX_STREAMS_PER_NOTE = 1_000;
-
-  private record BegunStream(StreamKey stream, String version, Instant at) {}
-
   /** How a version became known. The name appears in logs and metrics. */
   public enum Source {
     /** This instance began the stream, or was told of it. */
@@ -68,16 +51,11 @@
   private final InstantSource clock;
   private final VersionHistory history;
   private final BooleanSupplier listIsCurrent;
-  private final BooleanSupplier hearsPeers;
+  private final IsolatedStreams isolatedStreams;
   private final StreamBackupChoice choice = new StreamBackupChoice();
   private final VersionTable versions = new VersionTable();
   private Set<String> announcedTo = Set.of();
 
-  /** Streams begun here that no other instance may know, in the order in which they began. */
-  private final Deque<BegunStream> unnoted = new ArrayDeque<>();
-
-  private Instant nextNoteAt = Instant.MIN;
-
   /**
    * Creates the knowledge of an instance.
    *
@@ -99,7 +77,7 @@
     this.peers = peers;
     this.history = history;
     this.listIsCurrent = listIsCurrent;
-    this.hearsPeers = hearsPeers;
+    this.isolatedStreams = new IsolatedStreams(instance, hearsPeers);
     this.clock = clock;
   }
 
@@ -107,7 +85,7 @@
   public void onBegun(StreamKey stream, String version) {
     Instant now = clock.instant();
     versions.put(stream, version, true, now);
-    unnoted.addLast(new BegunStream(stream, version, now));
+    isolatedStreams.onBegun(stream, version, now);
     choice
         .backups(stream.hash(), instance, fleet.get())
         .forEach(name -> peers.announce(name, stream, version));
@@ -124,7 +102,7 @@
    * replaced since.
    */
   public void tick() {
-    discardAnnounced();
+    isolatedStreams.tick(clock.instant());
     Set<String> current = fleet.get();
     if (current == announcedTo) {
       return;
@@ -138,33 +116,9 @@
                 .forEach(name -> peers.announce(name, stream, version)));
   }
 
-  /** Discards streams that other instances have been told of while they could be reached. */
-  private void discardAnnounced() {
-    Instant earliest = clock.instant().minus(UNNOTICED_ISOLATION);
-    boolean isolated = !hearsPeers.getAsBoolean();
-    while (!unnoted.isEmpty()
-        && (unnoted.size() > MAX_STREAMS_PER_NOTE
-            || (!isolated && unnoted.getFirst().at().isBefore(earliest)))) {
-      unnoted.removeFirst();
-    }
-  }
-
-  /**
-   * Notes the streams that began while this instance hears no other. Their callers may take them up
-   * at instances that it can't tell, but that read the shared log.
-   */
   @Override
   public List<SharedNote> notesToWrite(Instant now) {
-    if (unnoted.isEmpty() || now.isBefore(nextNoteAt) || hearsPeers.getAsBoolean()) {
-      return List.of();
-    }
-    nextNoteAt = now.plus(NOTE_INTERVAL);
-    List<SharedNote.VersionOfStream> streams =
-        unnoted.stream()
-            .map(each -> new SharedNote.VersionOfStream(each.stream().hash(), each.version()))
-            .toList();
-    unnoted.clear();
-    return List.of(new SharedNote.StreamVersions(instance, streams));
+    return isolatedStreams.notesToWrite(now);
   }
 
   @Override
