--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamOriginsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamOriginsTests.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -137,6 +140,45 @@
         Optional.empty(), fleet.member(StreamFleet.name(0)).resolve(StreamFleet.stream(1)));
   }
 
+  /** Answers arrive one by one; the caller must not wait for those of instances that are slow. */
+  @Test
+  void firstInstanceThatKnowsTheStreamDecidesAndOthersChangeNothing() {
+    List<Consumer<StreamPeers.Answer>> asked = new ArrayList<>();
+    StreamPeers slow =
+        new StreamPeers() {
+          @Override
+          public void announce(String instance, StreamKey stream, String version) {}
+
+          @Override
+          public void ask(String instance, StreamKey stream, Consumer<Answer> answer) {
+            asked.add(answer);
+          }
+        };
+    start(1);
+    Set<String> names = Set.of("a", "b", "c");
+    StreamOrigins origins =
+        new StreamOrigins(
+            "a",
+            () -> names,
+            slow,
+            fleet.member(StreamFleet.name(0)).history,
+            () -> true,
+            () -> true,
+            fleet.clock);
+    List<StreamOrigins.Resolution> results = new ArrayList<>();
+    origins.resolve(StreamFleet.stream(1), StreamFleet.SERVICE, results::add);
+    assertEquals(2, asked.size());
+    asked.get(0).accept(new StreamPeers.Answer.Unreachable("slow"));
+    assertEquals(0, results.size());
+    asked.get(1).accept(new StreamPeers.Answer.Known("v2"));
+    assertEquals(
+        List.of(new StreamOrigins.Resolution.Known("v2", StreamOrigins.Source.PEER)), results);
+    origins.resolve(StreamFleet.stream(2), StreamFleet.SERVICE, results::add);
+    asked.get(2).accept(new StreamPeers.Answer.Unreachable("down"));
+    asked.get(3).accept(new StreamPeers.Answer.Unknown());
+    assertEquals(new StreamOrigins.Resolution.Unknown(1), results.getLast());
+  }
+
   /** A caller that names another customer's attempt must not learn its version. */
   @Test
   void keyContainsTheCustomerAndTheService() {
