--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
@@ -133,7 +133,8 @@
 
   private static boolean isOfServedRequest(GatewayEvent event) {
     return switch (event) {
-      case GatewayEvent.Placed placed -> placed.attempt() == 1 && placed.resumes().isEmpty();
+      case GatewayEvent.Placed placed ->
+          placed.attempt() == 1 && placed.resumes().isEmpty() && !placed.relayed();
       case GatewayEvent.RequestEnded ended ->
           ended.outcome().equals("answered") && ended.attempts() == 1;
       default -> false;
