--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -29,6 +29,7 @@
 import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.peer.LoadExchange;
 import org.teaseldeal.gateway.peer.PeerLoads;
+import org.teaseldeal.gateway.peer.PeerMessageDispatcher;
 import org.teaseldeal.gateway.peer.StreamOriginMessage;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.plan.PlannedService;
@@ -81,6 +82,7 @@
   private final LoadExchange loadExchange;
   private final VersionHistory versionHistory;
   private final StreamOrigins streamOrigins;
+  private final PeerMessageDispatcher peerMessages;
   private final FleetLog fleetLog;
   private final RequestDispatcher dispatcher;
   private final Set<ModelExchange> openExchanges = new LinkedHashSet<>();
@@ -133,6 +135,7 @@
             () -> true,
             this::peersReachable,
             time);
+    peerMessages = new PeerMessageDispatcher(loadExchange, streamOrigins);
     fleetLog =
         new FleetLog(
             fleet.fleetTopic().clientOf(name),
@@ -319,16 +322,8 @@
             name,
             to,
             message.length,
-            () -> fleet.runningInstance(to).ifPresent(other -> other.receiveDatagram(message)));
-  }
-
-  private void receiveDatagram(byte[] message) {
-    if (StreamOriginMessage.isEncodedIn(message)) {
-      StreamOriginMessage origin = StreamOriginMessage.decode(message);
-      streamOrigins.onAnnounced(origin.stream(), origin.version());
-    } else {
-      loadExchange.receive(message);
-    }
+            () ->
+                fleet.runningInstance(to).ifPresent(other -> other.peerMessages.receive(message)));
   }
 
   /**
