Look up ready and leaving servers by the same index

ServerDirectory.leaving went over all leaving servers and filtered their service; both lookups start from the servers of the service whose listing is valid now. A refused stream no longer carries a reason that nobody reads: it is logged where it is found.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerStream.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerStream.java
@@ -37,7 +37,7 @@
      *
      * @param mayChange whether another attempt of the caller may succeed
      */
-    record Refused(Obstacle obstacle, String detail, boolean mayChange) implements Resolution {}
+    record Refused(String detail, boolean mayChange) implements Resolution {}
   }
 
   private final GatewayComponents components;
@@ -124,7 +124,7 @@
 
   private Resolution refused(Obstacle obstacle, String detail, boolean mayChange) {
     reportObstacle(obstacle);
-    return new Resolution.Refused(obstacle, detail, mayChange);
+    return new Resolution.Refused(detail, mayChange);
   }
 
   /** Logs why the stream doesn't go on. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -9,10 +9,10 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.stream.Stream;
 import org.teaseldeal.api.BackendServerId;
 
 /** The backend servers that are listed, by id and by service. */
@@ -225,13 +225,7 @@
    * no configuration contains are kept too, for a configuration that adds the service.
    */
   public List<BackendServer> ready(String service) {
-    Map<BackendServerId, BackendServer> all = byService.get(service);
-    if (all == null) {
-      return List.of();
-    }
-    return all.values().stream()
-        .filter(server -> server.isListedAsReady() && !unusable.contains(server.id()))
-        .toList();
+    return usable(service).filter(BackendServer::isListedAsReady).toList();
   }
 
   /**
@@ -239,14 +233,17 @@
    * serve for a while.
    */
   public List<BackendServer> leaving(String service, Instant earliest) {
-    return leavingSince.entrySet().stream()
-        .filter(each -> each.getValue().isAfter(earliest))
-        .map(each -> servers.get(each.getKey()))
-        .filter(Objects::nonNull)
-        .filter(server -> server.service().equals(service) && !unusable.contains(server.id()))
+    return usable(service)
+        .filter(server -> leavingSince.getOrDefault(server.id(), Instant.MIN).isAfter(earliest))
         .toList();
   }
 
+  /** The listed servers of a service whose latest listing is valid. */
+  private Stream<BackendServer> usable(String service) {
+    return byService.getOrDefault(service, Map.of()).values().stream()
+        .filter(server -> !unusable.contains(server.id()));
+  }
+
   /** The listed server with an id. */
   public Optional<BackendServer> find(BackendServerId id) {
     return Optional.ofNullable(servers.get(id));
