--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
@@ -61,8 +61,10 @@
     }
     Attempt attempt = new Attempt(instance.get().name());
     String id = request.number() + "-" + attempts;
-    ModelExchange exchange =
-        new ModelExchange(id, request, timeLeft, takeUp().or(() -> begin(id)), attempt);
+    if (events == 0) {
+      firstAttempt = id;
+    }
+    ModelExchange exchange = new ModelExchange(id, request, timeLeft, takeUp(), attempt);
     fleet.registerAttempt(id, request);
     time.schedule(
         timeLeft,
@@ -82,11 +84,6 @@
         : Resumption.of(Optional.of(String.valueOf(events)), Optional.of(firstAttempt));
   }
 
-  private Optional<Resumption> begin(String attempt) {
-    firstAttempt = attempt;
-    return Optional.empty();
-  }
-
   private void recordPart() {
     long now = time.elapsedNanos();
     if (firstPartAtNanos < 0) {
