--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
@@ -136,6 +136,10 @@
   }
 
   private static ServerListing listing(String id, String version, boolean leaving) {
+    return listing(id, version, leaving, NOW);
+  }
+
+  private static ServerListing listing(String id, String version, boolean leaving, Instant start) {
     return new ServerListing(
         new BackendServerId(id),
         "models",
@@ -144,7 +148,7 @@
         version,
         64,
         leaving,
-        Optional.of(NOW));
+        Optional.of(start));
   }
 
   private void fail(BackendServer server) {
@@ -168,14 +172,6 @@
   }
 
   private static ServerListing listing(String id, Instant start) {
-    return new ServerListing(
-        new BackendServerId(id),
-        "models",
-        "10.0.0.1:80",
-        "hall-a",
-        "v1",
-        64,
-        false,
-        Optional.of(start));
+    return listing(id, "v1", false, start);
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
@@ -262,28 +262,22 @@
   @Test
   void replacesServerThatIsListedWithAnotherSoftwareVersion() {
     directory.put(listing("a", false));
-    ListingChange change =
-        directory.put(
-            new ServerListing(
-                new BackendServerId("a"),
-                "models",
-                "10.0.0.1:80",
-                "hall-a",
-                "v2",
-                64,
-                false,
-                Optional.empty()));
+    ListingChange change = directory.put(listing("a", "v2", false));
     assertEquals(ListingChange.RESTARTED, change);
     assertEquals("v2", find("a").softwareVersion());
   }
 
   private static ServerListing listing(String id, boolean leaving) {
+    return listing(id, "v1", leaving);
+  }
+
+  private static ServerListing listing(String id, String version, boolean leaving) {
     return new ServerListing(
         new BackendServerId(id),
         "models",
         "10.0.0.1:80",
         "hall-a",
-        "v1",
+        version,
         64,
         leaving,
         Optional.empty());
