Log which lost connections are counted as crashes, and the parts of prompts that failed

With the logs nobody could tell whether a lost connection was taken for a crash, under which count, after how long and by which proof, nor what requests that broke have in common. CrashCounted says the former, AttemptFailed the events that the server had sent and the ids of the prompt's shared parts. RequestQuarantineTests compares the events of each kind and their number now, as strict as before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -121,9 +121,22 @@
   /** A holder of a customer's total did not answer. It gets no requests for a while. */
   record HolderUnreachable(String customer, String holder, String detail) implements GatewayEvent {}
 
-  /** An attempt at a backend server ended without a complete answer. */
+  /**
+   * An attempt at a backend server ended without a complete answer.
+   *
+   * @param events the complete events that the server sent
+   * @param promptParts the ids of the prompt's shared parts, separated by commas; empty unless the
+   *     request may have run
+   */
   record AttemptFailed(
-      String request, String server, int attempt, String failure, String detail, Duration after)
+      String request,
+      String server,
+      int attempt,
+      String failure,
+      String detail,
+      Duration after,
+      long events,
+      String promptParts)
       implements GatewayEvent {}
 
   /**
@@ -291,6 +304,18 @@
       Duration longestStall)
       implements GatewayEvent {}
 
+  /**
+   * A connection that broke under a request was found to have broken because its server crashed.
+   *
+   * @param fingerprint a hash of the request's caller, path and body
+   * @param proof what showed that the server crashed, in capitals with underscores
+   * @param crashes the crashes under this fingerprint that all instances have counted so far, as
+   *     this instance knows
+   * @param after the time from the loss of the connection until the proof
+   */
+  record CrashCounted(String fingerprint, String server, String proof, int crashes, Duration after)
+      implements GatewayEvent {}
+
   /**
    * A request crashed so many backend servers that no instance sends it any more.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -99,6 +99,11 @@
     return verdict == AnswerVerdict.GENUINE || PrefillTime.mayBeComplete(unsharedTokens, age());
   }
 
+  /** The number of complete events that the server has sent. */
+  long eventsReceived() {
+    return eventSplitter.completeEvents();
+  }
+
   Duration age() {
     return Duration.between(startedAt, components.clock().instant());
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -526,7 +526,14 @@
         .events()
         .accept(
             new GatewayEvent.AttemptFailed(
-                request.id(), server.id().name(), sendCount, reason.name(), detail, failed.age()));
+                request.id(),
+                server.id().name(),
+                sendCount,
+                reason.name(),
+                detail,
+                failed.age(),
+                failed.eventsReceived(),
+                reason == AttemptFailure.MAY_HAVE_RUN ? String.join(",", sharedPartIds()) : ""));
     if (!failed.relayed()) {
       recordRestartEvidence(failed, reason);
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -74,6 +74,7 @@
               .inc(taken.setAside() + taken.freeAtOnce() + taken.released());
       case GatewayEvent.TokensDrawn drawn -> registry.counter("tokens_drawn").inc(drawn.tokens());
       case GatewayEvent.FleetTraffic traffic -> onFleetTraffic(traffic);
+      case GatewayEvent.CrashCounted counted -> count("crashes_counted_", counted.proof());
       case GatewayEvent.RequestQuarantined quarantined -> count("requests_quarantined");
       case GatewayEvent.AnsweredLate late -> count("requests_answered_late");
       case GatewayEvent.LoopStalled stalled -> count("loop_stalls");
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/RequestQuarantine.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/RequestQuarantine.java
@@ -56,6 +56,14 @@
   /** Limits memory use when many servers crash at once; some thirty requests run at each server. */
   private static final int MAX_TRACKED = 2_000;
 
+  /** What shows that a server crashed. */
+  private enum Proof {
+    /** Neither this instance nor the ones that it asked can connect to it. */
+    UNREACHABLE,
+    /** It is gone from the list, or listed with a later start. */
+    NOT_LISTED
+  }
+
   /** A request whose connection to a server broke. */
   private record Suspect(String fingerprint, ServerIncarnation server, Instant lostAt) {}
 
@@ -109,7 +117,7 @@
 
   /** Records that a server can't be connected to: connections that broke there count as crashes. */
   public void onUnreachable(ServerIncarnation server) {
-    confirmCrashes(suspect -> suspect.server().equals(server));
+    confirmCrashes(Proof.UNREACHABLE, suspect -> suspect.server().equals(server));
   }
 
   /** Resets this instance's count of a request that a server has answered. */
@@ -129,7 +137,7 @@
     if (suspects.isEmpty() && !hasCounts()) {
       return;
     }
-    confirmCrashes(suspect -> !listed.test(suspect.server()));
+    confirmCrashes(Proof.NOT_LISTED, suspect -> !listed.test(suspect.server()));
     Instant now = clock.instant();
     expirePeerCounts(now);
     suspects.removeIf(suspect -> suspect.lostAt().plus(PROOF_TIMEOUT).isBefore(now));
@@ -225,18 +233,18 @@
         .put(crash.instance(), current);
   }
 
-  private void confirmCrashes(Predicate<Suspect> crashed) {
+  private void confirmCrashes(Proof proof, Predicate<Suspect> crashed) {
     Iterator<Suspect> each = suspects.iterator();
     while (each.hasNext()) {
       Suspect suspect = each.next();
       if (crashed.test(suspect)) {
         each.remove();
-        count(suspect);
+        count(suspect, proof);
       }
     }
   }
 
-  private void count(Suspect suspect) {
+  private void count(Suspect suspect, Proof proof) {
     Count known = ownCounts.get(suspect.fingerprint());
     if (known == null && ownCounts.size() >= MAX_TRACKED) {
       return;
@@ -245,7 +253,15 @@
     count.crashes++;
     count.lastCrashAt = clock.instant();
     count.noteDue = true;
-    if (crashes(suspect.fingerprint()) == CRASH_LIMIT) {
+    int crashes = crashes(suspect.fingerprint());
+    events.accept(
+        new GatewayEvent.CrashCounted(
+            suspect.fingerprint(),
+            suspect.server().id().name(),
+            proof.name(),
+            crashes,
+            Duration.between(suspect.lostAt(), count.lastCrashAt)));
+    if (crashes == CRASH_LIMIT) {
       events.accept(
           new GatewayEvent.RequestQuarantined(suspect.fingerprint(), suspect.server().id().name()));
     }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/quarantine/RequestQuarantineTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/quarantine/RequestQuarantineTests.java
@@ -47,7 +47,15 @@
       assertFalse(each.isQuarantined("beside 1"), "a request that ran beside it is quarantined");
     }
     assertEquals(
-        List.of(new GatewayEvent.RequestQuarantined(REQUEST, server(2).id().name())), events);
+        List.of(new GatewayEvent.RequestQuarantined(REQUEST, server(2).id().name())),
+        events.stream().filter(GatewayEvent.RequestQuarantined.class::isInstance).toList());
+    assertEquals(
+        List.of(1, 1, 2, 1, 3, 1),
+        events.stream()
+            .filter(GatewayEvent.CrashCounted.class::isInstance)
+            .map(event -> ((GatewayEvent.CrashCounted) event).crashes())
+            .toList());
+    assertEquals(7, events.size());
   }
 
   /**
