Test that requests with a prompt part that crashes servers are no longer sent

The model now has the quarantine read and write the log, a check with the bounds of the users' rules (CrashingPartCheck), and a skewed balancer (SkewCheck).

--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
@@ -86,6 +86,26 @@
           fleet.time().schedule(fault.gap().multipliedBy(i), fleet::publishPlan);
         }
       }
+      case CRASHING_PART -> {
+        CrashingPart part =
+            new CrashingPart(
+                "crashing-" + fault.at().toMillis(),
+                fault.position(),
+                fault.eventsBeforeCrash(),
+                fault.gap());
+        long count = Math.round(fault.factor() * fault.lasting().toMillis() / 1e3);
+        for (int i = 0; i < count; i++) {
+          fleet
+              .time()
+              .schedule(
+                  fault.lasting().multipliedBy(i).dividedBy(count),
+                  () -> fleet.sendCrashingRequest(part));
+        }
+      }
+      case SKEW -> {
+        fleet.setSkew(fault.share());
+        fleet.time().schedule(fault.lasting(), () -> fleet.setSkew(0));
+      }
       case HOLDER_LOST -> {
         List<String> holders =
             TokenHolderChoice.holders(load.customers().getFirst(), fleet.memberNames()).stream()
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/LoadGenerator.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/LoadGenerator.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.model;
 
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.SplittableRandom;
@@ -9,6 +10,8 @@
 
 /** Generates a scenario's requests and the random times between them. */
 final class LoadGenerator {
+  private static final long CRASHING_PART_TOKENS = 100;
+
   private final SplittableRandom random;
   private final Scenario.Engines engines;
   private final Scenario.Services services;
@@ -82,18 +85,43 @@
     if (!kind.streamed()) {
       double work = services.work().toNanos() * logNormalFactor(0.5);
       return new ModelRequest(
-          number, kind, customers.get(customer), List.of(), 0, 0, Math.round(work));
+          number,
+          kind,
+          customers.get(customer),
+          List.of(),
+          0,
+          0,
+          Math.round(work),
+          Optional.empty());
     }
+    return streamedRequest(number, kind, customers.get(customer), Optional.empty());
+  }
+
+  /** Generates a request of the first kind and the largest customer with a crashing part. */
+  ModelRequest crashingRequest(CrashingPart part) {
+    return streamedRequest(
+        ++requestCount, kinds.getFirst(), customers.getFirst(), Optional.of(part));
+  }
+
+  private ModelRequest streamedRequest(
+      long number, Scenario.Kind kind, String customer, Optional<CrashingPart> crashingPart) {
     int subject = sharedPrefix && random.nextBoolean() ? 0 : random.nextInt(kind.subjects());
     long own = Math.max(1, Math.round(kind.ownTokens() * logNormalFactor(1.0)));
     long output =
         Math.max(1, Math.round(kind.events() * logNormalFactor(0.5))) * engines.tokensPerEvent();
-    List<PromptPart> parts =
-        List.of(
-            new PromptPart(kind.name() + "-" + subject, kind.sharedTokens()),
-            new PromptPart("own-" + number, own));
-    return new ModelRequest(
-        number, kind, customers.get(customer), parts, kind.sharedTokens() + own, output, 0);
+    List<PromptPart> parts = new ArrayList<>();
+    parts.add(new PromptPart(kind.name() + "-" + subject, kind.sharedTokens()));
+    crashingPart.ifPresent(
+        part ->
+            parts.add(
+                switch (part.position()) {
+                  case FIRST -> 0;
+                  case MIDDLE -> 1;
+                },
+                new PromptPart(part.id(), CRASHING_PART_TOKENS)));
+    parts.add(new PromptPart("own-" + number, own));
+    long input = parts.stream().mapToLong(PromptPart::tokens).sum();
+    return new ModelRequest(number, kind, customer, parts, input, output, 0, crashingPart);
   }
 
   /** Draws a factor with mean 1 from a log-normal distribution with {@code sigma}. */
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
@@ -165,6 +165,9 @@
     }
 
     private void recordAttempt(boolean answered) {
+      if (attempts == 1 && !takesUp) {
+        fleet.onFirstAttempt(instance, request, answered || events > 0);
+      }
       if (!request.kind().resumable() || !fleet.inTouch(instance)) {
         return;
       }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelEngine.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelEngine.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.function.BiConsumer;
 import org.teaseldeal.gateway.flow.PromptPart;
 import org.teaseldeal.net.HttpCall;
 
@@ -34,6 +36,7 @@
   private final VirtualTime time;
   private final Scenario.Engines settings;
   private final TokenMeter meter;
+  private final BiConsumer<ModelEngine, CrashingPart> crashListener;
   private final Deque<ActiveRequest> waiting = new ArrayDeque<>();
   private final List<ActiveRequest> running = new ArrayList<>();
   private final Map<String, Long> cache = new LinkedHashMap<>(64, 0.75f, true);
@@ -43,7 +46,18 @@
   private boolean down;
   private long incarnation;
 
-  ModelEngine(String name, VirtualTime time, Scenario.Engines settings, TokenMeter meter) {
+  /**
+   * Creates an engine.
+   *
+   * @param crashListener is called when a request has crashed the engine, and has to take it down
+   */
+  ModelEngine(
+      String name,
+      VirtualTime time,
+      Scenario.Engines settings,
+      TokenMeter meter,
+      BiConsumer<ModelEngine, CrashingPart> crashListener) {
+    this.crashListener = crashListener;
     this.name = name;
     this.time = time;
     this.settings = settings;
@@ -134,12 +148,22 @@
       if (entry.promptTokensLeft == 0 && running.contains(entry)) {
         generateToken(entry);
       }
+      if (down) {
+        return;
+      }
     }
     startStep();
   }
 
   private void generateToken(ActiveRequest entry) {
     entry.generatedTokens++;
+    Optional<CrashingPart> crashingPart = entry.request.crashingPart();
+    if (crashingPart.isPresent()
+        && entry.generatedTokens
+            > (long) crashingPart.get().eventsBeforeCrash() * settings.tokensPerEvent()) {
+      crashListener.accept(this, crashingPart.get());
+      return;
+    }
     boolean last = entry.generatedTokens >= entry.request.outputTokens();
     if (last || entry.generatedTokens % settings.tokensPerEvent() == 0) {
       entry.listener.onBodyPart();
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -68,6 +68,8 @@
   private final Map<String, Integer> versions = new HashMap<>();
   private final Map<String, Long> startedAtNanos = new HashMap<>();
   private final StreamCheck streamCheck = new StreamCheck();
+  private final CrashingPartCheck crashingPartCheck;
+  private final SkewCheck skewCheck;
   private final Map<String, ModelInstance> instances = new TreeMap<>();
   private final Map<String, Long> steadyClockOffsetsNanos = new HashMap<>();
   private final Map<String, ModelRequest> attempts = new HashMap<>();
@@ -81,6 +83,7 @@
   private Set<String> memberNames = Set.of();
   private long lastEpoch;
   private long planVersion = 1;
+  private double skewedShare;
 
   private ModelFleet(Scenario scenario, long seed, Set<Mechanism> disabled) {
     this.scenario = scenario;
@@ -88,6 +91,9 @@
     this.enabledMechanisms = EnumSet.allOf(Mechanism.class);
     this.enabledMechanisms.removeAll(disabled);
     this.random = new SplittableRandom(seed);
+    this.crashingPartCheck =
+        new CrashingPartCheck(time, scenario.kinds().getFirst().name(), STABILISATION_TIME);
+    this.skewCheck = new SkewCheck(time, STABILISATION_TIME);
     this.network = new ModelNetwork(time, scenario.links(), random.split());
     this.log = new ModelLog(time, network, scenario.log());
     this.fleetTopic = new ModelLog(time, network, scenario.log());
@@ -108,7 +114,8 @@
 
   private SimulationResult simulate() {
     for (int i = 0; i < scenario.engines().count(); i++) {
-      addServer(new ModelEngine("engine-" + i, time, scenario.engines(), meter));
+      addServer(
+          new ModelEngine("engine-" + i, time, scenario.engines(), meter, this::onCrashedByPart));
       versions.put("engine-" + i, i % scenario.engines().versions());
     }
     for (int i = 0; i < scenario.services().count(); i++) {
@@ -131,6 +138,8 @@
     time.runUntil(end.plus(DRAIN_TIME));
     checkPrepaidTotals();
     violations.addAll(streamCheck.violations());
+    violations.addAll(crashingPartCheck.violations());
+    violations.addAll(skewCheck.violations());
     return result();
   }
 
@@ -301,9 +310,28 @@
             });
   }
 
+  /** Sends a caller's request with a crashing part. */
+  void sendCrashingRequest(CrashingPart part) {
+    crashingPartCheck.onRequestSent(part);
+    new ModelCaller(this, load.crashingRequest(part)).send();
+  }
+
+  /** Sends a share of the attempts from now on to one instance. */
+  void setSkew(double share) {
+    skewedShare = share;
+    if (share > 0) {
+      skewCheck.onBegun();
+    } else {
+      skewCheck.onEnded();
+    }
+  }
+
   /** Returns a random instance among those that are ready, as a load balancer would. */
   Optional<ModelInstance> randomReadyInstance() {
     List<ModelInstance> ready = instances.values().stream().filter(ModelInstance::ready).toList();
+    if (skewedShare > 0 && !ready.isEmpty() && random.nextDouble() < skewedShare) {
+      return Optional.of(ready.getFirst());
+    }
     return ready.isEmpty()
         ? Optional.empty()
         : Optional.of(ready.get(random.nextInt(ready.size())));
@@ -321,6 +349,24 @@
     return request;
   }
 
+  private void onCrashedByPart(ModelEngine engine, CrashingPart part) {
+    crashingPartCheck.onCrash(part);
+    crashServer(engine, part.downtime());
+  }
+
+  /** Records an attempt that an instance sends to an engine. */
+  void onSentToServer(String instance, ModelRequest request) {
+    request.crashingPart().ifPresent(part -> crashingPartCheck.onArrival(part, inTouch(instance)));
+  }
+
+  /** Records whether the first attempt of a request was served. */
+  void onFirstAttempt(String instance, ModelRequest request, boolean served) {
+    if (inTouch(instance) && request.crashingPart().isEmpty()) {
+      crashingPartCheck.onFirstAttempt(request, served);
+      skewCheck.onFirstAttempt(served);
+    }
+  }
+
   /** Records the streams that callers hold and take up. */
   StreamCheck streamCheck() {
     return streamCheck;
@@ -491,7 +537,8 @@
             bytes / instanceSeconds,
             log.appends() / instanceSeconds,
             log.reads() / instanceSeconds,
-            sharedTokensRead),
+            sharedTokensRead,
+            crashingPartCheck.crashes()),
         violations);
   }
 }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -136,6 +136,7 @@
             this::peersReachable,
             time);
     peerMessages = new PeerMessageDispatcher(loadExchange, streamOrigins);
+    RequestQuarantine quarantine = new RequestQuarantine(name, servers::lists, this::onEvent, time);
     fleetLog =
         new FleetLog(
             fleet.fleetTopic().clientOf(name),
@@ -143,14 +144,14 @@
             epoch,
             time,
             FLEET_LOG_READ_INTERVAL,
-            List.of(versionHistory, streamOrigins));
+            List.of(quarantine, versionHistory, streamOrigins));
     dispatcher =
         new RequestDispatcher(
             new GatewayComponents(
                 () -> plan,
                 servers,
                 tokenRequests,
-                new RequestQuarantine(name, servers::lists, this::onEvent, time),
+                quarantine,
                 streamOrigins,
                 new ModelDialect(),
                 new ServerLinks(
@@ -508,6 +509,7 @@
                   String id = String.valueOf(request.headers().get(ModelDialect.ATTEMPT_ID_HEADER));
                   fleet.onAttemptStarted(id);
                   version = fleet.versionOf(server);
+                  fleet.onSentToServer(name, fleet.requestOf(id));
                   serverRun = server.run(fleet.requestOf(id), partCount, this);
                 }
               });
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelRequest.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelRequest.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.model;
 
 import java.util.List;
+import java.util.Optional;
 import org.teaseldeal.gateway.flow.PromptPart;
 
 /**
@@ -10,6 +11,8 @@
  *     plain request
  * @param outputTokens the tokens that the answer has, fewer than the request's limit
  * @param workNanos the service time of a plain request
+ * @param crashingPart the part of the prompt that crashes the engine that answers it, if there is
+ *     one
  */
 record ModelRequest(
     long number,
@@ -18,7 +21,8 @@
     List<PromptPart> parts,
     long inputTokens,
     long outputTokens,
-    long workNanos) {
+    long workNanos,
+    Optional<CrashingPart> crashingPart) {
   /** Returns the limit for output tokens that the request states. */
   long maxOutputTokens() {
     return 2 * outputTokens;
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
@@ -155,7 +155,20 @@
     /** Plans are published one after the other. */
     CONFIGURATIONS,
     /** The instances that hold the largest customer's total lose power, one after the other. */
-    HOLDER_LOST
+    HOLDER_LOST,
+    /**
+     * The largest customer also sends requests of the first kind with a prompt part that crashes
+     * each engine that begins to answer it. The engine is back after {@code gap}.
+     */
+    CRASHING_PART,
+    /** A share of the callers' attempts reach the same instance. */
+    SKEW
+  }
+
+  /** Where in a prompt a part stands, which is never the last. */
+  public enum PartPosition {
+    FIRST,
+    MIDDLE
   }
 
   /**
@@ -164,11 +177,23 @@
    * @param at the start, counted from the start of the load
    * @param lasting the duration
    * @param share the share of the instances or engines that are affected
-   * @param factor the factor by which the load is multiplied, or the number of plans
-   * @param gap the time between consecutive stops, losses of power or published plans
+   * @param factor the factor by which the load is multiplied, the number of plans, or the number of
+   *     crashing requests a second
+   * @param gap the time between consecutive stops, losses of power or published plans, or until a
+   *     crashed engine is back
+   * @param position where the crashing part stands
+   * @param eventsBeforeCrash the events of a crashing request that an engine sends before it
+   *     crashes
    */
   public record Fault(
-      FaultKind kind, Duration at, Duration lasting, double share, double factor, Duration gap) {}
+      FaultKind kind,
+      Duration at,
+      Duration lasting,
+      double share,
+      double factor,
+      Duration gap,
+      PartPosition position,
+      int eventsBeforeCrash) {}
 
   public Scenario {
     Preconditions.requirePositive(instances, "instances");
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ScenarioParser.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ScenarioParser.java
@@ -109,7 +109,9 @@
         duration(fault, "lasting", Duration.ofSeconds(5)),
         fault.doubleInRange("share", 1, 0, 1),
         fault.doubleInRange("factor", 2, 0, 1_000),
-        duration(fault, "gap", Duration.ofSeconds(1)));
+        duration(fault, "gap", Duration.ofSeconds(1)),
+        fault.enumConstant("position", Scenario.PartPosition.MIDDLE),
+        fault.intInRange("events_before_crash", 0, 0, 1_000));
   }
 
   private static Duration duration(TomlReader table, String key, Duration defaultValue) {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/SimulationResult.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/SimulationResult.java
@@ -45,9 +45,15 @@
    * The traffic of an instance with its peers and the log, as a mean per instance and second.
    *
    * @param sharedTokensRead tokens of shared prompt parts that the engines read uncached, in total
+   * @param crashedByParts the engines that crashed under requests with a crashing part
    */
   public record Cost(
-      double messages, double bytes, double appends, double reads, long sharedTokensRead) {}
+      double messages,
+      double bytes,
+      double appends,
+      double reads,
+      long sharedTokensRead,
+      long crashedByParts) {}
 
   public SimulationResult {
     byKind = Map.copyOf(byKind);
@@ -89,6 +95,9 @@
             "  an instance a second: messages %.1f octets %.0f appends %.2f reads %.2f;"
                 + " shared tokens read %d",
             cost.messages(), cost.bytes(), cost.appends(), cost.reads(), cost.sharedTokensRead()));
+    if (cost.crashedByParts() > 0) {
+      text.append(line("  engines crashed by a part of a prompt: %d", cost.crashedByParts()));
+    }
     violations.forEach(violation -> text.append(line("  BROKEN: %s", violation)));
     return text.toString();
   }
