--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/CrashingPartCheck.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/CrashingPartCheck.java
@@ -92,15 +92,38 @@
     return violations;
   }
 
+  /** Describes how often sound requests were served at the first attempt. */
+  List<String> observations() {
+    return byPart.entrySet().stream()
+        .filter(each -> !each.getValue().crashes.isEmpty())
+        .map(
+            each ->
+                "beside part %s %.3f of %d first attempts were served, before %.3f of %d"
+                    .formatted(
+                        each.getKey(),
+                        during(each.getValue()).value(),
+                        during(each.getValue()).count(),
+                        before().value(),
+                        before().count()))
+        .sorted()
+        .toList();
+  }
+
+  private Share before() {
+    return share(0, byPart.values().stream().mapToLong(Observations::firstCrash).min().orElse(0));
+  }
+
+  private Share during(Observations seen) {
+    long decisive = seen.crashes.get(Math.min(CRASHES, seen.crashes.size()) - 1);
+    return share(decisive + 2 * stabilisationTime.toNanos(), seen.lastSent);
+  }
+
   private void checkSoundRequests(String part, Observations seen, List<String> violations) {
     if (seen.crashes.isEmpty()) {
       return;
     }
-    long first = byPart.values().stream().mapToLong(Observations::firstCrash).min().orElse(0);
-    long decisive = seen.crashes.get(Math.min(CRASHES, seen.crashes.size()) - 1);
-    long from = decisive + 2 * stabilisationTime.toNanos();
-    Share before = share(0, first);
-    Share during = share(from, seen.lastSent);
+    Share before = before();
+    Share during = during(seen);
     if (before.count() >= MIN_REQUESTS
         && during.count() >= MIN_REQUESTS
         && 2 * during.value() < before.value()) {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -539,6 +539,7 @@
             log.reads() / instanceSeconds,
             sharedTokensRead,
             crashingPartCheck.crashes()),
+        crashingPartCheck.observations(),
         violations);
   }
 }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/SimulationResult.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/SimulationResult.java
@@ -11,6 +11,7 @@
  * @param byKind the tallies of requests by kind
  * @param refusals the number of refused attempts by the label of their reason
  * @param cost the cost of coordination
+ * @param observations what else was measured, as text
  * @param violations descriptions of invariants that were violated; empty if all held
  */
 public record SimulationResult(
@@ -20,6 +21,7 @@
     Map<String, Tally> byKind,
     Map<String, Long> refusals,
     Cost cost,
+    List<String> observations,
     List<String> violations) {
   /**
    * The outcomes of the requests of one kind.
@@ -58,6 +60,7 @@
   public SimulationResult {
     byKind = Map.copyOf(byKind);
     refusals = Map.copyOf(refusals);
+    observations = List.copyOf(observations);
     violations = List.copyOf(violations);
   }
 
@@ -98,6 +101,7 @@
     if (cost.crashedByParts() > 0) {
       text.append(line("  engines crashed by a part of a prompt: %d", cost.crashedByParts()));
     }
+    observations.forEach(observation -> text.append(line("  %s", observation)));
     violations.forEach(violation -> text.append(line("  BROKEN: %s", violation)));
     return text.toString();
   }
