Note which prompt parts were answered, try quarantined ones, and count bursts

Cause: crashes were noted on the log, but an answer only if two crashes were open at that moment; each answer cleared one, so none was noted, and a successor saw three crashes and no answer. Nothing could clear the part then, as no request with it was sent. Now each cleared crash is noted, after a random time, unless another instance has noted it. knowsAfterARestartWhichPartsWereAnswered failed before. A quarantined part with three or four crashes is tried with one request after 20 s and 120 s, by one instance, at most twice for good (QuarantineTrials). Five crashes under an unknown part that isn't answered within 1.2 s count now. If several parts were in all of the same crashes, only two instances send requests with some of them to find out which it was.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/CrashAttribution.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/CrashAttribution.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Collection;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -34,6 +35,16 @@
   /** The same for a part that was answered a short time before. */
   public static final int KNOWN_PART_CRASH_LIMIT = 6;
 
+  /**
+   * The crashes from which on an unknown part is quarantined even if they happened at the same
+   * moment, unless it is answered within {@link #CLEARING_TIME}. A part that many callers send at
+   * once crashes many servers at once, but no rack fails in which each server answers only them.
+   */
+  private static final int SAME_MOMENT_CRASH_LIMIT = 5;
+
+  /** Longer than a sound part that is in use everywhere takes to be answered by another server. */
+  private static final Duration CLEARING_TIME = Duration.ofMillis(1200);
+
   /** Crashes within this time count as one. Instances learn of a crash some tens of ms apart. */
   private static final Duration SAME_MOMENT = Duration.ofMillis(300);
 
@@ -43,14 +54,16 @@
   /** One crash; each object stands for itself. */
   private static final class Crash {
     private final String id;
+    private final Instant recordedAt;
     private Instant at;
     private Instant usedAt;
     private final Set<String> parts = new HashSet<>();
 
-    private Crash(String id, Instant at, Instant usedAt) {
+    private Crash(String id, Instant at, Instant now) {
       this.id = id;
       this.at = at;
-      this.usedAt = usedAt;
+      this.recordedAt = now;
+      this.usedAt = now;
     }
   }
 
@@ -132,28 +145,57 @@
     return count;
   }
 
-  /** Returns whether a part is implicated in enough crashes to be quarantined. */
-  public boolean exceedsLimit(String part, boolean answeredLately) {
-    boolean known = answeredLately || clearedByPart.containsKey(part);
-    return uncleared(part).size() >= CRASH_LIMIT
-        && countOf(part) >= (known ? KNOWN_PART_CRASH_LIMIT : CRASH_LIMIT);
+  /** Returns when a part was last implicated in a crash of which it is not cleared. */
+  public Optional<Instant> lastCrashOf(String part) {
+    return uncleared(part).stream().map(crash -> crash.at).max(Instant::compareTo);
+  }
+
+  /**
+   * Returns whether a part is implicated in enough crashes to be quarantined.
+   *
+   * @param answeredLately whether this instance has seen it answered lately
+   * @param now the present time of this instance
+   */
+  public boolean exceedsLimit(String part, boolean answeredLately, Instant now) {
+    Set<Crash> crashesOfPart = uncleared(part);
+    if (crashesOfPart.size() < CRASH_LIMIT) {
+      return false;
+    }
+    if (answeredLately || clearedByPart.containsKey(part)) {
+      return countOf(part) >= KNOWN_PART_CRASH_LIMIT;
+    }
+    return countOf(part) >= CRASH_LIMIT || crashedManyAtOnce(crashesOfPart, now);
+  }
+
+  private static boolean crashedManyAtOnce(Set<Crash> crashesOfPart, Instant now) {
+    return crashesOfPart.stream()
+            .filter(crash -> !crash.recordedAt.plus(CLEARING_TIME).isAfter(now))
+            .count()
+        >= SAME_MOMENT_CRASH_LIMIT;
   }
 
   /**
-   * Returns the part for which a request must not be sent, if there is one.
+   * A part that is implicated in enough crashes to be quarantined.
    *
-   * <p>If several parts were in all of the same crashes, the crashes don't tell which of them was
-   * the cause. A request with only some of them is sent: its answer clears these, or its crash
-   * leaves them as the only ones that were in all crashes.
+   * @param certain whether the crashes show that a request with it must not be sent. If several
+   *     parts were in all of the same crashes, they don't tell which of them was the cause. A
+   *     request with only some of these parts decides it: its answer clears them, or its crash
+   *     leaves them as the only ones that were in all crashes.
+   */
+  public record Suspect(String part, boolean certain) {}
+
+  /**
+   * Returns the part for which a request must not be sent, or only to find out whether it may.
    *
    * @param parts the parts of the request's prompt
    * @param answeredLately the parts that this instance has seen answered lately
+   * @param now the present time of this instance
    */
-  public Optional<String> quarantined(List<String> parts, Set<String> answeredLately) {
+  public Optional<Suspect> suspect(List<String> parts, Set<String> answeredLately, Instant now) {
     return parts.stream()
-        .filter(part -> exceedsLimit(part, answeredLately.contains(part)))
-        .filter(part -> parts.containsAll(alternativesTo(part)))
-        .findFirst();
+        .filter(part -> exceedsLimit(part, answeredLately.contains(part), now))
+        .map(part -> new Suspect(part, parts.containsAll(alternativesTo(part))))
+        .max(Comparator.comparing(Suspect::certain));
   }
 
   /** The parts that could have caused all the crashes in which {@code part} is implicated. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -59,7 +59,11 @@
    */
   private static final Duration MIN_STREAM_SILENCE = Duration.ofMillis(1000);
 
-  /** A request that was admitted and may be sent to a backend server. */
+  /**
+   * A request that was admitted and may be sent to a backend server.
+   *
+   * @param trial whether it is sent once although a part of its prompt is quarantined
+   */
   record Admitted(
       CallerRequest request,
       Route route,
@@ -67,7 +71,11 @@
       String service,
       int tokensPerEvent,
       long planVersion,
-      Instant arrived) {}
+      Instant arrived,
+      boolean trial) {}
+
+  private static final Problem CRASHED_SERVERS =
+      Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers");
 
   /** A request that arrived before the first configuration was known. */
   private record EarlyRequest(HttpExchange exchange, Instant arrived) {}
@@ -244,9 +252,13 @@
       return Result.err(
           Problem.of(ErrorKind.UNAUTHENTICATED, "key unknown in version " + plan.version()));
     }
-    Optional<Problem> quarantine = quarantine(request);
-    if (quarantine.isPresent()) {
-      return Result.err(quarantine.get());
+    if (hasCrashedServers(request)) {
+      return Result.err(CRASHED_SERVERS);
+    }
+    Optional<String> part = quarantinedPart(request);
+    boolean trial = part.isPresent() && components.promptParts().takeTrial(part.get());
+    if (part.isPresent() && !trial) {
+      return Result.err(partQuarantined(part.get()));
     }
     if (!admitsWhileDraining(route.get(), arrived.plus(maxDuration(request, route.get())))) {
       return Result.err(drainingProblem());
@@ -255,24 +267,44 @@
     int tokensPerEvent = plan.service(service).map(PlannedService::tokensPerEvent).orElse(0);
     return Result.ok(
         new Admitted(
-            request, route.get(), customer, service, tokensPerEvent, plan.version(), arrived));
+            request,
+            route.get(),
+            customer,
+            service,
+            tokensPerEvent,
+            plan.version(),
+            arrived,
+            trial));
   }
 
-  /** Returns the reason for which a request must not be sent to any server, if there is one. */
-  Optional<Problem> quarantine(CallerRequest request) {
-    if (components.quarantine().hasCounts()
-        && components.quarantine().isQuarantined(request.fingerprint())) {
-      return Optional.of(
-          Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers"));
+  /**
+   * Returns the reason for which a request must not be sent to any server, if there is one.
+   *
+   * @param trial whether the request is sent although a part of its prompt is quarantined
+   */
+  Optional<Problem> quarantine(CallerRequest request, boolean trial) {
+    if (hasCrashedServers(request)) {
+      return Optional.of(CRASHED_SERVERS);
     }
+    return trial
+        ? Optional.empty()
+        : quarantinedPart(request).map(RequestDispatcher::partQuarantined);
+  }
+
+  private boolean hasCrashedServers(CallerRequest request) {
+    return components.quarantine().hasCounts()
+        && components.quarantine().isQuarantined(request.fingerprint());
+  }
+
+  private Optional<String> quarantinedPart(CallerRequest request) {
     return request
         .prompt()
-        .flatMap(prompt -> components.promptParts().quarantinedPart(prompt.sharedPartIds()))
-        .map(
-            part ->
-                Problem.of(
-                    ErrorKind.QUARANTINED,
-                    "several backend servers crashed under prompt part " + part));
+        .flatMap(prompt -> components.promptParts().quarantinedPart(prompt.sharedPartIds()));
+  }
+
+  private static Problem partQuarantined(String part) {
+    return Problem.of(
+        ErrorKind.QUARANTINED, "several backend servers crashed under prompt part " + part);
   }
 
   private boolean admitsWhileDraining(Route route, Instant deadline) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -133,6 +133,7 @@
   private final TokenUsage tokenUsage;
   private final CallerStream stream;
   private final long planVersion;
+  private final boolean trial;
   private final Instant arrivedAt;
   private final Instant deadline;
   private final Set<ServerIncarnation> failedIncarnations = new HashSet<>();
@@ -169,6 +170,7 @@
         new CallerStream(
             components, request, customer.map(PrepaidCustomer::name).orElse(""), service);
     this.planVersion = admitted.planVersion();
+    this.trial = admitted.trial();
     this.arrivedAt = admitted.arrived();
     this.deadline = arrivedAt.plus(RequestDispatcher.maxDuration(request, route));
   }
@@ -323,7 +325,7 @@
       refuse(dispatcher.drainingProblem());
       return;
     }
-    Optional<Problem> quarantine = dispatcher.quarantine(request);
+    Optional<Problem> quarantine = dispatcher.quarantine(request, trial && sendCount == 0);
     if (quarantine.isPresent()) {
       giveUp(quarantine.get().kind(), quarantine.get().detail());
       return;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/PromptPartQuarantine.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/PromptPartQuarantine.java
@@ -13,8 +13,11 @@
 import java.util.TreeSet;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
 import org.teaseldeal.decisions.CrashAttribution;
+import org.teaseldeal.decisions.QuarantineTrials;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.log.LogParticipant;
@@ -48,22 +51,36 @@
   /** Limits the size of a note; more parts than begin to be answered at one server at a time. */
   private static final int MAX_PARTS_OF_CRASH = 500;
 
+  /** The number of crashes of a part from which on a request with it isn't repeated. */
+  private static final int REPEATEDLY = CrashAttribution.CRASH_LIMIT - 1;
+
   /**
-   * The number of crashes of a part from which on others are told that it was answered. A single
-   * crash has no effect.
+   * The longest time after which others are told that a part was answered. All instances see a
+   * common part answered at about the same time; each waits for a random time, and only the first
+   * ones tell the others.
    */
-  private static final int CRASHES_WORTH_CLEARING = CrashAttribution.CRASH_LIMIT - 1;
+  private static final Duration MAX_NOTE_DELAY = Duration.ofMillis(500);
 
   private final String instance;
+  private final Supplier<Set<String>> instances;
   private final Predicate<ServerIncarnation> listed;
   private final Consumer<SharedNote> broadcast;
   private final EventSink events;
   private final InstantSource clock;
   private final InstantSource wallClock;
+  private final RandomGenerator random;
   private final CrashAttribution attribution = new CrashAttribution(RETENTION);
   private final PendingCrashes<Set<String>> pending = new PendingCrashes<>();
   private final Map<String, SharedNote.ServerCrash> ownCrashes = new HashMap<>();
   private final Map<String, Set<String>> ownCleared = new HashMap<>();
+
+  /** The crashes of which the notes of any instance clear a part. */
+  private final Map<String, Set<String>> notedCleared = new HashMap<>();
+
+  /** When others are to be told that a part was answered, unless they are told before. */
+  private final Map<String, Instant> clearedNotesDueAt = new HashMap<>();
+
+  private final QuarantineTrials trials = new QuarantineTrials();
   private final Map<String, SharedNote> notesDue = new LinkedHashMap<>();
   private final Set<String> reported = new HashSet<>();
   private final Map<String, Instant> answeredAt =
@@ -78,6 +95,7 @@
   /**
    * Creates the quarantine of {@code instance}.
    *
+   * @param instances the names of all instances
    * @param listed whether an incarnation of a server is listed
    * @param broadcast sends a note to all other instances; it may be lost
    * @param clock never goes back
@@ -85,12 +103,16 @@
    */
   public PromptPartQuarantine(
       String instance,
+      Supplier<Set<String>> instances,
       Predicate<ServerIncarnation> listed,
       Consumer<SharedNote> broadcast,
       EventSink events,
       InstantSource clock,
-      InstantSource wallClock) {
+      InstantSource wallClock,
+      RandomGenerator random) {
+    this.random = random;
     this.instance = instance;
+    this.instances = instances;
     this.listed = listed;
     this.broadcast = broadcast;
     this.events = events;
@@ -112,11 +134,41 @@
     if (attribution.isEmpty() || parts.isEmpty()) {
       return Optional.empty();
     }
-    Optional<String> found = attribution.quarantined(PartKeys.of(parts), answeredLately(parts));
-    found.ifPresent(part -> attribution.keep(part, clock.instant()));
+    Instant now = clock.instant();
+    Optional<String> found =
+        attribution
+            .suspect(PartKeys.of(parts), answeredLately(parts), now)
+            .filter(
+                suspect ->
+                    suspect.certain()
+                        || !QuarantineTrials.tests(suspect.part(), instance, instances.get()))
+            .map(CrashAttribution.Suspect::part);
+    found.ifPresent(part -> attribution.keep(part, now));
+    found.ifPresent(this::report);
     return found;
   }
 
+  /**
+   * Returns whether a request with a quarantined part is sent all the same, to find out whether the
+   * part is sound.
+   *
+   * @param part as returned by {@link #quarantinedPart}
+   */
+  public boolean takeTrial(String part) {
+    return attribution
+        .lastCrashOf(part)
+        .map(
+            lastCrash ->
+                trials.take(
+                    part,
+                    attribution.countOf(part),
+                    lastCrash,
+                    instance,
+                    instances.get(),
+                    wallClock.instant()))
+        .orElse(false);
+  }
+
   /**
    * Returns whether a request that was lost with its server should not be repeated yet, because it
    * may have crashed it.
@@ -134,7 +186,7 @@
   /** Returns whether a part of a request's prompt is implicated in several crashes. */
   public boolean isRepeatedlyImplicated(List<String> parts) {
     return PartKeys.of(parts).stream()
-        .anyMatch(part -> !isKnown(part) && attribution.countOf(part) >= CRASHES_WORTH_CLEARING);
+        .anyMatch(part -> !isKnown(part) && attribution.countOf(part) >= REPEATEDLY);
   }
 
   /** Records that the connection of a request broke when its answer was about to begin. */
@@ -165,13 +217,33 @@
     if (crashes.isEmpty()) {
       return;
     }
-    boolean worthTelling = crashes.size() >= CRASHES_WORTH_CLEARING;
     attribution.onCleared(part, crashes);
     onPartCleared(part, crashes.size());
-    if (worthTelling) {
-      Set<String> cleared = ownCleared.computeIfAbsent(part, id -> new TreeSet<>());
-      cleared.addAll(crashes);
-      publish(new SharedNote.ClearedPart(instance, part, List.copyOf(cleared)));
+    long delayMillis = random.nextLong(MAX_NOTE_DELAY.toMillis());
+    clearedNotesDueAt.putIfAbsent(part, clock.instant().plusMillis(delayMillis));
+  }
+
+  /**
+   * Tells others which crashes a part has not caused, unless another instance has told it. The
+   * crashes are told without the answers, so whoever is told of them later has to know the answers
+   * too; otherwise it would refuse a part that is in use everywhere.
+   */
+  private void noteClearedParts() {
+    Instant now = clock.instant();
+    List<String> due =
+        clearedNotesDueAt.entrySet().stream()
+            .filter(each -> !each.getValue().isAfter(now))
+            .map(Map.Entry::getKey)
+            .toList();
+    for (String part : due) {
+      clearedNotesDueAt.remove(part);
+      Set<String> crashes = attribution.clearedCrashesOf(part);
+      if (!notedCleared.getOrDefault(part, Set.of()).containsAll(crashes)) {
+        Set<String> cleared = ownCleared.computeIfAbsent(part, id -> new TreeSet<>());
+        cleared.addAll(crashes);
+        notedCleared.computeIfAbsent(part, id -> new HashSet<>()).addAll(crashes);
+        publish(new SharedNote.ClearedPart(instance, part, List.copyOf(cleared)));
+      }
     }
   }
 
@@ -181,6 +253,9 @@
       record(pending.takeCrashed(server -> !listed.test(server)), CrashProof.NOT_LISTED);
       pending.expire(clock.instant());
     }
+    if (!clearedNotesDueAt.isEmpty()) {
+      noteClearedParts();
+    }
     if (!attribution.isEmpty()) {
       expire();
     }
@@ -281,24 +356,33 @@
     Instant now = clock.instant();
     attribution.onCrash(
         crash.server(), Instant.ofEpochMilli(crash.wallMillis()), crash.parts(), now);
-    for (String part : crash.parts()) {
-      if (attribution.exceedsLimit(part, isKnown(part)) && reported.add(part)) {
-        events.accept(
-            new GatewayEvent.PartQuarantined(
-                part,
-                attribution.countOf(part),
-                String.join(",", new TreeSet<>(attribution.crashesOf(part)))));
-      }
+    crash.parts().stream()
+        .filter(part -> attribution.exceedsLimit(part, isKnown(part), now))
+        .forEach(this::report);
+  }
+
+  /** Logs that a part is quarantined, once. */
+  private void report(String part) {
+    if (reported.add(part)) {
+      events.accept(
+          new GatewayEvent.PartQuarantined(
+              part,
+              attribution.countOf(part),
+              String.join(",", new TreeSet<>(attribution.crashesOf(part)))));
     }
   }
 
   private void apply(SharedNote.ClearedPart cleared) {
+    if (!cleared.crashes().isEmpty()) {
+      notedCleared.computeIfAbsent(cleared.part(), id -> new HashSet<>()).addAll(cleared.crashes());
+    }
     attribution.onCleared(cleared.part(), cleared.crashes());
     onPartCleared(cleared.part(), cleared.crashes().size());
   }
 
   private void onPartCleared(String part, int crashes) {
-    if (reported.contains(part) && !attribution.exceedsLimit(part, isKnown(part))) {
+    if (reported.contains(part)
+        && !attribution.exceedsLimit(part, isKnown(part), clock.instant())) {
       reported.remove(part);
       events.accept(new GatewayEvent.PartCleared(part, crashes));
     }
@@ -338,6 +422,9 @@
         ownCleared.remove(part, Set.of());
       }
     }
+    notedCleared.values().forEach(cleared -> cleared.removeAll(expired));
+    notedCleared.values().removeIf(Set::isEmpty);
+    trials.retain(part -> !attribution.crashesOf(part).isEmpty());
     reported.removeIf(part -> attribution.crashesOf(part).isEmpty());
   }
 
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -140,11 +140,13 @@
     PromptPartQuarantine promptParts =
         new PromptPartQuarantine(
             name,
+            fleet::memberNames,
             servers::lists,
             new NoteBroadcast(this::otherMembers, this::sendDatagram),
             this::onEvent,
             time,
-            time);
+            time,
+            new Random(fleet.nextSeed()));
     peerMessages = new PeerMessageDispatcher(loadExchange, streamOrigins, promptParts);
     RequestQuarantine quarantine = new RequestQuarantine(name, servers::lists, this::onEvent, time);
     fleetLog =
