Learn nothing from a note of answers that is withdrawn

Seen by reading the diff: an empty note made a part count as answered before, with the limit of six crashes instead of three, until the next start. learnsNothingFromAWithdrawnNote failed before.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/CrashAttribution.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/CrashAttribution.java
@@ -110,6 +110,9 @@
 
   /** Records that a part did not cause these crashes, which may not be known yet. */
   public void onCleared(String part, Collection<String> clearedCrashes) {
+    if (clearedCrashes.isEmpty()) {
+      return;
+    }
     clearedByPart.computeIfAbsent(part, id -> new HashSet<>()).addAll(clearedCrashes);
     Set<Crash> implicated = crashesByPart.get(part);
     if (implicated != null) {
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/CrashAttributionTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/CrashAttributionTests.java
@@ -124,6 +124,16 @@
         attribution.suspect(List.of("hot"), Set.of("hot"), START));
   }
 
+  /** Guards against a part that counts as known because a note about it was withdrawn. */
+  @Test
+  void learnsNothingFromAWithdrawnNote() {
+    attribution.onCleared("bad", Set.of());
+    for (int second = 0; second < 3; second++) {
+      crash(second, "bad");
+    }
+    assertEquals(Optional.of("bad"), quarantined("bad"));
+  }
+
   /** Guards against evidence that counts twice, or is lost, if messages arrive in another order. */
   @Test
   void doesNotDependOnTheOrderOfEvidence() {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/PromptPartQuarantine.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/PromptPartQuarantine.java
@@ -100,6 +100,7 @@
    * @param broadcast sends a note to all other instances; it may be lost
    * @param clock never goes back
    * @param wallClock shows the time of day, which is about the same at all instances
+   * @param random spreads the notes of several instances about the same answers
    */
   public PromptPartQuarantine(
       String instance,
@@ -110,7 +111,6 @@
       InstantSource clock,
       InstantSource wallClock,
       RandomGenerator random) {
-    this.random = random;
     this.instance = instance;
     this.instances = instances;
     this.listed = listed;
@@ -118,6 +118,7 @@
     this.events = events;
     this.clock = clock;
     this.wallClock = wallClock;
+    this.random = random;
   }
 
   /** The number of parts that are quarantined, as far as they were found to be. */
