--- a/teaseldeal-model/src/test/java/org/teaseldeal/model/CrashingPartTests.java
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/CrashingPartTests.java
@@ -22,7 +22,7 @@
 /** Fleets whose engines crash under requests with one part in their prompts. */
 @Execution(ExecutionMode.CONCURRENT)
 class CrashingPartTests {
-  private static final Path SCENARIOS = Path.of("scenarios", "crashes");
+  private static final Path SCENARIOS = Path.of("crash-scenarios");
   private static final Path CHANCE_SCENARIO = Path.of("scenarios", "engines-crash-in-turn.toml");
   private static final int SMALL_FLEET = 9;
   private static final int LARGE_FLEET = 95;
