--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/CrashAttribution.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/CrashAttribution.java
@@ -33,7 +33,7 @@
   public static final int CRASH_LIMIT = 3;
 
   /** The same for a part that was answered a short time before. */
-  public static final int KNOWN_PART_CRASH_LIMIT = 6;
+  private static final int KNOWN_PART_CRASH_LIMIT = 6;
 
   /**
    * The crashes from which on an unknown part is quarantined even if they happened at the same
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -20,6 +20,12 @@
   private static final int OK = 200;
   private static final String CONTENT_TYPE = "content-type";
 
+  /**
+   * A server that crashes under a request may send the first events of its answer before, so an
+   * answer counts as about to begin for this long after its first event.
+   */
+  private static final Duration BEGINNING = Duration.ofMillis(500);
+
   private final RequestFlow flow;
   private final GatewayComponents components;
   private final BackendServer server;
@@ -36,12 +42,6 @@
   private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
   private final EventSplitter eventSplitter = new EventSplitter();
 
-  /**
-   * A server that crashes under a request may send the first events of its answer before, so an
-   * answer counts as about to begin for this long after its first event.
-   */
-  private static final Duration BEGINNING = Duration.ofMillis(500);
-
   private @Nullable HttpCall call;
   private @Nullable AnswerVerdict verdict;
   private int status;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -59,6 +59,9 @@
    */
   private static final Duration MIN_STREAM_SILENCE = Duration.ofMillis(1000);
 
+  private static final Problem CRASHED_SERVERS =
+      Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers");
+
   /**
    * A request that was admitted and may be sent to a backend server.
    *
@@ -74,9 +77,6 @@
       Instant arrived,
       boolean trial) {}
 
-  private static final Problem CRASHED_SERVERS =
-      Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers");
-
   /** A request that arrived before the first configuration was known. */
   private record EarlyRequest(HttpExchange exchange, Instant arrived) {}
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/PromptPartQuarantine.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/quarantine/PromptPartQuarantine.java
@@ -136,9 +136,11 @@
       return Optional.empty();
     }
     Instant now = clock.instant();
+    List<String> keys = PartKeys.of(parts);
+    Set<String> answeredLately = keys.stream().filter(this::isKnown).collect(Collectors.toSet());
     Optional<String> found =
         attribution
-            .suspect(PartKeys.of(parts), answeredLately(parts), now)
+            .suspect(keys, answeredLately, now)
             .filter(
                 suspect ->
                     suspect.certain()
@@ -175,8 +177,7 @@
    * may have crashed it.
    */
   public boolean isSuspected(List<String> parts) {
-    List<String> keys = PartKeys.of(parts);
-    return keys.stream()
+    return PartKeys.of(parts).stream()
         .anyMatch(
             part ->
                 !isKnown(part)
@@ -433,8 +434,4 @@
     Instant at = answeredAt.get(part);
     return at != null && clock.instant().isBefore(at.plus(KNOWN_FOR));
   }
-
-  private Set<String> answeredLately(List<String> parts) {
-    return PartKeys.of(parts).stream().filter(this::isKnown).collect(Collectors.toSet());
-  }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -20,7 +20,6 @@
 import org.teaseldeal.gateway.fake.FakeDialect;
 import org.teaseldeal.gateway.fake.FakeExchange;
 import org.teaseldeal.gateway.fake.ManualClock;
-import org.teaseldeal.gateway.log.SharedNote;
 import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.plan.CallerLimits;
@@ -87,9 +86,6 @@
   final RequestDispatcher dispatcher;
   final PromptPartQuarantine promptParts;
 
-  /** What was sent to the other instances about crashes. */
-  final List<SharedNote> notes = new ArrayList<>();
-
   /** What the other instance answers if it is asked for a stream's version. */
   StreamPeers.Answer peerAnswer = new StreamPeers.Answer.Unknown();
 
@@ -142,7 +138,7 @@
             "instance-1",
             () -> ONLY_INSTANCE,
             servers::lists,
-            notes::add,
+            note -> {},
             events::add,
             clock,
             clock,
