Limit what servers that warm up get in a second, by a fixed share of each instance

Callers saw nothing yet: a server that is back from a crash, or loses its caches, tolerates coldPerS requests a second and crashes well above that.

Each server's limit, rate times tolerance plus slack, is divided among the instances by rendezvous hash. A share needs no messages, so the sum holds while instances can't hear each other. Where there are more instances than requests the others send through one that has a share (a relay that has no room says so, and nothing was sent). A request counts from its sending until 1.05 s after its answer began, so that what a partition holds up counts together with what is sent after it. A server that was not heard of for six seconds counts as warming up; an instance sends it nothing in its first 1.2 s, as the process before may have used the share.

Ruled out: a token bucket each (61 full buckets are 61 at once), a rate lent by the collector (not to be had in a cut).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -203,6 +203,26 @@
    */
   record ServerUnusable(String server, String reason, String detail) implements GatewayEvent {}
 
+  /**
+   * A backend server began to warm up, or has warmed up. While it warms up it tolerates fewer
+   * requests.
+   *
+   * @param left how much longer it warms up; zero if it has warmed up
+   */
+  record ServerWarmUp(String server, String service, boolean warmingUp, Duration left)
+      implements GatewayEvent {}
+
+  /**
+   * The operator asked for a data centre to be evacuated, or took that back. While it is evacuated,
+   * nothing new is sent to its backend servers.
+   *
+   * @param offset the offset of the operator's record; of the record that was taken back if the
+   *     list of records was read anew
+   * @param servers the listed backend servers in the data centre
+   */
+  record DataCentreEvacuation(String dataCentre, boolean evacuated, long offset, int servers)
+      implements GatewayEvent {}
+
   /** The instance started, became ready, is draining, stopped, or reloaded its settings. */
   record InstanceState(String state, String detail) implements GatewayEvent {}
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -59,6 +59,12 @@
    */
   private static final Duration MIN_STREAM_SILENCE = Duration.ofMillis(1000);
 
+  /**
+   * The maximum size of all answers together that are collected before they are sent. A few servers
+   * that send without end must not fill the memory.
+   */
+  private static final long MAX_BUFFERED_BYTES = 6 << 20;
+
   private static final Problem CRASHED_SERVERS =
       Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers");
 
@@ -99,6 +105,7 @@
             components.cachedPrompts(),
             components.instances(),
             components.events(),
+            components.links().warmUpLimits(),
             components.random());
     components.links().setListener(new LinkObserver());
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -18,6 +18,7 @@
 import org.teaseldeal.decisions.ServerHealth;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.PeerLoad;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.server.BackendServer;
@@ -89,6 +90,7 @@
   private final CachedPrompts cachedPrompts;
   private final RandomGenerator random;
   private final IntSupplier instances;
+  private final WarmUpLimits warmUpLimits;
   private final EventSink events;
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
   private final Map<String, BrittleLimits> limitsByService = new HashMap<>();
@@ -101,9 +103,11 @@
       Supplier<PeerLoads> peerLoads,
       CachedPrompts cachedPrompts,
       IntSupplier instances,
+      WarmUpLimits warmUpLimits,
       EventSink events,
       RandomGenerator random) {
     this.instances = instances;
+    this.warmUpLimits = warmUpLimits;
     this.events = events;
     this.servers = servers;
     this.peerLoads = peerLoads;
@@ -177,11 +181,12 @@
             .filter(server -> !criteria.tried().contains(server.incarnation()))
             .filter(server -> hasRoom(server, loads, now))
             .toList();
+    List<BackendServer> sendable = sendable(untried);
     List<BackendServer> healthy =
-        untried.stream()
+        sendable.stream()
             .filter(server -> !server.isExcluded(now) && health.isEligible(server.id(), now))
             .toList();
-    List<BackendServer> candidates = healthy.isEmpty() ? untried : healthy;
+    List<BackendServer> candidates = healthy.isEmpty() ? sendable : healthy;
     List<PromptPlacement.Candidate> views =
         candidates.stream()
             .map(server -> candidate(server, loads.at(server.id()), prompt))
@@ -201,6 +206,17 @@
                     loads.age()));
   }
 
+  /**
+   * The servers that this instance may send a request to. If all are warming up and this instance
+   * has used its share, these are the servers that another instance may send it to.
+   */
+  private List<BackendServer> sendable(List<BackendServer> servers) {
+    List<BackendServer> direct = servers.stream().filter(warmUpLimits::hasRoom).toList();
+    return direct.isEmpty()
+        ? servers.stream().filter(server -> !warmUpLimits.otherHolders(server).isEmpty()).toList()
+        : direct;
+  }
+
   /**
    * The servers that may run the request. A stream that has begun goes only to servers of its
    * version that can't have been restarted with another one unnoticed. If no ready server has the
@@ -280,10 +296,11 @@
         server.running(), loads.at(server.id()).running(), Math.max(1, instances.getAsInt()));
   }
 
-  /** Whether the servers of a service get no more requests than they have room for. */
+  /** Whether servers of a service get no more requests than they have room for. */
   boolean limitsRequests(String service, Instant now) {
     BrittleLimits limits = limitsByService.get(service);
-    return limits != null && limits.isInForce(now);
+    return (limits != null && limits.isInForce(now))
+        || servers.ready(service).stream().anyMatch(warmUpLimits::isLimited);
   }
 
   /**
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -61,6 +61,10 @@
       case GatewayEvent.PlanUnreadable unreadable -> count("plans_unreadable");
       case GatewayEvent.ServerListed listed -> count("servers_listed_as_", listed.state());
       case GatewayEvent.ServerUnusable unusable -> count("servers_unusable_", unusable.reason());
+      case GatewayEvent.ServerWarmUp warmUp ->
+          count(warmUp.warmingUp() ? "server_warm_ups_begun" : "server_warm_ups_ended");
+      case GatewayEvent.DataCentreEvacuation evacuation ->
+          count(evacuation.evacuated() ? "evacuations_begun" : "evacuations_ended");
       case GatewayEvent.InstanceState state -> count("instance_states");
       case GatewayEvent.Dependency dependency -> onDependency(dependency);
       case GatewayEvent.ServerPath path ->
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
@@ -26,13 +26,15 @@
     REFUSED,
     /** The relay's list doesn't contain the server as ready. Nothing was sent. */
     NOT_LISTED,
+    /** The server warms up, and the relay has used its share of it. Nothing was sent. */
+    NO_ROOM,
     /** The relay could not connect to the server. Nothing was sent. */
     UNREACHABLE,
     /** The request was sent, and the server's answer did not begin. */
     NO_ANSWER;
 
     boolean provesNotSent() {
-      return this == REFUSED || this == NOT_LISTED || this == UNREACHABLE;
+      return this == REFUSED || this == NOT_LISTED || this == NO_ROOM || this == UNREACHABLE;
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -21,8 +21,11 @@
     /** Called if the relay did not send the request and another instance may. */
     void onRefused(String detail);
 
-    /** Called if the relay's list doesn't contain the server; another instance's may. */
-    void onNotListed(String detail);
+    /**
+     * Called if the relay works but can't send to this server: its list doesn't contain the server,
+     * or the server warms up and the relay has used its share. Another instance may.
+     */
+    void onNotSendable(String detail);
 
     /** Called if the relay could not connect to the server. */
     void onUnreachable(String detail);
@@ -66,7 +69,7 @@
     String text = detail.toString(StandardCharsets.UTF_8);
     switch (result) {
       case ANSWER -> listener.onEnd(announcedEnd);
-      case NOT_LISTED -> outcome.onNotListed(text);
+      case NOT_LISTED, NO_ROOM -> outcome.onNotSendable(text);
       case UNREACHABLE -> outcome.onUnreachable(text);
       case NO_ANSWER -> outcome.onNoAnswer(text);
       case null, default -> outcome.onRefused(text);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
@@ -103,6 +103,8 @@
   }
 
   /** Why a request is not relayed; empty if it is. */
+    } else if (!links.warmUpLimits().hasRoom(server.orElseThrow())) {
+      respond(exchange, UNAVAILABLE, Result.NO_ROOM, "the server warms up");
   private String refusal() {
     if (draining) {
       return "the instance stops";
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -69,6 +69,7 @@
   private final Function<BackendServer, HttpCallRequest> probeRequests;
   private final ServerDirectory servers;
   private final EventSink events;
+  private final WarmUpLimits warmUpLimits;
   private final InstantSource clock;
   private final ServerPaths paths = new ServerPaths(new PathEvents());
   private final Map<BackendServerId, Set<String>> unreachableReports = new HashMap<>();
@@ -96,6 +97,7 @@
       Function<BackendServer, HttpCallRequest> probeRequests,
       ServerDirectory servers,
       EventSink events,
+      WarmUpLimits warmUpLimits,
       InstantSource clock,
       RandomGenerator random) {
     this.instance = instance;
@@ -107,6 +109,7 @@
     this.probeRequests = probeRequests;
     this.servers = servers;
     this.events = events;
+    this.warmUpLimits = warmUpLimits;
     this.clock = clock;
   }
 
@@ -123,6 +126,9 @@
    */
   public Way way(BackendServer server, boolean avoidDirect) {
     boolean lost = paths.isLost(server.id());
+    if (!warmUpLimits.hasRoom(server)) {
+      return warmUpLimits.otherHolders(server).isEmpty() ? Way.NONE : Way.RELAY;
+    }
     if (!lost && !avoidDirect) {
       return Way.DIRECT;
     }
@@ -133,6 +139,11 @@
   }
 
   /** Returns whether this instance knows others that may relay requests. */
+  /** The limits of requests to servers that are warming up. */
+  public WarmUpLimits warmUpLimits() {
+    return warmUpLimits;
+  }
+
   public boolean hasRelays() {
     return relays.hasUsable(peerAddresses.get(), clock.instant());
   }
@@ -143,7 +154,12 @@
    */
   public HttpCall sendDirectly(
       BackendServer server, HttpCallRequest request, HttpListener listener) {
-    return direct.send(request, new ObservedCall(server.id(), listener));
+    WarmUpLimits.SentRequest sent = warmUpLimits.onSent(server);
+    HttpCall call = direct.send(request, new ObservedCall(server.id(), sent, listener));
+    return () -> {
+      sent.onArrived();
+      call.cancel();
+    };
   }
 
   /**
@@ -191,6 +207,7 @@
       unreachableReports.keySet().retainAll(listed);
       lastRelays.keySet().retainAll(listed);
     }
+      warmUpLimits.retain(listed);
     for (BackendServerId id : paths.takeDueProbes(clock.instant())) {
       servers.find(id).ifPresentOrElse(this::probe, () -> onUnlisted(id));
     }
@@ -291,13 +308,15 @@
     }
   }
 
+    private final WarmUpLimits.SentRequest sent;
   /** Derives from a request's outcome whether the path to its server works. */
   private final class ObservedCall implements HttpListener {
     private final BackendServerId server;
     private final HttpListener listener;
     private final Instant sentAt = clock.instant();
+      this.sent = sent;
 
-    ObservedCall(BackendServerId server, HttpListener listener) {
+    ObservedCall(BackendServerId server, WarmUpLimits.SentRequest sent, HttpListener listener) {
       this.server = server;
       this.listener = listener;
     }
@@ -306,6 +325,7 @@
     public boolean acceptsAnswer(int status, Map<String, String> headers) {
       return listener.acceptsAnswer(status, headers);
     }
+      sent.onArrived();
 
     @Override
     public void onHead(int status, Map<String, String> headers) {
@@ -324,8 +344,10 @@
       listener.onEnd(end);
     }
 
+        sent.onNotSent();
     @Override
     public void onFailure(HttpFailure failure, String detail) {
+        sent.onArrived();
       if (failure == HttpFailure.NOT_SENT) {
         paths.onConnectFailed(server, clock.instant());
       } else {
@@ -374,7 +396,8 @@
 
     /** Prefers the instance that reached this server last: others may be partitioned from it. */
     private Optional<String> chooseRelay(Instant now) {
-      List<String> candidates = peerAddresses.get();
+      List<String> candidates =
+          warmUpLimits.isLimited(server) ? warmUpLimits.otherHolders(server) : peerAddresses.get();
       return Optional.ofNullable(lastRelays.get(server.id()))
           .filter(last -> candidates.contains(last) && !tried.contains(last))
           .or(() -> relays.choose(candidates, tried, now));
@@ -399,7 +422,7 @@
     }
 
     @Override
-    public void onNotListed(String detail) {
+    public void onNotSendable(String detail) {
       sendToNextUnlessCancelled(detail);
     }
 
@@ -446,7 +469,7 @@
     }
 
     @Override
-    public void onNotListed(String detail) {}
+    public void onNotSendable(String detail) {}
 
     @Override
     public void onUnreachable(String detail) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.server;
 
+import java.time.Duration;
 import java.time.Instant;
 import org.teaseldeal.api.BackendServerId;
 
@@ -23,14 +24,16 @@
   private long promptTokensAhead;
   private Instant excludeUntil = Instant.MIN;
   private final RestartEvidence restartEvidence = new RestartEvidence();
+  private final WarmUp warmUp;
 
   /**
    * Creates a server.
    *
    * @param onLoadChange runs after each change of the load that this instance has outstanding there
    */
-  BackendServer(ServerListing listing, Runnable onLoadChange) {
+  BackendServer(ServerListing listing, Runnable onLoadChange, Instant now) {
     this.onLoadChange = onLoadChange;
+    this.warmUp = new WarmUp(listing.warmUpLeft(), now);
     this.incarnation = listing.incarnation();
     this.service = listing.service();
     this.address = listing.address();
@@ -134,9 +137,27 @@
     restartEvidence.onReceived(sentAt, now);
   }
 
-  /** Records a heartbeat of this incarnation that was read from the server list. */
-  void onHeartbeat(Instant now) {
+  /**
+   * Records a heartbeat of this incarnation that was read from the server list.
+   *
+   * @param warmUpLeft how much longer the server warms up
+   */
+  void onHeartbeat(Duration warmUpLeft, Instant now) {
     restartEvidence.onHeartbeat(now);
+    warmUp.onHeartbeat(warmUpLeft, now);
+  }
+
+  /**
+   * Whether the server may be warming up, because it said so or has not been heard of lately. It
+   * may then tolerate fewer requests.
+   */
+  public boolean isWarmingUp(Instant now) {
+    return warmUp.isWarmingUp(now);
+  }
+
+  /** Assumes that the server warms up until a heartbeat of a later time says that it doesn't. */
+  void assumeWarmingUp(Instant now) {
+    warmUp.assumeFrom(now);
   }
 
   /** Counts a request that was sent to the server. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -68,7 +68,7 @@
       // A process never changes its version, so this is a later one without a start time.
       return replace(known, listing);
     }
-    known.onHeartbeat(now);
+    known.onHeartbeat(listing.warmUpLeft(), now);
     boolean hadExpired = graceEnds.remove(listing.id()) != null;
     boolean back = unusable.remove(listing.id()) || hadExpired;
     if (!known.isListedAsReady()) {
@@ -105,7 +105,7 @@
 
   private void add(ServerListing listing) {
     changes++;
-    BackendServer added = new BackendServer(listing, () -> loadChanges++);
+    BackendServer added = new BackendServer(listing, () -> loadChanges++, now);
     servers.put(listing.id(), added);
     byService
         .computeIfAbsent(listing.service(), name -> new LinkedHashMap<>())
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerListing.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerListing.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.server;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
 import org.teaseldeal.api.BackendServerId;
@@ -17,6 +18,7 @@
  * @param leaving whether the server accepts no new requests
  * @param startedAt when the server's process started, by its own clock; empty if the server doesn't
  *     publish it
+ * @param warmUpLeft how much longer the server warms up; zero if it doesn't
  */
 public record ServerListing(
     BackendServerId id,
@@ -26,10 +28,34 @@
     String softwareVersion,
     int maxConcurrentRequests,
     boolean leaving,
-    Optional<Instant> startedAt) {
+    Optional<Instant> startedAt,
+    Duration warmUpLeft) {
+  /** Creates an entry of a server that is not warming up. */
+  public ServerListing(
+      BackendServerId id,
+      String service,
+      String address,
+      String dataCentre,
+      String softwareVersion,
+      int maxConcurrentRequests,
+      boolean leaving,
+      Optional<Instant> startedAt) {
+    this(
+        id,
+        service,
+        address,
+        dataCentre,
+        softwareVersion,
+        maxConcurrentRequests,
+        leaving,
+        startedAt,
+        Duration.ZERO);
+  }
+
   public ServerListing {
     Preconditions.requireText(service, "service of " + id);
     Preconditions.requireText(address, "address of " + id);
+    Preconditions.requireNotNegative(warmUpLeft.toMillis(), "warm-up left of " + id);
     Preconditions.requirePositive(maxConcurrentRequests, "max concurrent requests of " + id);
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -21,6 +21,7 @@
 import org.teaseldeal.gateway.fake.FakeExchange;
 import org.teaseldeal.gateway.fake.ManualClock;
 import org.teaseldeal.gateway.path.ServerLinks;
+import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.plan.CallerLimits;
 import org.teaseldeal.gateway.plan.GatewayPlan;
@@ -103,6 +104,17 @@
           () -> true,
           clock);
 
+  /** The requests in a second that a server tolerates while it warms up; 0 for no limit. */
+  int warmUpLimit;
+
+  private final WarmUpLimits warmUpLimits =
+      new WarmUpLimits(
+          "instance-1",
+          () -> ONLY_INSTANCE,
+          name -> Optional.empty(),
+          service -> warmUpLimit,
+          clock);
+
   /** Whether the configuration has been read. */
   boolean configured = true;
 
@@ -176,6 +188,7 @@
                             new byte[0],
                             Duration.ofMillis(400)),
                     servers,
+                    warmUpLimits,
                     events::add,
                     clock,
                     new Random(1)),
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.CachedPrompts;
@@ -25,7 +26,13 @@
   private final ServerDirectory servers = new ServerDirectory();
   private final ServerSelector selector =
       new ServerSelector(
-          servers, () -> PeerLoads.NONE, new CachedPrompts(), () -> 1, event -> {}, new Random(1));
+          servers,
+          () -> PeerLoads.NONE,
+          new CachedPrompts(),
+          () -> 1,
+          WarmUpLimits.none(() -> NOW),
+          event -> {},
+          new Random(1));
 
   @BeforeEach
   void list() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
@@ -50,6 +50,7 @@
           recordIn(probes),
           server -> REQUEST,
           servers,
+          WarmUpLimits.none(clock),
           event -> {},
           clock,
           new Random(1));
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -27,6 +27,7 @@
 import org.teaseldeal.gateway.flow.RetryLimits;
 import org.teaseldeal.gateway.log.FleetLog;
 import org.teaseldeal.gateway.path.ServerLinks;
+import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.LoadExchange;
 import org.teaseldeal.gateway.peer.NoteBroadcast;
 import org.teaseldeal.gateway.peer.PeerLoads;
@@ -184,6 +185,7 @@
                             new byte[0],
                             PROBE_TIMEOUT),
                     servers,
+                    WarmUpLimits.none(time),
                     this::onEvent,
                     time,
                     new Random(fleet.nextSeed())),
