Send nothing new to the servers of a data centre that the operator evacuates

Callers saw their requests run on in a data centre that was to be emptied: of the operator's topic only the configuration was read.

No server there is chosen, also for repeats, resumed streams, relayed requests and requests that wait; what runs goes on. A service without another server is refused at once as not run. Afterwards the servers count as warming up until a heartbeat two seconds later says that they don't.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -111,6 +111,12 @@
    */
   private static final Duration NO_SERVER_RETRY_AFTER = Duration.ofMillis(500);
 
+  /**
+   * The suggested delay before a retry if all servers of the service are in evacuated data centres,
+   * which takes seconds at least.
+   */
+  private static final Duration EVACUATED_RETRY_AFTER = Duration.ofSeconds(2);
+
   /**
    * The suggested delay before a retry if a server was full: its queue drains within a few answers.
    */
@@ -237,6 +243,9 @@
     if (customer.isPresent() && request.prompt().isPresent()) {
       reserve(customer.get().name(), request.prompt().get().maxTokens());
     } else {
+    if (endIfAllEvacuated()) {
+      return;
+    }
       onReserved(Reservation.NONE);
     }
   }
@@ -420,6 +429,9 @@
     Duration waiting = Duration.between(waitingForServerSince, now());
     Optional<String> version = stream.version();
     if (version.isPresent() && !dispatcher.selector().serves(service, version.get(), now())) {
+    if (endIfAllEvacuated()) {
+      return;
+    }
       // The caller may find one sooner at another instance, or begin the stream anew.
       stream.reportObstacle(CallerStream.Obstacle.NO_SERVER_OF_VERSION);
       giveUp(ErrorKind.STREAM_NOT_RESUMABLE, noServerOf(version.get()));
@@ -442,6 +454,18 @@
   private static Duration shorter(Duration one, Duration other) {
     return one.compareTo(other) < 0 ? one : other;
   }
+  /** Ends the request if the operator has evacuated all servers of its service. */
+  private boolean endIfAllEvacuated() {
+    if (!components.servers().areAllEvacuated(service)) {
+      return false;
+    }
+    giveUp(
+        ErrorKind.NO_BACKEND_SERVER,
+        "all servers of the service are in evacuated data centres",
+        EVACUATED_RETRY_AFTER);
+    return true;
+  }
+
 
   /**
    * Sends the request to another server if the present one has sent nothing for too long.
@@ -674,7 +698,6 @@
     if (mayHaveRun) {
       fail(Problem.of(ErrorKind.BACKEND_FAILED, detail));
     } else if (kind.retryable()) {
-      Duration retryAfter = kind == ErrorKind.OVERLOADED ? FULL_RETRY_AFTER : NO_SERVER_RETRY_AFTER;
       refuse(Problem.retryable(kind, detail, dispatcher.withJitter(retryAfter)));
     } else {
       refuse(Problem.of(kind, detail));
@@ -690,6 +713,10 @@
     } else {
       refuse(Problem.of(ErrorKind.EXPIRED_WAITING, "not run by the deadline"));
     }
+    giveUp(kind, detail, kind == ErrorKind.OVERLOADED ? FULL_RETRY_AFTER : NO_SERVER_RETRY_AFTER);
+  }
+
+  private void giveUp(ErrorKind kind, String detail, Duration retryAfter) {
   }
 
   private void fail(Problem problem) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
@@ -24,7 +24,7 @@
     ANSWER,
     /** The relay did not try; another instance may. Nothing was sent. */
     REFUSED,
-    /** The relay's list doesn't contain the server as ready. Nothing was sent. */
+    /** The relay's list doesn't contain the server as ready and not evacuated. Nothing was sent. */
     NOT_LISTED,
     /** The server warms up, and the relay has used its share of it. Nothing was sent. */
     NO_ROOM,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
@@ -89,22 +89,26 @@
         servers
             .find(relayed.server().id())
             .filter(listed -> listed.incarnation().equals(relayed.server()))
-            .filter(BackendServer::isListedAsReady);
+            .filter(servers::accepts);
     String refusal = refusal();
     if (!refusal.isEmpty()) {
       respond(exchange, UNAVAILABLE, Result.REFUSED, refusal);
     } else if (server.isEmpty()) {
-      respond(exchange, UNAVAILABLE, Result.NOT_LISTED, "the server isn't listed here as ready");
+      respond(
+          exchange,
+          UNAVAILABLE,
+          Result.NOT_LISTED,
+          "the server is not listed here as ready, or is evacuated");
     } else if (links.isLost(server.orElseThrow())) {
       respond(exchange, UNAVAILABLE, Result.UNREACHABLE, "the server can't be reached from here");
     } else {
       new RelayedRequest(exchange, relayed).send(server.orElseThrow());
+    } else if (!links.warmUpLimits().hasRoom(server.orElseThrow())) {
+      respond(exchange, UNAVAILABLE, Result.NO_ROOM, "the server warms up");
     }
   }
 
   /** Why a request is not relayed; empty if it is. */
-    } else if (!links.warmUpLimits().hasRoom(server.orElseThrow())) {
-      respond(exchange, UNAVAILABLE, Result.NO_ROOM, "the server warms up");
   private String refusal() {
     if (draining) {
       return "the instance stops";
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -21,6 +21,7 @@
   private final Map<BackendServerId, Instant> graceEnds = new HashMap<>();
   private final Map<String, Map<BackendServerId, BackendServer>> byService = new HashMap<>();
   private final Set<BackendServerId> unusable = new HashSet<>();
+  private final Set<String> evacuatedDataCentres = new HashSet<>();
 
   /** When this instance learned that a listed server leaves. */
   private final Map<BackendServerId, Instant> leavingSince = new HashMap<>();
@@ -238,10 +239,71 @@
         .toList();
   }
 
-  /** The listed servers of a service whose latest listing is valid. */
+  /** The listed servers of a service whose latest listing is valid and that are not evacuated. */
   private Stream<BackendServer> usable(String service) {
-    return byService.getOrDefault(service, Map.of()).values().stream()
-        .filter(server -> !unusable.contains(server.id()));
+    return listed(service)
+        .filter(server -> !unusable.contains(server.id()))
+        .filter(server -> !isEvacuated(server));
+  }
+
+  private Stream<BackendServer> listed(String service) {
+    return byService.getOrDefault(service, Map.of()).values().stream();
+  }
+
+  /** Whether a server may be sent requests of any kind, according to the list and the operator. */
+  public boolean accepts(BackendServer server) {
+    return server.isListedAsReady() && !unusable.contains(server.id()) && !isEvacuated(server);
+  }
+
+  /** Whether the operator has evacuated the server's data centre. */
+  public boolean isEvacuated(BackendServer server) {
+    return evacuatedDataCentres.contains(server.dataCentre());
+  }
+
+  /** Whether a service has ready servers, all of them in evacuated data centres. */
+  public boolean areAllEvacuated(String service) {
+    return !evacuatedDataCentres.isEmpty()
+        && listed(service).anyMatch(BackendServer::isListedAsReady)
+        && listed(service).filter(BackendServer::isListedAsReady).allMatch(this::isEvacuated);
+  }
+
+  /**
+   * Sends no new requests to the servers of a data centre until {@link #endEvacuation}. Requests
+   * that run there continue.
+   *
+   * @return whether the data centre was not evacuated before
+   */
+  public boolean evacuate(String dataCentre) {
+    boolean added = evacuatedDataCentres.add(dataCentre);
+    changes += added ? 1 : 0;
+    return added;
+  }
+
+  /**
+   * Sends requests to the servers of a data centre again. They count as warming up until they say
+   * otherwise.
+   *
+   * @return whether the data centre was evacuated before
+   */
+  public boolean endEvacuation(String dataCentre) {
+    boolean removed = evacuatedDataCentres.remove(dataCentre);
+    if (removed) {
+      changes++;
+      serversIn(dataCentre).forEach(server -> server.assumeWarmingUp(now));
+    }
+    return removed;
+  }
+
+  /** The data centres that the operator has evacuated. */
+  public Set<String> evacuatedDataCentres() {
+    return Set.copyOf(evacuatedDataCentres);
+  }
+
+  /** The listed servers in a data centre. */
+  public List<BackendServer> serversIn(String dataCentre) {
+    return servers.values().stream()
+        .filter(server -> server.dataCentre().equals(dataCentre))
+        .toList();
   }
 
   /** The listed server with an id. */
