Bound what a backend server may send as an answer, in bytes and in time without progress

Bytes that bring the answer no further kept the server from counting as silent.

An event, a stream, a plain answer, all plain answers together, and what is discarded before an answer each have a bound now; beyond it the connection is closed, the failure counts against the server, and a repeatable request goes on elsewhere. Silence is counted from the last progress: a new event, or 16 KiB of a plain body. A health check is cancelled at its head. One read of a connection takes 64 KiB at most, so that a flood leaves the loop to the others. A stream whose caller reads too slowly is aborted at 1 MiB, as relayed ones already were.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -40,13 +40,15 @@
   private final boolean relayed;
   private final Instant startedAt;
   private final ByteArrayOutputStream body = new ByteArrayOutputStream(0);
-  private final EventSplitter eventSplitter = new EventSplitter();
+  private final EventSplitter eventSplitter = new EventSplitter(AnswerLimits.MAX_EVENT_BYTES);
+  private final AnswerLimits limits = new AnswerLimits();
 
   private @Nullable HttpCall call;
   private @Nullable AnswerVerdict verdict;
   private int status;
   private Map<String, String> headers = Map.of();
   private Instant lastReceivedAt;
+  private Instant lastProgressAt;
   private @Nullable Instant bodyBegunAt;
 
   /** Whether the answer is a stream of events. */
@@ -71,6 +73,7 @@
     this.unsharedTokens = flow.request().prompt().map(PromptDescription::unsharedTokens).orElse(0L);
     this.startedAt = components.clock().instant();
     this.lastReceivedAt = startedAt;
+    this.lastProgressAt = startedAt;
   }
 
   void start(ForwardingTerms terms) {
@@ -126,12 +129,21 @@
     return Duration.between(lastReceivedAt, components.clock().instant());
   }
 
+  /** How long the answer has not come forward, whatever bytes arrived. */
+  Duration stalledFor() {
+    return Duration.between(lastProgressAt, components.clock().instant());
+  }
+
   /** Cancels the attempt by closing its connection, so that the server stops working on it. */
   void cancel() {
     if (ended) {
       return;
     }
     markEnded();
+    closeConnection();
+  }
+
+  private void closeConnection() {
     if (call != null) {
       call.cancel();
     }
@@ -145,6 +157,7 @@
   @Override
   public void onHead(int answerStatus, Map<String, String> answerHeaders) {
     markReceived();
+    lastProgressAt = lastReceivedAt;
     status = answerStatus;
     headers = components.dialect().answerHeaders(answerHeaders);
     verdict = components.dialect().verdict(answerStatus, answerHeaders);
@@ -157,11 +170,7 @@
             && status == OK
             && (contentType == null || EventSplitter.isEventStream(contentType));
     if (verdict == AnswerVerdict.DOUBTFUL) {
-      HttpCall used = call;
-      fail(AttemptFailure.MAY_HAVE_RUN, "status %d is not the server's own".formatted(status));
-      if (used != null) {
-        used.cancel();
-      }
+      failAndClose("status %d is not the server's own".formatted(status));
     }
   }
 
@@ -177,13 +186,48 @@
     if (bodyBegunAt == null) {
       bodyBegunAt = lastReceivedAt;
     }
-    if (!eventStream) {
-      body.writeBytes(part);
+    if (eventStream) {
+      onStreamPart(part);
+    } else {
+      onPlainPart(part);
+    }
+  }
+
+  private void onPlainPart(byte[] part) {
+    if (limits.onBodyBytes(part.length)) {
+      lastProgressAt = lastReceivedAt;
+    }
+    if (limits.isBodyTooLarge() || !flow.tryBuffer(part.length)) {
+      failAndClose("the answer is too large, %d bytes so far".formatted(body.size()));
       return;
     }
+    body.writeBytes(part);
+  }
+
+  private void onStreamPart(byte[] part) {
     for (EventSplitter.Event event : eventSplitter.add(part)) {
+      if (limits.onEvent(event)) {
+        lastProgressAt = lastReceivedAt;
+      }
       markPromptRead();
       flow.onEvent(status, headers, event);
+      if (ended) {
+        return;
+      }
+    }
+    if (eventSplitter.isEventTooLarge() || limits.isStreamTooLarge()) {
+      failAndClose(
+          "the stream is too large or brings nothing new, %d events so far"
+              .formatted(eventSplitter.completeEvents()));
+    }
+  }
+
+  /** Ends an attempt whose answer is not usable and has not ended. */
+  private void failAndClose(String detail) {
+    HttpCall used = call;
+    fail(AttemptFailure.MAY_HAVE_RUN, detail);
+    if (used != null) {
+      used.cancel();
     }
   }
 
@@ -259,6 +303,7 @@
   private void markEnded() {
     ended = true;
     markPromptRead();
+    flow.releaseBuffered(body.size());
     server.onRequestEnded();
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
@@ -53,6 +53,11 @@
     return stream != null;
   }
 
+  /** The bytes of a streamed answer that wait until the caller reads. */
+  long pendingBytes() {
+    return stream == null ? 0 : stream.pendingBytes();
+  }
+
   long eventsSent() {
     return eventsSent;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -95,6 +95,7 @@
   private final Map<String, RecentDurations> answerTimesByRoute = new HashMap<>();
   private @Nullable DrainAdmission drainAdmission;
   private boolean refusingAll;
+  private long bufferedBytes;
 
   public RequestDispatcher(GatewayComponents components) {
     this.components = components;
@@ -104,8 +105,8 @@
             components.peerLoads(),
             components.cachedPrompts(),
             components.instances(),
-            components.events(),
             components.links().warmUpLimits(),
+            components.events(),
             components.random());
     components.links().setListener(new LinkObserver());
   }
@@ -414,6 +415,19 @@
     return RetryAfterJitter.addJitter(retryAfter, components.random());
   }
 
+  /** Reserves memory for a part of an answer; returns false and reserves nothing if it is full. */
+  boolean tryBuffer(int bytes) {
+    if (bufferedBytes + bytes > MAX_BUFFERED_BYTES) {
+      return false;
+    }
+    bufferedBytes += bytes;
+    return true;
+  }
+
+  void releaseBuffered(int bytes) {
+    bufferedBytes -= bytes;
+  }
+
   void onEnded(RequestFlow flow) {
     flows.remove(flow);
     isolatedTasks.forget(flow.request().id());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -128,6 +128,9 @@
    */
   private static final Duration TIMER_TOLERANCE = Duration.ofMillis(2);
 
+  /** A stream is aborted if its caller reads so slowly that more than this waits for it. */
+  private static final long MAX_PENDING_BYTES = 1 << 20;
+
   private final GatewayComponents components;
   private final RequestDispatcher dispatcher;
   private final HttpExchange exchange;
@@ -240,12 +243,12 @@
 
   private void reserveTokens() {
     stage = Stage.TOKENS;
-    if (customer.isPresent() && request.prompt().isPresent()) {
-      reserve(customer.get().name(), request.prompt().get().maxTokens());
-    } else {
     if (endIfAllEvacuated()) {
       return;
     }
+    if (customer.isPresent() && request.prompt().isPresent()) {
+      reserve(customer.get().name(), request.prompt().get().maxTokens());
+    } else {
       onReserved(Reservation.NONE);
     }
   }
@@ -426,12 +429,12 @@
   }
 
   private void waitOrGiveUp() {
-    Duration waiting = Duration.between(waitingForServerSince, now());
-    Optional<String> version = stream.version();
-    if (version.isPresent() && !dispatcher.selector().serves(service, version.get(), now())) {
     if (endIfAllEvacuated()) {
       return;
     }
+    Duration waiting = Duration.between(waitingForServerSince, now());
+    Optional<String> version = stream.version();
+    if (version.isPresent() && !dispatcher.selector().serves(service, version.get(), now())) {
       // The caller may find one sooner at another instance, or begin the stream anew.
       stream.reportObstacle(CallerStream.Obstacle.NO_SERVER_OF_VERSION);
       giveUp(ErrorKind.STREAM_NOT_RESUMABLE, noServerOf(version.get()));
@@ -451,9 +454,6 @@
     }
   }
 
-  private static Duration shorter(Duration one, Duration other) {
-    return one.compareTo(other) < 0 ? one : other;
-  }
   /** Ends the request if the operator has evacuated all servers of its service. */
   private boolean endIfAllEvacuated() {
     if (!components.servers().areAllEvacuated(service)) {
@@ -466,6 +466,9 @@
     return true;
   }
 
+  private static Duration shorter(Duration one, Duration other) {
+    return one.compareTo(other) < 0 ? one : other;
+  }
 
   /**
    * Sends the request to another server if the present one has sent nothing for too long.
@@ -493,7 +496,7 @@
   }
 
   private boolean isOverdue(Attempt waiting) {
-    return waiting.silence().compareTo(dispatcher.maxSilence(route)) > 0;
+    return waiting.stalledFor().compareTo(dispatcher.maxSilence(route)) > 0;
   }
 
   void onAnswerHead(BackendServer server, OptionalInt maxRejections) {
@@ -508,6 +511,13 @@
       stream.onFirstEvent(attempt.server().softwareVersion(), route.resumable());
     }
     answer.sendEvent(status, headers, event);
+    if (answer.pendingBytes() > MAX_PENDING_BYTES) {
+      if (attempt != null) {
+        cancelAttempt(attempt);
+      }
+      abortStream("the caller reads too slowly");
+      return;
+    }
     if (!promptPartsCleared && attempt != null && !attempt.isBeginning()) {
       clearPromptParts();
     }
@@ -518,6 +528,15 @@
     components.promptParts().onAnswered(sharedPartIds());
   }
 
+  /** Reserves memory for a part of an answer that is collected before it is sent. */
+  boolean tryBuffer(int bytes) {
+    return dispatcher.tryBuffer(bytes);
+  }
+
+  void releaseBuffered(int bytes) {
+    dispatcher.releaseBuffered(bytes);
+  }
+
   void onStreamEnd(int status, Map<String, String> headers) {
     if (stage == Stage.ENDED) {
       return;
@@ -695,6 +714,10 @@
    * run only if no server may have run it.
    */
   private void giveUp(ErrorKind kind, String detail) {
+    giveUp(kind, detail, kind == ErrorKind.OVERLOADED ? FULL_RETRY_AFTER : NO_SERVER_RETRY_AFTER);
+  }
+
+  private void giveUp(ErrorKind kind, String detail, Duration retryAfter) {
     if (mayHaveRun) {
       fail(Problem.of(ErrorKind.BACKEND_FAILED, detail));
     } else if (kind.retryable()) {
@@ -713,10 +736,6 @@
     } else {
       refuse(Problem.of(ErrorKind.EXPIRED_WAITING, "not run by the deadline"));
     }
-    giveUp(kind, detail, kind == ErrorKind.OVERLOADED ? FULL_RETRY_AFTER : NO_SERVER_RETRY_AFTER);
-  }
-
-  private void giveUp(ErrorKind kind, String detail, Duration retryAfter) {
   }
 
   private void fail(Problem problem) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -34,6 +34,8 @@
     void onNoAnswer(String detail);
   }
 
+  private static final int MAX_DETAIL_BYTES = 4 << 10;
+
   private final HttpListener listener;
   private final Outcome outcome;
   private final ByteArrayOutputStream detail = new ByteArrayOutputStream(0);
@@ -59,7 +61,7 @@
   public void onBodyPart(byte[] part) {
     if (result == Result.ANSWER) {
       listener.onBodyPart(part);
-    } else {
+    } else if (detail.size() + part.length <= MAX_DETAIL_BYTES) {
       detail.writeBytes(part);
     }
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
@@ -42,6 +42,8 @@
   /** An answer is aborted if the other instance reads it so slowly that more than this waits. */
   private static final long MAX_PENDING_BYTES = 1 << 20;
 
+  private static final long MAX_ANSWER_BYTES = 8 << 20;
+
   private static final int BAD_REQUEST = 400;
   private static final int UNAVAILABLE = 503;
 
@@ -101,10 +103,10 @@
           "the server is not listed here as ready, or is evacuated");
     } else if (links.isLost(server.orElseThrow())) {
       respond(exchange, UNAVAILABLE, Result.UNREACHABLE, "the server can't be reached from here");
-    } else {
-      new RelayedRequest(exchange, relayed).send(server.orElseThrow());
     } else if (!links.warmUpLimits().hasRoom(server.orElseThrow())) {
       respond(exchange, UNAVAILABLE, Result.NO_ROOM, "the server warms up");
+    } else {
+      new RelayedRequest(exchange, relayed).send(server.orElseThrow());
     }
   }
 
@@ -133,6 +135,7 @@
     private AnswerEnd announcedEnd = AnswerEnd.CONNECTION_CLOSED;
     private @Nullable HttpCall call;
     private @Nullable ResponseStream stream;
+    private long relayedBytes;
     private boolean ended;
 
     RelayedRequest(HttpExchange exchange, Relayed relayed) {
@@ -188,10 +191,15 @@
         return;
       }
       open.write(part);
+      relayedBytes += part.length;
       if (open.pendingBytes() > MAX_PENDING_BYTES) {
         LOG.warn("aborted a relayed answer, as instance {} reads too slowly", relayed.sender());
         open.abort();
         cancel();
+      } else if (relayedBytes > MAX_ANSWER_BYTES) {
+        LOG.warn("aborted a relayed answer of more than {} bytes", MAX_ANSWER_BYTES);
+        open.abort();
+        cancel();
       }
     }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -13,6 +13,7 @@
 import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.decisions.RelayPeers;
 import org.teaseldeal.decisions.ServerPaths;
@@ -68,8 +69,8 @@
   private final BackendPort probes;
   private final Function<BackendServer, HttpCallRequest> probeRequests;
   private final ServerDirectory servers;
-  private final EventSink events;
   private final WarmUpLimits warmUpLimits;
+  private final EventSink events;
   private final InstantSource clock;
   private final ServerPaths paths = new ServerPaths(new PathEvents());
   private final Map<BackendServerId, Set<String>> unreachableReports = new HashMap<>();
@@ -96,8 +97,8 @@
       BackendPort probes,
       Function<BackendServer, HttpCallRequest> probeRequests,
       ServerDirectory servers,
-      EventSink events,
       WarmUpLimits warmUpLimits,
+      EventSink events,
       InstantSource clock,
       RandomGenerator random) {
     this.instance = instance;
@@ -108,8 +109,8 @@
     this.probes = probes;
     this.probeRequests = probeRequests;
     this.servers = servers;
-    this.events = events;
     this.warmUpLimits = warmUpLimits;
+    this.events = events;
     this.clock = clock;
   }
 
@@ -125,10 +126,10 @@
    *     sign of a partition
    */
   public Way way(BackendServer server, boolean avoidDirect) {
-    boolean lost = paths.isLost(server.id());
     if (!warmUpLimits.hasRoom(server)) {
       return warmUpLimits.otherHolders(server).isEmpty() ? Way.NONE : Way.RELAY;
     }
+    boolean lost = paths.isLost(server.id());
     if (!lost && !avoidDirect) {
       return Way.DIRECT;
     }
@@ -138,12 +139,12 @@
     return paths.canConnectNowhere() ? Way.NONE : Way.DIRECT;
   }
 
-  /** Returns whether this instance knows others that may relay requests. */
   /** The limits of requests to servers that are warming up. */
   public WarmUpLimits warmUpLimits() {
     return warmUpLimits;
   }
 
+  /** Returns whether this instance knows others that may relay requests. */
   public boolean hasRelays() {
     return relays.hasUsable(peerAddresses.get(), clock.instant());
   }
@@ -206,8 +207,8 @@
       paths.onListed(listed);
       unreachableReports.keySet().retainAll(listed);
       lastRelays.keySet().retainAll(listed);
-    }
       warmUpLimits.retain(listed);
+    }
     for (BackendServerId id : paths.takeDueProbes(clock.instant())) {
       servers.find(id).ifPresentOrElse(this::probe, () -> onUnlisted(id));
     }
@@ -226,7 +227,7 @@
 
   private void probe(BackendServer server) {
     HttpCallRequest request = probeRequests.apply(server);
-    probes.send(request, new Probe(server.id()));
+    new Probe(server.id()).send(request);
     if (paths.isLost(server.id())) {
       probeThroughRelay(server, request);
     }
@@ -240,11 +241,7 @@
     Instant now = clock.instant();
     relays
         .chooseToTest(peerAddresses.get(), now)
-        .ifPresent(
-            peer ->
-                peers.send(
-                    relayRequest(peer, server, request),
-                    new RelayedCall(new IgnoredAnswer(), new RelayedProbe(server, peer))));
+        .ifPresent(peer -> new RelayedProbe(server, peer).send(request));
   }
 
   private HttpCallRequest relayRequest(String peer, BackendServer server, HttpCallRequest request) {
@@ -308,16 +305,16 @@
     }
   }
 
-    private final WarmUpLimits.SentRequest sent;
   /** Derives from a request's outcome whether the path to its server works. */
   private final class ObservedCall implements HttpListener {
     private final BackendServerId server;
+    private final WarmUpLimits.SentRequest sent;
     private final HttpListener listener;
     private final Instant sentAt = clock.instant();
-      this.sent = sent;
 
     ObservedCall(BackendServerId server, WarmUpLimits.SentRequest sent, HttpListener listener) {
       this.server = server;
+      this.sent = sent;
       this.listener = listener;
     }
 
@@ -325,10 +322,10 @@
     public boolean acceptsAnswer(int status, Map<String, String> headers) {
       return listener.acceptsAnswer(status, headers);
     }
-      sent.onArrived();
 
     @Override
     public void onHead(int status, Map<String, String> headers) {
+      sent.onArrived();
       paths.onReceived(server, sentAt, clock.instant());
       listener.onHead(status, headers);
     }
@@ -344,13 +341,13 @@
       listener.onEnd(end);
     }
 
-        sent.onNotSent();
     @Override
     public void onFailure(HttpFailure failure, String detail) {
-        sent.onArrived();
       if (failure == HttpFailure.NOT_SENT) {
+        sent.onNotSent();
         paths.onConnectFailed(server, clock.instant());
       } else {
+        sent.onArrived();
         paths.onBroken(server, clock.instant());
       }
       listener.onFailure(failure, detail);
@@ -452,14 +449,22 @@
   private final class RelayedProbe implements RelayedCall.Outcome {
     private final BackendServer server;
     private final String peer;
+    private final CallUntilHead call = new CallUntilHead();
 
     RelayedProbe(BackendServer server, String peer) {
       this.server = server;
       this.peer = peer;
     }
 
+    void send(HttpCallRequest request) {
+      call.onSent(
+          peers.send(
+              relayRequest(peer, server, request), new RelayedCall(new IgnoredAnswer(), this)));
+    }
+
     @Override
     public void onAnswered() {
+      call.onHead();
       onRelayed(server, peer);
     }
 
@@ -480,6 +485,31 @@
     public void onNoAnswer(String detail) {}
   }
 
+  /**
+   * A call of which only the head of the answer matters. It is cancelled then, as the body may
+   * never end.
+   */
+  private static final class CallUntilHead {
+    private @Nullable HttpCall call;
+    private boolean headReceived;
+
+    void onSent(HttpCall sent) {
+      call = sent;
+      cancelIfAnswered();
+    }
+
+    void onHead() {
+      headReceived = true;
+      cancelIfAnswered();
+    }
+
+    private void cancelIfAnswered() {
+      if (call != null && headReceived) {
+        call.cancel();
+      }
+    }
+  }
+
   private static final class IgnoredAnswer implements HttpListener {
     @Override
     public void onHead(int status, Map<String, String> headers) {}
@@ -505,15 +535,21 @@
   /** A request whose answer shows only that the path works. */
   private final class Probe implements HttpListener {
     private final BackendServerId server;
+    private final CallUntilHead call = new CallUntilHead();
     private boolean answered;
 
     Probe(BackendServerId server) {
       this.server = server;
     }
 
+    void send(HttpCallRequest request) {
+      call.onSent(probes.send(request, this));
+    }
+
     @Override
     public void onHead(int status, Map<String, String> headers) {
       answered = true;
+      call.onHead();
       paths.onProbeAnswered(server, clock.instant());
     }
 
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -34,6 +34,14 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
   private static final long NO_LENGTH = -1;
 
+  /**
+   * Limits of what is discarded before a call's own answer: interim answers and answers to other
+   * requests. A faulty server may send them without end.
+   */
+  private static final int MAX_SKIPPED_ANSWERS = 32;
+
+  private static final int MAX_SKIPPED_BYTES = 256 << 10;
+
   private final SocketChannel channel;
   private final InetSocketAddress address;
   private final ConnectionPool pool;
@@ -46,6 +54,11 @@
   /** Whether the answer being received does not belong to the call and is discarded. */
   private boolean skippingAnswer;
 
+  /** The answers, and the bytes of their bodies, that were discarded since the call started. */
+  private int skippedAnswers;
+
+  private int skippedBytes;
+
   private @Nullable Duration serverIdleTimeout;
   private long remainingBytes;
 
@@ -87,6 +100,8 @@
     call = newCall;
     announcedEnd = null;
     keepAlive = false;
+    skippedAnswers = 0;
+    skippedBytes = 0;
     requestWrite = channel.writeAndFlush(encode(newCall.request()));
   }
 
@@ -158,20 +173,35 @@
     if (object instanceof HttpResponse head) {
       readHead(call, head);
     }
-    if (object instanceof HttpContent content && !skippingAnswer) {
-      readContent(call, content);
+    if (object instanceof HttpContent content) {
+      if (skippingAnswer) {
+        skippedBytes += content.content().readableBytes();
+      } else {
+        readContent(call, content);
+      }
     }
+    failIfTooMuchIsSkipped();
     if (object instanceof LastHttpContent) {
       skippingAnswer = false;
     }
   }
 
+  private void failIfTooMuchIsSkipped() {
+    if (call != null
+        && (skippedAnswers > MAX_SKIPPED_ANSWERS || skippedBytes > MAX_SKIPPED_BYTES)) {
+      call.failByProgress(
+          "%d answers with %d bytes were not for the call".formatted(skippedAnswers, skippedBytes));
+      close();
+    }
+  }
+
   private void readHead(ClientCall current, HttpResponse head) {
     Map<String, String> headers = copyWithLowerCaseNames(head.headers());
     skippingAnswer =
         head.status().codeClass() == HttpStatusClass.INFORMATIONAL
             || !current.acceptsAnswer(head.status().code(), headers);
     if (skippingAnswer) {
+      skippedAnswers++;
       return;
     }
     keepAlive = HttpUtil.isKeepAlive(head);
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/EventSplitter.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/EventSplitter.java
@@ -3,6 +3,7 @@
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 
 /**
@@ -16,16 +17,22 @@
    * A complete event with its original bytes, including the blank line that ends it.
    *
    * @param id the event's id; empty if it has none
+   * @param hasData whether it has data; an event without any is a comment or empty
    */
-  public record Event(byte[] bytes, String id) {}
+  public record Event(byte[] bytes, String id, boolean hasData) {}
 
   private static final String EVENT_STREAM = "text/event-stream";
-  private static final int ID_FIELD_LENGTH = "id:".length();
+  private static final byte[] ID_FIELD = {'i', 'd', ':'};
+  private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a', ':'};
+  private static final int DEFAULT_MAX_EVENT_BYTES = 1 << 20;
 
   private final ByteArrayOutputStream event = new ByteArrayOutputStream();
   private final ByteArrayOutputStream line = new ByteArrayOutputStream();
+  private final int maxEventBytes;
   private String id = "";
+  private boolean hasData;
   private long completeEvents;
+  private boolean eventTooLarge;
 
   /** Whether the last byte was a CR, which ends a line unless an LF follows. */
   private boolean afterCarriageReturn;
@@ -33,6 +40,15 @@
   /** Whether the previous line of the event ended with a CR alone. */
   private boolean linesEndWithCarriageReturn;
 
+  public EventSplitter() {
+    this(DEFAULT_MAX_EVENT_BYTES);
+  }
+
+  /** Creates a splitter that accepts no event of more than {@code maxEventBytes}. */
+  public EventSplitter(int maxEventBytes) {
+    this.maxEventBytes = maxEventBytes;
+  }
+
   /** Returns whether {@code contentType}, the value of an answer's header, names such a stream. */
   public static boolean isEventStream(String contentType) {
     return contentType.regionMatches(true, 0, EVENT_STREAM, 0, EVENT_STREAM.length());
@@ -42,6 +58,10 @@
   public List<Event> add(byte[] part) {
     List<Event> complete = new ArrayList<>();
     for (byte next : part) {
+      if (event.size() >= maxEventBytes) {
+        eventTooLarge = true;
+        return complete;
+      }
       if (afterCarriageReturn && next != '\n') {
         linesEndWithCarriageReturn = true;
         endLine(complete);
@@ -59,6 +79,11 @@
     return complete;
   }
 
+  /** Whether an event exceeded the maximum size; the bytes from there on are ignored. */
+  public boolean isEventTooLarge() {
+    return eventTooLarge;
+  }
+
   /** The number of bytes after the last complete event: those of an event that is incomplete. */
   public int incompleteBytes() {
     return event.size();
@@ -99,19 +124,23 @@
     byte[] text = line.toByteArray();
     line.reset();
     if (text.length == 0) {
-      complete.add(new Event(event.toByteArray(), id));
+      complete.add(new Event(event.toByteArray(), id, hasData));
       completeEvents++;
       event.reset();
       id = "";
+      hasData = false;
       linesEndWithCarriageReturn = false;
-    } else if (isIdField(text)) {
+    } else if (startsWith(text, ID_FIELD)) {
       id =
-          new String(text, ID_FIELD_LENGTH, text.length - ID_FIELD_LENGTH, StandardCharsets.UTF_8)
+          new String(text, ID_FIELD.length, text.length - ID_FIELD.length, StandardCharsets.UTF_8)
               .strip();
+    } else if (startsWith(text, DATA_FIELD)) {
+      hasData = true;
     }
   }
 
-  private static boolean isIdField(byte[] text) {
-    return text.length >= ID_FIELD_LENGTH && text[0] == 'i' && text[1] == 'd' && text[2] == ':';
+  private static boolean startsWith(byte[] text, byte[] field) {
+    return text.length >= field.length
+        && Arrays.equals(text, 0, field.length, field, 0, field.length);
   }
 }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.net;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
@@ -23,6 +24,16 @@
  * HttpFailure} that says how far the call got.
  */
 public final class HttpClient implements AutoCloseable {
+  /**
+   * Limits of a single read from a connection. Without them a server that sends without end would
+   * keep the event loop from the other connections for tens of milliseconds.
+   */
+  private static final int MIN_READ_BYTES = 64;
+
+  private static final int INITIAL_READ_BYTES = 2048;
+  private static final int MAX_READ_BYTES = 16_384;
+  private static final int MAX_READS_IN_A_ROW = 4;
+
   private final HttpClientConfig config;
   private final ConnectionPool pool;
   private final ChannelGroup channels = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE, true);
@@ -107,6 +118,10 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.SO_KEEPALIVE, true)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
+                    .maxMessagesPerRead(MAX_READS_IN_A_ROW))
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis)
             // An orderly close by the server is then an event of its own. Otherwise the channel is
             // closed in the same way as after a failure.
