--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/AdaptiveTimeout.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/AdaptiveTimeout.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.decisions;
 
 import java.time.Duration;
+import org.teaseldeal.api.Durations;
 
 /**
  * Adaptive timeout for a call that takes effect once, however often it is sent.
@@ -37,12 +38,12 @@
 
   /** Records a call that was answered after {@code took}. */
   public void onAnswered(Duration took) {
-    current = bounded(took.multipliedBy(ANSWER_TIME_FACTOR));
+    current = bounded(Durations.times(took, ANSWER_TIME_FACTOR));
   }
 
   /** Records a call that was sent and not answered in time. */
   public void onUnanswered() {
-    current = bounded(current.multipliedBy(GROWTH_FACTOR));
+    current = bounded(Durations.times(current, GROWTH_FACTOR));
   }
 
   private Duration bounded(Duration timeout) {
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RelayPeers.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RelayPeers.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.random.RandomGenerator;
+import org.teaseldeal.api.Durations;
 
 /**
  * Chooses the instance through which a request is sent to a backend server that this instance can't
@@ -81,7 +82,7 @@
     Peer peer = peer(address);
     peer.provenUntil = Instant.MIN;
     peer.avoidedUntil = now.plus(peer.backOff);
-    Duration doubled = peer.backOff.multipliedBy(2);
+    Duration doubled = Durations.times(peer.backOff, 2);
     peer.backOff = doubled.compareTo(MAX_BACK_OFF) > 0 ? MAX_BACK_OFF : doubled;
   }
 
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerHealth.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerHealth.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.stream.Collectors;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.api.Durations;
 import org.teaseldeal.api.Preconditions;
 
 /**
@@ -228,7 +229,7 @@
 
   private void eject(Observations observations, Instant now) {
     long factor = 1L << Math.min(observations.ejections, 16);
-    Duration ejection = firstEjection.multipliedBy(factor);
+    Duration ejection = Durations.times(firstEjection, factor);
     observations.ejections++;
     observations.ejectedForFailures = observations.consecutiveFailures >= MAX_CONSECUTIVE_FAILURES;
     observations.ejectedUntil =
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerPaths.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerPaths.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.api.Durations;
 
 /**
  * Tracks whether the network path from this instance to each backend server works.
@@ -265,7 +266,7 @@
       // Another path came back while this probe was under way, so this one may be back as well.
       path.probeInterval = FIRST_PROBE_INTERVAL;
     } else if (confirmed) {
-      Duration doubled = path.probeInterval.multipliedBy(2);
+      Duration doubled = Durations.times(path.probeInterval, 2);
       Duration max = areAllLost() ? MAX_PROBE_INTERVAL_ALL_LOST : MAX_PROBE_INTERVAL;
       path.probeInterval = doubled.compareTo(max) > 0 ? max : doubled;
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -10,6 +10,7 @@
 import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.teaseldeal.api.Durations;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.api.Result;
@@ -405,7 +406,7 @@
 
   /** How long a server of {@code route} may send nothing before it counts as silent. */
   Duration maxSilence(Route route) {
-    Duration silence = route.aim().multipliedBy(SILENCE_TARGET_MULTIPLE);
+    Duration silence = Durations.times(route.aim(), SILENCE_TARGET_MULTIPLE);
     boolean tooShort = silence.compareTo(MIN_STREAM_SILENCE) < 0;
     return route.kind().streamed() && tooShort ? MIN_STREAM_SILENCE : silence;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.teaseldeal.api.Durations;
 
 /**
  * Writes this instance's notes to the shared log, in order and exactly once, and reads the notes of
@@ -347,7 +348,9 @@
     failureDetail = detail;
     backoffUntil = clock.instant().plus(backoff);
     backoff =
-        backoff.multipliedBy(2).compareTo(MAX_BACKOFF) > 0 ? MAX_BACKOFF : backoff.plus(backoff);
+        Durations.times(backoff, 2).compareTo(MAX_BACKOFF) > 0
+            ? MAX_BACKOFF
+            : backoff.plus(backoff);
   }
 
   private void recordSuccess() {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -16,6 +16,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.api.Durations;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.CachedPrompts;
 import org.teaseldeal.gateway.server.ServerDirectory;
@@ -167,7 +168,7 @@
 
   /** The time since which changes are included in a message that is sent every {@code interval}. */
   private static Instant repeatedSince(Instant now, Duration interval) {
-    return now.minus(interval.multipliedBy(REPEATED_INTERVALS));
+    return now.minus(Durations.times(interval, REPEATED_INTERVALS));
   }
 
   private List<LoadMessage.SentPart> ownParts(Instant since) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/Route.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/Route.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.random.RandomGenerator;
+import org.teaseldeal.api.Durations;
 import org.teaseldeal.api.Preconditions;
 
 /**
@@ -76,7 +77,7 @@
     }
     Duration longest = MIN_SILENCE_TIMEOUT;
     for (Duration each :
-        List.of(aim.multipliedBy(AIM_FACTOR), pauseAim.multipliedBy(PAUSE_FACTOR))) {
+        List.of(Durations.times(aim, AIM_FACTOR), Durations.times(pauseAim, PAUSE_FACTOR))) {
       longest = each.compareTo(longest) > 0 ? each : longest;
     }
     return longest.compareTo(answerTimeout) < 0 ? longest : answerTimeout;
