Compute what a choice of a server needs once for each request instead of once for each server

On cold-returns of the shifted deployment three instances of hal-syd, which get most of its callers, lag by 3.9 to 5.5 s in seven seconds, and 473 callers of the first six seconds wait until their deadlines (240 on, where one lags). Each choice hashed the prompt's parts anew for each of 42 engines, summed the prompt's tokens by a stream twice for each, sorted the homes by a hash that each comparison computed, and asked the clock for each server whether it warms up; all of it mostly interpreted. Now the parts' hashes and sums, the scores and the time are computed once, and the instances that have a share of a warming server are remembered.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/PromptPlacement.java
@@ -103,6 +103,9 @@
    */
   private static final double HOME_LOAD_TOLERANCE = 1.0;
 
+  /** An engine with its rank among the homes of a prefix; the lowest score is the first home. */
+  private record Home(Candidate engine, long score) {}
+
   private PromptPlacement() {}
 
   /** Chooses one of {@code engines}; empty only if there are none. */
@@ -127,8 +130,10 @@
   private static Optional<Candidate> home(
       List<Candidate> engines, Prompt prompt, double soonestMillis) {
     return engines.stream()
-        .sorted(Comparator.comparingLong(engine -> score(engine, prompt.prefix())))
+        .map(engine -> new Home(engine, score(engine, prompt.prefix())))
+        .sorted(Comparator.comparingLong(Home::score))
         .limit(HOMES_TRIED)
+        .map(Home::engine)
         .filter(
             home ->
                 home.expectedMillis()
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -174,6 +174,7 @@
     refreshFromList(now);
     ServerHealth health = health(criteria.service());
     Optional<PromptDescription> prompt = criteria.prompt();
+    PrefixLookup prefixes = new PrefixLookup(cachedPrompts, prompt);
     List<BackendServer> eligible = eligible(criteria, now);
     PeerLoads loads = peerLoads.get();
     List<BackendServer> untried =
@@ -181,7 +182,7 @@
             .filter(server -> !criteria.tried().contains(server.incarnation()))
             .filter(server -> hasRoom(server, loads, now))
             .toList();
-    List<BackendServer> sendable = sendable(untried);
+    List<BackendServer> sendable = sendable(untried, now);
     List<BackendServer> healthy =
         sendable.stream()
             .filter(server -> !server.isExcluded(now) && health.isEligible(server.id(), now))
@@ -189,7 +190,7 @@
     List<BackendServer> candidates = healthy.isEmpty() ? sendable : healthy;
     List<PromptPlacement.Candidate> views =
         candidates.stream()
-            .map(server -> candidate(server, loads.at(server.id()), prompt))
+            .map(server -> candidate(server, loads.at(server.id()), prefixes))
             .toList();
     String prefix = prompt.map(PromptDescription::lastSharedPartId).orElse("");
     return PromptPlacement.choose(
@@ -202,7 +203,7 @@
                     candidates.size(),
                     servers.ready(criteria.service()).size() - eligible.size(),
                     loads.at(server.id()),
-                    uncachedTokens(server, prompt),
+                    prefixes.uncachedTokens(server),
                     loads.age()));
   }
 
@@ -210,10 +211,11 @@
    * The servers that this instance may send a request to. If all are warming up and this instance
    * has used its share, these are the servers that another instance may send it to.
    */
-  private List<BackendServer> sendable(List<BackendServer> servers) {
-    List<BackendServer> direct = servers.stream().filter(warmUpLimits::hasRoom).toList();
+  private List<BackendServer> sendable(List<BackendServer> servers, Instant now) {
+    List<BackendServer> direct =
+        servers.stream().filter(server -> warmUpLimits.hasRoom(server, now)).toList();
     return direct.isEmpty()
-        ? servers.stream().filter(server -> !warmUpLimits.otherHolders(server).isEmpty()).toList()
+        ? servers.stream().filter(server -> warmUpLimits.hasOtherHolders(server)).toList()
         : direct;
   }
 
@@ -250,35 +252,17 @@
   }
 
   private PromptPlacement.Candidate candidate(
-      BackendServer server, PeerLoad peerLoad, Optional<PromptDescription> prompt) {
-    long tokensToRead = uncachedTokens(server, prompt);
+      BackendServer server, PeerLoad peerLoad, PrefixLookup prefixes) {
+    long tokensToRead = prefixes.uncachedTokens(server);
     return new PromptPlacement.Candidate(
         server.id(),
         server.running() + peerLoad.running(),
         Math.max(0, server.promptTokensAhead()) + peerLoad.promptTokensAhead(),
         tokensToRead,
-        prompt.map(description -> tokensToRead == description.unsharedTokens()).orElse(false),
+        prefixes.isWholePrefixCached(tokensToRead),
         health(server.service()).slowness(server.id()));
   }
 
-  /**
-   * The number of prompt tokens that a server has to read: all tokens after the longest prefix that
-   * is in its cache.
-   */
-  private long uncachedTokens(BackendServer server, Optional<PromptDescription> prompt) {
-    if (prompt.isEmpty()) {
-      return 0;
-    }
-    long tokens = prompt.get().inputTokens();
-    for (PromptPart part : prompt.get().sharedParts()) {
-      if (!cachedPrompts.contains(server.incarnation(), part.id())) {
-        return tokens;
-      }
-      tokens = Math.max(prompt.get().unsharedTokens(), tokens - part.tokens());
-    }
-    return tokens;
-  }
-
   private BrittleLimits limits(String service) {
     return limitsByService.computeIfAbsent(service, name -> new BrittleLimits(random));
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -127,7 +127,7 @@
    */
   public Way way(BackendServer server, boolean avoidDirect) {
     if (!warmUpLimits.hasRoom(server)) {
-      return warmUpLimits.otherHolders(server).isEmpty() ? Way.NONE : Way.RELAY;
+      return warmUpLimits.hasOtherHolders(server) ? Way.RELAY : Way.NONE;
     }
     boolean lost = paths.isLost(server.id());
     if (!lost && !avoidDirect) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/WarmUpLimits.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/WarmUpLimits.java
@@ -58,8 +58,13 @@
     }
   }
 
-  /** An instance's share of a server, valid while the instances and the limit stay the same. */
-  private record CachedShare(Set<String> instances, int limit, int share) {}
+  /**
+   * How a server is divided, valid while the instances and the limit stay the same.
+   *
+   * @param share the share of this instance
+   * @param otherHolders the other instances that have a share
+   */
+  private record Division(Set<String> instances, int limit, int share, List<String> otherHolders) {}
 
   private final String instance;
   private final Supplier<Set<String>> instances;
@@ -68,7 +73,7 @@
   private final InstantSource clock;
   private final Instant holdUntil;
   private final Map<ServerIncarnation, Deque<SentRequest>> sent = new HashMap<>();
-  private final Map<BackendServerId, CachedShare> shares = new HashMap<>();
+  private final Map<BackendServerId, Division> divisions = new HashMap<>();
 
   /**
    * Creates the limits of an instance.
@@ -99,24 +104,35 @@
 
   /** Returns whether a server warms up and tolerates only so many requests. */
   public boolean isLimited(BackendServer server) {
-    return server.isWarmingUp(clock.instant()) && limitOfService.applyAsInt(server.service()) > 0;
+    return isLimited(server, clock.instant());
+  }
+
+  private boolean isLimited(BackendServer server, Instant now) {
+    return server.isWarmingUp(now) && limitOfService.applyAsInt(server.service()) > 0;
   }
 
   /** Returns whether this instance may send a request to a server now. */
   public boolean hasRoom(BackendServer server) {
-    if (!isLimited(server)) {
-      return true;
-    }
-    Instant now = clock.instant();
-    return !now.isBefore(holdUntil) && sentInWindow(server, now) < share(server);
+    return hasRoom(server, clock.instant());
+  }
+
+  /** Returns whether this instance may send a request to a server at {@code now}. */
+  public boolean hasRoom(BackendServer server, Instant now) {
+    return !isLimited(server, now) || hasShareLeft(server, now);
+  }
+
+  private boolean hasShareLeft(BackendServer server, Instant now) {
+    return !now.isBefore(holdUntil) && sentInWindow(server, now) < division(server).share();
+  }
+
+  /** Returns whether another instance has a share of a server. */
+  public boolean hasOtherHolders(BackendServer server) {
+    return !division(server).otherHolders().isEmpty();
   }
 
   /** Returns the addresses of the other instances that have a share of a server. */
   public List<String> otherHolders(BackendServer server) {
-    return WarmUpShares.holders(
-            server.id(), instances.get(), limitOfService.applyAsInt(server.service()))
-        .stream()
-        .filter(holder -> !holder.equals(instance))
+    return division(server).otherHolders().stream()
         .flatMap(holder -> addressOf.apply(holder).stream())
         .toList();
   }
@@ -139,7 +155,7 @@
   /** Forgets the servers that are no longer listed. */
   void retain(Set<BackendServerId> listed) {
     sent.keySet().removeIf(incarnation -> !listed.contains(incarnation.id()));
-    shares.keySet().retainAll(listed);
+    divisions.keySet().retainAll(listed);
   }
 
   private int sentInWindow(BackendServer server, Instant now) {
@@ -155,15 +171,20 @@
     requests.removeIf(request -> !request.counts(now));
   }
 
-  private int share(BackendServer server) {
+  private Division division(BackendServer server) {
     Set<String> names = instances.get();
     int limit = limitOfService.applyAsInt(server.service());
-    CachedShare cached = shares.get(server.id());
-    if (cached == null || cached.instances() != names || cached.limit() != limit) {
-      int share = WarmUpShares.share(server.id(), instance, names, limit);
-      cached = new CachedShare(names, limit, share);
-      shares.put(server.id(), cached);
+    Division cached = divisions.get(server.id());
+    if (cached != null && cached.instances() == names && cached.limit() == limit) {
+      return cached;
     }
-    return cached.share();
+    List<String> otherHolders =
+        WarmUpShares.holders(server.id(), names, limit).stream()
+            .filter(holder -> !holder.equals(instance))
+            .toList();
+    int share = WarmUpShares.share(server.id(), instance, names, limit);
+    Division division = new Division(names, limit, share, otherHolders);
+    divisions.put(server.id(), division);
+    return division;
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/CachedPrompts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/CachedPrompts.java
@@ -71,7 +71,12 @@
 
   /** Whether {@code part} is presumably in the cache of {@code server}. */
   public boolean contains(ServerIncarnation server, String part) {
-    return cachedParts.containsKey(new CachedPart(server, hash(part)));
+    return contains(server, hash(part));
+  }
+
+  /** Whether the part with this {@link #hash} is presumably in the cache of {@code server}. */
+  public boolean contains(ServerIncarnation server, long partHash) {
+    return cachedParts.containsKey(new CachedPart(server, partHash));
   }
 
   /**
@@ -90,7 +95,8 @@
     return cachedParts.keySet().stream().skip(Math.max(0, cachedParts.size() - limit)).toList();
   }
 
-  private static long hash(String part) {
+  /** The hash by which a part is known, which is shorter than its id. */
+  public static long hash(String part) {
     return Hashing.komihash5_0().hashCharsToLong(part);
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/WarmUp.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/WarmUp.java
@@ -17,16 +17,16 @@
   private static final Duration MAX_HEARTBEAT_DELAY = Duration.ofSeconds(2);
 
   private boolean warm;
-  private Instant heartbeatAt;
+  private Instant heartbeatExpiresAt;
   private Instant ignoreWarmUntil = Instant.MIN;
 
   WarmUp(Duration warmUpLeft, Instant now) {
     this.warm = warmUpLeft.isZero();
-    this.heartbeatAt = now;
+    this.heartbeatExpiresAt = now.plus(MAX_HEARTBEAT_AGE);
   }
 
   void onHeartbeat(Duration warmUpLeft, Instant now) {
-    heartbeatAt = now;
+    heartbeatExpiresAt = now.plus(MAX_HEARTBEAT_AGE);
     warm = warmUpLeft.isZero() && !now.isBefore(ignoreWarmUntil);
   }
 
@@ -37,6 +37,6 @@
   }
 
   boolean isWarmingUp(Instant now) {
-    return !warm || now.isAfter(heartbeatAt.plus(MAX_HEARTBEAT_AGE));
+    return !warm || now.isAfter(heartbeatExpiresAt);
   }
 }
