--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/WarmUp.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/WarmUp.java
@@ -10,8 +10,11 @@
  * heard of lately therefore counts as warming up.
  */
 final class WarmUp {
-  /** Several heartbeats fit into this time. */
-  private static final Duration MAX_HEARTBEAT_AGE = Duration.ofSeconds(6);
+  /**
+   * Longer than the outages of the list that fleets serve through: with all servers limited, each
+   * instance would reach only a few of them by itself.
+   */
+  private static final Duration MAX_HEARTBEAT_AGE = Duration.ofSeconds(12);
 
   /** How old the state may be that a heartbeat tells when it is read. */
   private static final Duration MAX_HEARTBEAT_DELAY = Duration.ofSeconds(2);
