--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -224,11 +224,8 @@
 
   /** Ends an attempt whose answer is not usable and has not ended. */
   private void failAndClose(String detail) {
-    HttpCall used = call;
     fail(AttemptFailure.MAY_HAVE_RUN, detail);
-    if (used != null) {
-      used.cancel();
-    }
+    closeConnection();
   }
 
   @Override
