Take an instance's rank for a share from the order that names the holders

The rank was computed a second time beside holders(), with another rule for equal scores: two instances whose scores tie would both have had the last request. WarmUpSharesTests, WarmUpFlowTests, ServerLinksTests and ServerSelectorTests pass.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/WarmUpShares.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/WarmUpShares.java
@@ -34,14 +34,12 @@
   public static int share(
       BackendServerId server, String instance, Set<String> instances, int limit) {
     Preconditions.requireNotNegative(limit, "limit");
-    long ownScore = score(server, instance);
-    int rank =
-        (int)
-            instances.stream()
-                .filter(other -> !other.equals(instance) && precedes(server, other, ownScore))
-                .count();
+    int rank = holders(server, instances, limit).indexOf(instance);
+    if (rank < 0) {
+      return 0;
+    }
     int used = used(limit);
-    int count = Math.max(1, instances.size());
+    int count = instances.size();
     int evenShare = used / count + (rank < used % count ? 1 : 0);
     return Math.min(evenShare, Math.max(1, limit - used));
   }
@@ -60,10 +58,6 @@
     return limit == 0 ? 0 : Math.max(1, (int) (limit * USED_FRACTION));
   }
 
-  private static boolean precedes(BackendServerId server, String other, long ownScore) {
-    return score(server, other) < ownScore;
-  }
-
   private static long score(BackendServerId server, String instance) {
     return Hashing.komihash5_0().hashCharsToLong(server.name() + '\n' + instance);
   }
