Let the model's engines differ in speed and run out of memory

The model's engines were all alike and held any number of running requests, so a rule that places by speed or by memory could not be told from one that doesn't. A third of the engines each now works at the lowest speed, at the highest and at their geometric mean; beyond its memory an engine sets back the request that it began last, whose prompt is read again. Without the new keys a scenario plays as before.

--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelEngine.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelEngine.java
@@ -30,11 +30,16 @@
       this.generatedTokens = tokensBefore;
       this.listener = listener;
     }
+
+    private long heldTokens() {
+      return request.inputTokens() + generatedTokens;
+    }
   }
 
   private final String name;
   private final VirtualTime time;
   private final Scenario.Engines settings;
+  private final double speed;
   private final TokenMeter meter;
   private final BiConsumer<ModelEngine, CrashingPart> crashListener;
   private final Deque<ActiveRequest> waiting = new ArrayDeque<>();
@@ -49,18 +54,21 @@
   /**
    * Creates an engine.
    *
+   * @param speed how fast the engine works, relative to {@code settings}
    * @param crashListener is called when a request has crashed the engine, and has to take it down
    */
   ModelEngine(
       String name,
       VirtualTime time,
       Scenario.Engines settings,
+      double speed,
       TokenMeter meter,
       BiConsumer<ModelEngine, CrashingPart> crashListener) {
     this.crashListener = crashListener;
     this.name = name;
     this.time = time;
     this.settings = settings;
+    this.speed = speed;
     this.meter = meter;
   }
 
@@ -111,7 +119,10 @@
     if (stepping || down) {
       return;
     }
-    while (running.size() < settings.maxConcurrentRequests() && !waiting.isEmpty()) {
+    preemptBeyondMemory();
+    while (running.size() < settings.maxConcurrentRequests()
+        && !waiting.isEmpty()
+        && hasMemoryFor(waiting.getFirst())) {
       ActiveRequest next = waiting.remove();
       next.promptTokensLeft = uncachedTokens(next.request);
       running.add(next);
@@ -132,6 +143,7 @@
         settings.step().toNanos()
             + (double) settings.stepPerRequest().toNanos() * running.size()
             + read / settings.promptTokensPerMilli() * 1e6;
+    nanos /= speed;
     long incarnationAtStart = incarnation;
     time.scheduleNanos(
         Math.round(nanos),
@@ -142,6 +154,22 @@
         });
   }
 
+  /** Whether a request fits beside the running ones; an idle engine runs any request. */
+  private boolean hasMemoryFor(ActiveRequest next) {
+    return running.isEmpty() || heldTokens() + next.heldTokens() <= settings.memoryTokens();
+  }
+
+  private long heldTokens() {
+    return running.stream().mapToLong(ActiveRequest::heldTokens).sum();
+  }
+
+  /** Sets back the requests that began last; their prompts have to be read again. */
+  private void preemptBeyondMemory() {
+    while (running.size() > 1 && heldTokens() > settings.memoryTokens()) {
+      waiting.addFirst(running.removeLast());
+    }
+  }
+
   private void endStep() {
     stepping = false;
     for (ActiveRequest entry : List.copyOf(running)) {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -115,7 +115,13 @@
   private SimulationResult simulate() {
     for (int i = 0; i < scenario.engines().count(); i++) {
       addServer(
-          new ModelEngine("engine-" + i, time, scenario.engines(), meter, this::onCrashedByPart));
+          new ModelEngine(
+              "engine-" + i,
+              time,
+              scenario.engines(),
+              scenario.engines().speeds().of(i),
+              meter,
+              this::onCrashedByPart));
       versions.put("engine-" + i, i % scenario.engines().versions());
     }
     for (int i = 0; i < scenario.services().count(); i++) {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
@@ -65,6 +65,9 @@
    * @param cacheTokens the capacity of each engine's cache for shared prompt parts
    * @param tokensPerEvent the tokens that one event of a stream carries
    * @param versions the number of software versions that serve side by side
+   * @param speeds how fast the slowest and the fastest engine work
+   * @param memoryTokens the tokens of running requests that each engine holds at most; beyond that
+   *     it sets back the request that it began last
    */
   public record Engines(
       int count,
@@ -75,7 +78,23 @@
       int chunk,
       long cacheTokens,
       int tokensPerEvent,
-      int versions) {}
+      int versions,
+      Speeds speeds,
+      long memoryTokens) {}
+
+  /**
+   * How fast the engines work, relative to the figures of the scenario. A third of the engines have
+   * the lowest speed, a third the highest, and a third their geometric mean.
+   */
+  public record Speeds(double lowest, double highest) {
+    private static final int GRADES = 3;
+
+    /** Returns the speed of the engine with this number. */
+    double of(int engine) {
+      double step = (double) (engine % GRADES) / (GRADES - 1);
+      return lowest * Math.pow(highest / lowest, step);
+    }
+  }
 
   /**
    * The servers of the plain service, which refuse requests beyond those that run and wait.
@@ -224,7 +243,9 @@
             engines.chunk(),
             engines.cacheTokens(),
             engines.tokensPerEvent(),
-            engines.versions()),
+            engines.versions(),
+            engines.speeds(),
+            engines.memoryTokens()),
         new Services(
             scaled(services.count(), scale),
             services.maxConcurrentRequests(),
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ScenarioParser.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ScenarioParser.java
@@ -74,7 +74,11 @@
         table.intInRange("chunk", 2_048, 1, MAX_COUNT),
         table.longInRange("cache_tokens", 300_000, 0, Long.MAX_VALUE),
         table.intInRange("tokens_per_event", 4, 1, 1_000),
-        table.intInRange("versions", 1, 1, 100));
+        table.intInRange("versions", 1, 1, 100),
+        new Scenario.Speeds(
+            table.doubleInRange("lowest_speed", 1, 0.01, 100),
+            table.doubleInRange("highest_speed", 1, 0.01, 100)),
+        table.longInRange("memory_tokens", Long.MAX_VALUE, 1, Long.MAX_VALUE));
   }
 
   private static Scenario.Services services(TomlReader table) {
