Run the event loop's tasks when they are due instead of fifty times a second

A third of the event loop's time went into sixteen components that looked fifty times a second whether something was due.

Change: each component says when it is due again and is woken when something else makes it due; the loop sets one timer to the earliest (DueTasks). An open request asks for its own deadline and silence checks. The accounts look for steps of the wall clock before they write a note, as they look less often otherwise.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerPaths.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerPaths.java
@@ -214,6 +214,11 @@
     }
   }
 
+  /** Returns whether a probe is due or planned. */
+  public boolean hasProbesDue() {
+    return probesDue;
+  }
+
   /** Returns the servers to probe now; each has to be followed by a result. */
   public List<BackendServerId> takeDueProbes(Instant now) {
     if (!probesDue) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -46,6 +46,9 @@
    */
   private static final Duration REFILL_INTERVAL = Duration.ofMillis(100);
 
+  /** Interval between checks while no request waits. */
+  private static final Duration IDLE_INTERVAL = Duration.ofMillis(100);
+
   private static final Duration RATE_INTERVAL = Duration.ofSeconds(1);
   private static final Duration REPORT_INTERVAL = Duration.ofSeconds(5);
 
@@ -67,6 +70,7 @@
   private final WallClockSteps wallClockSteps = new WallClockSteps();
   private boolean recovered;
   private boolean closing;
+  private Runnable waitingListener = () -> {};
   private Instant nextRefill = Instant.MIN;
   private Instant nextRate = Instant.MIN;
   private Instant nextReport = Instant.MIN;
@@ -132,6 +136,7 @@
     }
     account.waiting().add(request);
     refuseUnservable(account, total.getAsLong());
+    waitingListener.run();
   }
 
   /**
@@ -269,6 +274,26 @@
     return accounts.values().stream().allMatch(CustomerAccount::returned);
   }
 
+  /** Sets what runs whenever a request begins to wait for tokens. */
+  public void onWaiting(Runnable listener) {
+    waitingListener = listener;
+  }
+
+  /** Returns whether a request waits for tokens. */
+  public boolean anyWaiting() {
+    for (CustomerAccount account : accounts.values()) {
+      if (!account.waiting().isEmpty()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Returns when {@link #tick} is due again. */
+  public Instant dueAt() {
+    return anyWaiting() ? Instant.MIN : clock.instant().plus(IDLE_INTERVAL);
+  }
+
   /**
    * Refuses requests that have waited too long, updates the consumption rates and reports the
    * accounts.
@@ -453,13 +478,14 @@
 
   @Override
   public boolean awaitsPeerNotes() {
-    return accounts.values().stream().anyMatch(account -> !account.waiting().isEmpty());
+    return anyWaiting();
   }
 
   @Override
   public List<SharedNote> notesToWrite(Instant now) {
     boolean refill = !now.isBefore(nextRefill);
-    ClockReading reading = machineClock.get();
+    detectClockSteps(now);
+    ClockReading reading = lastReading;
     long heartbeatCount = heartbeatsForNote(now);
     List<SharedNote> notes = new ArrayList<>();
     for (CustomerAccount account : accounts.values()) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -124,6 +124,16 @@
     return Duration.between(startedAt, components.clock().instant());
   }
 
+  /** When the server last sent something, or the request if it has sent nothing. */
+  Instant lastReceivedAt() {
+    return lastReceivedAt;
+  }
+
+  /** When the answer last came forward. */
+  Instant lastProgressAt() {
+    return lastProgressAt;
+  }
+
   /** How long the server has sent nothing. */
   Duration silence() {
     return Duration.between(lastReceivedAt, components.clock().instant());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -66,6 +66,12 @@
    */
   private static final long MAX_BUFFERED_BYTES = 6 << 20;
 
+  /** Interval of the checks of servers and requests in quarantine while requests are open. */
+  private static final Duration ACTIVE_INTERVAL = Duration.ofMillis(100);
+
+  /** The same while no request is open. */
+  private static final Duration IDLE_INTERVAL = Duration.ofMillis(250);
+
   private static final Problem CRASHED_SERVERS =
       Problem.of(ErrorKind.QUARANTINED, "it has crashed several backend servers");
 
@@ -97,6 +103,7 @@
   private @Nullable DrainAdmission drainAdmission;
   private boolean refusingAll;
   private long bufferedBytes;
+  private Runnable dueListener = () -> {};
 
   public RequestDispatcher(GatewayComponents components) {
     this.components = components;
@@ -170,6 +177,7 @@
     if (components.plan().get() == null && !refusingAll) {
       EarlyRequest request = new EarlyRequest(exchange, arrived);
       earlyRequests.add(request);
+      wake();
       exchange.onCallerDisconnect(() -> earlyRequests.remove(request));
     } else {
       handle(exchange, arrived);
@@ -221,19 +229,53 @@
     return !now.isBefore(request.arrived().plus(MAX_WAIT_FOR_PLAN));
   }
 
+  /** Sets what runs whenever a request begins to wait for something that {@link #tick} does. */
+  public void onDue(Runnable listener) {
+    dueListener = listener;
+  }
+
+  /** Makes {@link #tick} due, as a request waits for something that it does. */
+  void wake() {
+    dueListener.run();
+  }
+
+  /** Returns when {@link #tick} is due again, unless a request begins to wait before. */
+  public Instant dueAt() {
+    Instant now = components.clock().instant();
+    if (!earlyRequests.isEmpty() || components.links().hasProbesDue()) {
+      return Instant.MIN;
+    }
+    Instant first = now.plus(flows.isEmpty() ? IDLE_INTERVAL : ACTIVE_INTERVAL);
+    for (RequestFlow flow : flows) {
+      Instant due = flow.dueAt(now);
+      first = due.isBefore(first) ? due : first;
+    }
+    return first;
+  }
+
   /** Ends requests whose deadline has passed and retries those that wait. */
   public void tick() {
-    handleDueEarlyRequests();
+    if (!earlyRequests.isEmpty()) {
+      handleDueEarlyRequests();
+    }
     components.links().tick();
     selector.tick(components.clock().instant());
     components.quarantine().tick();
     components.promptParts().tick();
-    new ArrayList<>(flows).forEach(flow -> isolatedTasks.run(flow.request().id(), flow::tick));
+    Instant now = components.clock().instant();
+    List<RequestFlow> due = new ArrayList<>();
+    for (RequestFlow flow : flows) {
+      if (!flow.dueAt(now).isAfter(now)) {
+        due.add(flow);
+      }
+    }
+    due.forEach(flow -> isolatedTasks.run(flow.request().id(), flow::tick));
   }
 
   private void start(HttpExchange exchange, Admitted admitted) {
     RequestFlow flow = new RequestFlow(components, this, exchange, admitted);
     flows.add(flow);
+    wake();
     retryWindow(admitted.service()).onFirstAttempt(admitted.arrived());
     flow.start();
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -128,6 +128,9 @@
    */
   private static final Duration TIMER_TOLERANCE = Duration.ofMillis(2);
 
+  /** How often a silent server's request is checked: twice as long as a round of the loop. */
+  private static final Duration SILENCE_CHECK_INTERVAL = Duration.ofMillis(40);
+
   /** A stream is aborted if its caller reads so slowly that more than this waits for it. */
   private static final long MAX_PENDING_BYTES = 1 << 20;
 
@@ -160,6 +163,7 @@
   private @Nullable HeldRepeat heldRepeat;
   private boolean promptPartsCleared;
   private Instant waitingForServerSince = Instant.MAX;
+  private Instant checkedAt = Instant.MIN;
 
   RequestFlow(
       GatewayComponents components,
@@ -287,6 +291,34 @@
                 dispatcher.withJitter(problem.retryAfter().get())));
   }
 
+  /**
+   * Returns when {@link #tick} is due: in each round while the request waits for a server or for
+   * the decision whether it is repeated, and otherwise when its deadline passes or its server may
+   * count as silent.
+   */
+  Instant dueAt(Instant now) {
+    Attempt running = attempt;
+    if (heldRepeat != null || stage == Stage.SERVER) {
+      return Instant.MIN;
+    }
+    if (stage != Stage.ANSWER || running == null) {
+      return deadline;
+    }
+    Instant silentAt = running.lastReceivedAt().plus(LOST_PATH_SILENCE);
+    Instant stalledAt = running.lastProgressAt().plus(dispatcher.maxSilence(route));
+    Instant silentOrStalledAt = earlier(silentAt, stalledAt);
+    // Whether a path is lost also depends on what other requests receive.
+    return earlier(
+        deadline,
+        silentOrStalledAt.isAfter(now)
+            ? silentOrStalledAt
+            : checkedAt.plus(SILENCE_CHECK_INTERVAL));
+  }
+
+  private static Instant earlier(Instant one, Instant other) {
+    return one.isBefore(other) ? one : other;
+  }
+
   /**
    * Ends the request if its deadline has passed, retries the choice of a server if it waits for
    * one, and fails over if its server has become silent.
@@ -295,7 +327,8 @@
     if (stage == Stage.ENDED) {
       return;
     }
-    if (!now().isBefore(deadline)) {
+    checkedAt = now();
+    if (!checkedAt.isBefore(deadline)) {
       onDeadlinePassed();
     } else if (heldRepeat != null) {
       repeatUnlessSuspected(heldRepeat);
@@ -350,6 +383,7 @@
                     service, request.prompt(), route.aim(), failedIncarnations, stream.version()),
                 now());
     if (chosen.isEmpty()) {
+      dispatcher.wake();
       waitOrGiveUp();
       return;
     }
@@ -679,6 +713,7 @@
     if (deadlinePassed) {
       fail(Problem.of(ErrorKind.DEADLINE_PASSED, detail));
     } else if (route.repeatable() && components.promptParts().isSuspected(sharedPartIds())) {
+      dispatcher.wake();
       heldRepeat = new HeldRepeat(now().plus(MAX_REPEAT_HOLD), detail);
     } else {
       resendIf(route.repeatable() && mayRetry(), ErrorKind.BACKEND_FAILED, detail);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -34,6 +35,12 @@
   /** Read interval while a request waits for tokens that other instances may return. */
   private static final Duration URGENT_READ_INTERVAL = Duration.ofMillis(100);
 
+  /**
+   * Interval between checks for notes that nobody waits for, such as those that refill a lease:
+   * short compared with the time in which a lease is used up.
+   */
+  private static final Duration WRITE_CHECK_INTERVAL = Duration.ofMillis(60);
+
   /** Back-off after the first failure: half of the answer time of a slow log. */
   private static final Duration INITIAL_BACKOFF = Duration.ofMillis(40);
 
@@ -126,6 +133,41 @@
     return failureDetail != null;
   }
 
+  /**
+   * Returns when {@link #tick} is due again: soon while a note or a call is likely to be due soon,
+   * and otherwise when the log is to be read, or when a participant may have a note to write.
+   */
+  public Instant dueAt() {
+    Instant now = clock.instant();
+    if (now.isBefore(backoffUntil)) {
+      return backoffUntil;
+    }
+    if (state == State.SUPERSEDED) {
+      return Instant.MAX;
+    }
+    boolean urgent =
+        state != State.TAILING
+            || reloadDue
+            || !batch.isEmpty()
+            || position < requiredPosition
+            || anyParticipant(LogParticipant::awaitsPeerNotes);
+    if (urgent) {
+      return Instant.MIN;
+    }
+    Instant nextWrite = now.plus(WRITE_CHECK_INTERVAL);
+    boolean readFirst = !reading && !readingPaused && nextRead.isBefore(nextWrite);
+    return readFirst ? nextRead : nextWrite;
+  }
+
+  private boolean anyParticipant(Predicate<LogParticipant> condition) {
+    for (LogParticipant participant : participants) {
+      if (condition.test(participant)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Starts the calls that are due. */
   public void tick() {
     Instant now = clock.instant();
@@ -218,7 +260,7 @@
    * callers' requests are delayed behind them.
    */
   private boolean readingPaused() {
-    boolean needed = participants.stream().anyMatch(LogParticipant::needsLog);
+    boolean needed = anyParticipant(LogParticipant::needsLog);
     if (readingPaused && needed) {
       readingPaused = false;
       reloadDue = true;
@@ -266,7 +308,7 @@
     switch (outcome) {
       case SharedLog.AppendOutcome.Appended appended -> {
         recordSuccess();
-        if (participants.stream().anyMatch(LogParticipant::awaitsOwnNote)) {
+        if (anyParticipant(LogParticipant::awaitsOwnNote)) {
           requiredPosition = appended.offset() + batch.size();
         }
         batch = List.of();
@@ -310,7 +352,7 @@
   }
 
   private Duration readInterval() {
-    boolean waiting = participants.stream().anyMatch(LogParticipant::awaitsPeerNotes);
+    boolean waiting = anyParticipant(LogParticipant::awaitsPeerNotes);
     return waiting ? URGENT_READ_INTERVAL : idleReadInterval;
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/FleetTrafficMeter.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/FleetTrafficMeter.java
@@ -73,7 +73,22 @@
    * @param stall the delay of the tick
    */
   public void tick(Duration stall) {
+    recordStall(stall);
+    reportIfDue();
+  }
+
+  /** Records the delay of a round of the event loop. */
+  public void recordStall(Duration stall) {
     longestStall = longer(longestStall, stall);
+  }
+
+  /** Returns when the present period ends. */
+  public Instant periodEnd() {
+    return periodEnd;
+  }
+
+  /** Reports the measurements if a period has ended. */
+  public void reportIfDue() {
     Instant now = clock.instant();
     if (now.isBefore(periodEnd)) {
       return;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -195,6 +195,11 @@
     return paths.lostCount();
   }
 
+  /** Returns whether a probe is due or will be. */
+  public boolean hasProbesDue() {
+    return paths.hasProbesDue();
+  }
+
   /** Takes changes of the server list into account and sends the probes that are due. */
   public void tick() {
     if (lastSeenChanges != servers.changes()) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/CachedPromptsCalls.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/CachedPromptsCalls.java
@@ -64,14 +64,22 @@
     this.nextIndex = nextIndex;
   }
 
+  /** Returns whether nothing is to be asked any more. */
+  public boolean finished() {
+    return finished;
+  }
+
   /**
    * Asks one instance after the other until one has answered.
    *
    * @param ready whether the backend servers are known; without them an answer can't be used
    */
   public void tick(boolean ready) {
+    if (finished || requestInFlight || !ready) {
+      return;
+    }
     List<String> addresses = peerAddresses.get();
-    if (finished || requestInFlight || !ready || addresses.isEmpty()) {
+    if (addresses.isEmpty()) {
       return;
     }
     if (clock.instant().isAfter(giveUpAt)) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -65,6 +65,9 @@
   /** How long reports are sent after a change; each change is repeated in several reports. */
   private static final Duration REPORTING_TIME = Duration.ofMillis(100);
 
+  /** The interval of checks whether the collector has become silent. */
+  private static final Duration SILENCE_CHECK_INTERVAL = Duration.ofMillis(100);
+
   /** Limits the cache contents sent to a starting instance to some tens of kilobytes. */
   private static final int MAX_CACHED_PARTS = 4_096;
 
@@ -142,6 +145,22 @@
     return droppedMessages;
   }
 
+  /**
+   * Returns when {@link #tick} is due again, unless the load changes before: an instance that
+   * reports to a collector sends nothing between two complete reports while nothing changes.
+   */
+  public Instant dueAt() {
+    if (collectors.isCollector() || lastLoadChanges != servers.loadChanges()) {
+      return nextMessageAt;
+    }
+    Instant now = clock.instant();
+    if (!now.isAfter(reportUntil)) {
+      return nextMessageAt;
+    }
+    Instant silenceCheck = now.plus(SILENCE_CHECK_INTERVAL);
+    return silenceCheck.isBefore(nextCompleteAt) ? silenceCheck : nextCompleteAt;
+  }
+
   /** Sends the messages that are due. */
   public void tick() {
     Instant now = clock.instant();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -28,8 +28,11 @@
 
   private final DepartedServers departed = new DepartedServers();
   private Consumer<BackendServer> replacedListener = earlier -> {};
+  private Runnable loadListener = () -> {};
+  private Runnable changeListener = () -> {};
   private Instant now = Instant.MIN;
   private long changes;
+  private long changesAtStartTimeCheck = -1;
   private long loadChanges;
 
   /**
@@ -43,6 +46,42 @@
     replacedListener = listener;
   }
 
+  /** Sets the listener that is called after each change of this instance's load at any server. */
+  public void onLoadChanged(Runnable listener) {
+    loadListener = listener;
+  }
+
+  /** Sets the listener that is called after each change of {@link #changes} or {@link #dueAt}. */
+  public void onChanged(Runnable listener) {
+    changeListener = listener;
+  }
+
+  private void onChange() {
+    changes++;
+    changeListener.run();
+  }
+
+  private void onLoadChange() {
+    loadChanges++;
+    loadListener.run();
+  }
+
+  /** Takes {@code time} as the present time, unless a later one is known. */
+  public void advanceTo(Instant time) {
+    if (time.isAfter(now)) {
+      now = time;
+    }
+  }
+
+  /** Returns when {@link #tick} is due again, unless the list changes before. */
+  public Instant dueAt() {
+    Instant first = Instant.MAX;
+    for (Instant end : graceEnds.values()) {
+      first = end.isBefore(first) ? end : first;
+    }
+    return first;
+  }
+
   /**
    * Processes an entry of the server list.
    *
@@ -98,15 +137,15 @@
   }
 
   private ListingChange leave(BackendServer server) {
-    changes++;
+    onChange();
     server.markLeaving();
     leavingSince.put(server.id(), now);
     return ListingChange.LEAVING;
   }
 
   private void add(ServerListing listing) {
-    changes++;
-    BackendServer added = new BackendServer(listing, () -> loadChanges++, now);
+    onChange();
+    BackendServer added = new BackendServer(listing, this::onLoadChange, now);
     servers.put(listing.id(), added);
     byService
         .computeIfAbsent(listing.service(), name -> new LinkedHashMap<>())
@@ -114,7 +153,7 @@
   }
 
   private void drop(BackendServer server) {
-    changes++;
+    onChange();
     unusable.remove(server.id());
     graceEnds.remove(server.id());
     leavingSince.remove(server.id());
@@ -133,7 +172,7 @@
    */
   public void unusable(BackendServerId id) {
     if (servers.containsKey(id) && unusable.add(id)) {
-      changes++;
+      onChange();
     }
   }
 
@@ -162,6 +201,7 @@
       remove(id);
     } else {
       graceEnds.putIfAbsent(id, until);
+      changeListener.run();
     }
   }
 
@@ -172,6 +212,11 @@
   public List<BackendServer> tick(Instant time) {
     now = time;
     departed.tick(now);
+    boolean startTimesUnchecked = !startTimesRequired && changesAtStartTimeCheck != changes;
+    if (graceEnds.isEmpty() && !startTimesUnchecked) {
+      return List.of();
+    }
+    changesAtStartTimeCheck = changes;
     Set<BackendServer> removed = new LinkedHashSet<>();
     graceEnds.forEach(
         (id, until) -> {
@@ -275,7 +320,9 @@
    */
   public boolean evacuate(String dataCentre) {
     boolean added = evacuatedDataCentres.add(dataCentre);
-    changes += added ? 1 : 0;
+    if (added) {
+      onChange();
+    }
     return added;
   }
 
@@ -288,7 +335,7 @@
   public boolean endEvacuation(String dataCentre) {
     boolean removed = evacuatedDataCentres.remove(dataCentre);
     if (removed) {
-      changes++;
+      onChange();
       serversIn(dataCentre).forEach(server -> server.assumeWarmingUp(now));
     }
     return removed;
