--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -632,6 +632,8 @@
       return;
     }
     attempt = null;
+    // The path to the server may have to be probed.
+    dispatcher.wake();
     if (reason == AttemptFailure.SERVER_ERROR || reason == AttemptFailure.MAY_HAVE_RUN) {
       mayHaveRun = true;
       tokenUsage.onAttemptEnded(failed);
