Take a server for warm as long as the list of servers is read

Callers of the shifted deployment saw first answers late: prompts went to engines that had to read their shared parts again.

Cause: takes a server for one that warms up if it has written no record for some seconds. Records that stay the same aren't always written again, so all servers counted as warming up from twelve seconds after the start on, and each instance used its shares of a dozen of them, or sent through other instances.

Change: what counts is when the list as a whole was read up to its end. A server that begins to warm up changes its record, and one that is silent loses it; an instance that can't read the list for twelve seconds still takes all servers for warming up.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.function.Supplier;
 import org.teaseldeal.api.BackendServerId;
 
 /**
@@ -30,10 +31,12 @@
    * Creates a server.
    *
    * @param onLoadChange runs after each change of the load that this instance has outstanding there
+   * @param listReadAt supplies when all records of the list up to its end had been read last
    */
-  BackendServer(ServerListing listing, Runnable onLoadChange, Instant now) {
+  BackendServer(
+      ServerListing listing, Runnable onLoadChange, Supplier<Instant> listReadAt, Instant now) {
     this.onLoadChange = onLoadChange;
-    this.warmUp = new WarmUp(listing.warmUpLeft(), now);
+    this.warmUp = new WarmUp(listing.warmUpLeft(), now, listReadAt);
     this.incarnation = listing.incarnation();
     this.service = listing.service();
     this.address = listing.address();
@@ -148,8 +151,8 @@
   }
 
   /**
-   * Whether the server may be warming up, because it said so or has not been heard of lately. It
-   * may then tolerate fewer requests.
+   * Whether the server may be warming up, because it said so or the list has not been read lately.
+   * It may then tolerate fewer requests.
    */
   public boolean isWarmingUp(Instant now) {
     return warmUp.isWarmingUp(now);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -31,6 +31,7 @@
   private Runnable loadListener = () -> {};
   private Runnable changeListener = () -> {};
   private Instant now = Instant.MIN;
+  private Instant listReadAt = Instant.MIN;
   private long changes;
   private long changesAtStartTimeCheck = -1;
   private long loadChanges;
@@ -41,6 +42,11 @@
    */
   private boolean startTimesRequired;
 
+  /** Records that all records of the list up to its end have been read. */
+  public void onListRead(Instant time) {
+    listReadAt = time;
+  }
+
   /** Sets the listener that is called with each incarnation that a later one has replaced. */
   public void onReplaced(Consumer<BackendServer> listener) {
     replacedListener = listener;
@@ -145,7 +151,7 @@
 
   private void add(ServerListing listing) {
     onChange();
-    BackendServer added = new BackendServer(listing, this::onLoadChange, now);
+    BackendServer added = new BackendServer(listing, this::onLoadChange, () -> listReadAt, now);
     servers.put(listing.id(), added);
     byService
         .computeIfAbsent(listing.service(), name -> new LinkedHashMap<>())
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/WarmUp.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/WarmUp.java
@@ -2,34 +2,43 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import java.util.function.Supplier;
 
 /**
  * Whether a backend server is warming up, as its heartbeats say.
  *
- * <p>A server may begin to warm up again at any time, without a restart. A server that has not been
- * heard of lately therefore counts as warming up.
+ * <p>A server may begin to warm up again at any time, without a restart. Its record changes then,
+ * and may otherwise stay the same for as long as the server runs. A server therefore counts as
+ * warming up if neither its record nor the list as a whole has been read lately.
  */
 final class WarmUp {
   /**
    * Longer than the outages of the list that fleets serve through: with all servers limited, each
    * instance would reach only a few of them by itself.
    */
-  private static final Duration MAX_HEARTBEAT_AGE = Duration.ofSeconds(12);
+  private static final Duration MAX_LIST_AGE = Duration.ofSeconds(12);
 
   /** How old the state may be that a heartbeat tells when it is read. */
   private static final Duration MAX_HEARTBEAT_DELAY = Duration.ofSeconds(2);
 
+  private final Supplier<Instant> listReadAt;
   private boolean warm;
-  private Instant heartbeatExpiresAt;
+  private Instant heartbeatAt;
   private Instant ignoreWarmUntil = Instant.MIN;
 
-  WarmUp(Duration warmUpLeft, Instant now) {
+  /**
+   * Creates the state of a server that has just been listed.
+   *
+   * @param listReadAt supplies when all records of the list up to its end had been read last
+   */
+  WarmUp(Duration warmUpLeft, Instant now, Supplier<Instant> listReadAt) {
+    this.listReadAt = listReadAt;
     this.warm = warmUpLeft.isZero();
-    this.heartbeatExpiresAt = now.plus(MAX_HEARTBEAT_AGE);
+    this.heartbeatAt = now;
   }
 
   void onHeartbeat(Duration warmUpLeft, Instant now) {
-    heartbeatExpiresAt = now.plus(MAX_HEARTBEAT_AGE);
+    heartbeatAt = now;
     warm = warmUpLeft.isZero() && !now.isBefore(ignoreWarmUntil);
   }
 
@@ -40,6 +49,10 @@
   }
 
   boolean isWarmingUp(Instant now) {
-    return !warm || now.isAfter(heartbeatExpiresAt);
+    return !warm || (isOld(heartbeatAt, now) && isOld(listReadAt.get(), now));
+  }
+
+  private static boolean isOld(Instant readAt, Instant now) {
+    return readAt.isBefore(now.minus(MAX_LIST_AGE));
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/server/ServerDirectoryTests.java
@@ -32,6 +32,25 @@
     directory.put(listing("b", false));
   }
 
+  /**
+   * Guards against servers that count as warming up for as long as they have nothing new to say:
+   * their records stay the same, and each instance would reach only the few that it has a share of.
+   */
+  @Test
+  void serverWithoutNewRecordStaysWarmWhileTheListIsRead() {
+    Instant later = Instant.EPOCH.plus(Duration.ofMinutes(1));
+    directory.onListRead(later);
+    assertFalse(directory.find(new BackendServerId("a")).orElseThrow().isWarmingUp(later));
+  }
+
+  /** Guards against requests for a server that began to warm up while the list was unavailable. */
+  @Test
+  void serverCountsAsWarmingUpOnceTheListHasNotBeenReadForLong() {
+    directory.onListRead(Instant.EPOCH);
+    Instant later = Instant.EPOCH.plus(Duration.ofMinutes(1));
+    assertTrue(directory.find(new BackendServerId("a")).orElseThrow().isWarmingUp(later));
+  }
+
   /**
    * All listings expired in an outage of the list because none could be renewed. Right after it,
    * the servers are kept for a grace period. One server renews its listing in time, the other one
