Hand requests over to another instance while the event loop is late

Callers saw: their requests reached a server seconds late at an instance that the load balancer gives most callers of a data centre, or not before their deadline, while other instances idled.

Cause: an instance served every request whose connection it held, however late its event loop was. Requests went through other instances only where the own path to a server was lost, and the costly decisions stayed.

That one decides about it (tokens, server, repeats, at most once) and never hands it over again. It takes it only if it is less late, doesn't stop and has no older plan. What may have run is never answered as not run: 502 where the taker is lost.

Evidence: tests of the decision under uneven callers, of each failure between two instances, and of answers on real connections.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -369,6 +369,42 @@
    */
   record PartCleared(String promptPart, int crashes) implements GatewayEvent {}
 
+  /**
+   * A request was offered to another instance, as this one is late.
+   *
+   * @param sibling the address of the other instance
+   * @param late by how much this instance's event loop is late
+   */
+  record HandedOver(String request, String sibling, Duration late) implements GatewayEvent {}
+
+  /** Another instance did not take a request; it is offered to one more, or served here. */
+  record HandoverRefused(String request, String sibling, String detail) implements GatewayEvent {}
+
+  /**
+   * The answer to a request that another instance may have taken was lost.
+   *
+   * @param begun whether a part of it has reached the caller, whose answer is aborted
+   * @param again whether this instance sends the request to a server again
+   */
+  record HandoverLost(String request, String sibling, boolean begun, boolean again, String detail)
+      implements GatewayEvent {}
+
+  /**
+   * This instance has taken a request of another one.
+   *
+   * @param sender the name of the other instance
+   * @param waited the time that the request has spent there
+   */
+  record HandoverTaken(String request, String sender, Duration waited) implements GatewayEvent {}
+
+  /**
+   * A request of another instance is invalid.
+   *
+   * @param sender the name of the other instance; empty if it can't be read
+   * @param result what the other instance is told
+   */
+  record HandoverRejected(String sender, String result, String detail) implements GatewayEvent {}
+
   /** Lines were dropped because they did not fit into the log's buffer. */
   record LinesDropped(long count) implements GatewayEvent {}
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
@@ -35,6 +35,7 @@
   private final HttpServer callerServer;
   private final RequestDispatcher dispatcher;
   private final RequestRelay relay;
+  private final HandedOverRequests handedOver;
   private final PrepaidAccounts accounts;
   private final EventSink events;
   private final InstantSource clock;
@@ -49,6 +50,7 @@
    *
    * @param callerServer accepts the callers' connections
    * @param relay relays requests of other instances
+   * @param handedOver the requests that this instance has taken from others or handed over
    * @param loop the event loop that serves the callers' connections
    * @param clock a monotonic clock, which doesn't follow adjustments of the time of day
    * @param grace the time until the process is killed
@@ -58,6 +60,7 @@
       HttpServer callerServer,
       RequestDispatcher dispatcher,
       RequestRelay relay,
+      HandedOverRequests handedOver,
       PrepaidAccounts accounts,
       EventSink events,
       InstantSource clock,
@@ -66,6 +69,7 @@
     this.callerServer = callerServer;
     this.dispatcher = dispatcher;
     this.relay = relay;
+    this.handedOver = handedOver;
     this.accounts = accounts;
     this.events = events;
     this.clock = clock;
@@ -101,7 +105,7 @@
           phases.advance(
               clock.instant(),
               new Outstanding(
-                  callerServer.unansweredRequests() + relay.openRequests(),
+                  callerServer.unansweredRequests() + relay.openRequests() + handedOver.taken(),
                   callerServer.openConnections(),
                   accounts.allReturned()));
       if (next != phase) {
@@ -122,6 +126,7 @@
       case ABORTING -> {
         abortedRequests = dispatcher.openRequests() + relay.openRequests();
         dispatcher.abortAll();
+        handedOver.abortHandedOver();
       }
       case CLOSING -> callerServer.stopAcceptingAsync();
       case FLUSHING -> callerServer.closeIdleConnections(dispatcher.drainingAnswer());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -73,6 +73,7 @@
    * A request that was admitted and may be sent to a backend server.
    *
    * @param trial whether it is sent once although a part of its prompt is quarantined
+   * @param mayHaveRun whether another instance may have sent it to a server before
    */
   record Admitted(
       CallerRequest request,
@@ -82,7 +83,22 @@
       int tokensPerEvent,
       long planVersion,
       Instant arrived,
-      boolean trial) {}
+      boolean trial,
+      boolean mayHaveRun) {
+    /** Returns this request with at most {@code attempts} servers to send it to. */
+    Admitted withMaxAttempts(int attempts, boolean mayHaveRunBefore) {
+      return new Admitted(
+          request,
+          route.withMaxAttempts(Math.min(attempts, route.maxAttempts())),
+          customer,
+          service,
+          tokensPerEvent,
+          planVersion,
+          arrived,
+          trial,
+          mayHaveRunBefore);
+    }
+  }
 
   /** A request that arrived before the first configuration was known. */
   private record EarlyRequest(HttpExchange exchange, Instant arrived) {}
@@ -166,7 +182,7 @@
 
   @Override
   public void handle(HttpExchange exchange) {
-    Instant arrived = components.clock().instant().minus(exchange.timeSinceHead());
+    Instant arrived = arrivedAt(exchange);
     if (components.plan().get() == null && !refusingAll) {
       EarlyRequest request = new EarlyRequest(exchange, arrived);
       earlyRequests.add(request);
@@ -184,6 +200,60 @@
     }
   }
 
+  /**
+   * Handles a request that another instance has handed over.
+   *
+   * @param maxAttempts how many servers it may be sent to, if its route allows no fewer
+   */
+  public void handleHandedOver(HttpExchange exchange, int maxAttempts) {
+    Instant arrived = arrivedAt(exchange);
+    Result<CallerRequest> read = components.dialect().read(exchange);
+    switch (admit(read, arrived)) {
+      case Result.Ok<Admitted> admitted ->
+          start(exchange, admitted.value().withMaxAttempts(maxAttempts, false));
+      case Result.Err<Admitted> refused -> refuse(exchange, read, refused.problem(), arrived);
+    }
+  }
+
+  /**
+   * Handles a repeatable request that another instance may have sent to servers. Whatever prevents
+   * it from being sent again, its caller is told that it may have run.
+   *
+   * @param attemptsLeft how many servers it may be sent to
+   */
+  public void handleMayHaveRun(HttpExchange exchange, int attemptsLeft) {
+    Instant arrived = arrivedAt(exchange);
+    Result<CallerRequest> read = components.dialect().read(exchange);
+    if (admit(read, arrived) instanceof Result.Ok<Admitted> admitted
+        && tryRetry(admitted.value().service())) {
+      RequestFlow flow =
+          new RequestFlow(
+              components, this, exchange, admitted.value().withMaxAttempts(attemptsLeft, true));
+      flows.add(flow);
+      flow.start();
+    } else {
+      respondMayHaveRun(exchange, "it is not sent again");
+    }
+  }
+
+  /** Answers a request that another instance may have sent to servers. */
+  public void respondMayHaveRun(HttpExchange exchange, String detail) {
+    refuse(
+        exchange,
+        components.dialect().read(exchange),
+        Problem.of(ErrorKind.BACKEND_FAILED, detail),
+        arrivedAt(exchange));
+  }
+
+  /** The caller's identifier of a request, for the log. */
+  public String requestId(HttpExchange exchange) {
+    return components.dialect().requestId(exchange);
+  }
+
+  private Instant arrivedAt(HttpExchange exchange) {
+    return components.clock().instant().minus(exchange.timeSinceHead());
+  }
+
   /**
    * Handles the requests that arrived before the first configuration and are now due.
    *
@@ -283,7 +353,8 @@
             tokensPerEvent,
             plan.version(),
             arrived,
-            trial));
+            trial,
+            false));
   }
 
   /**
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -180,6 +180,7 @@
             components, request, customer.map(PrepaidCustomer::name).orElse(""), service);
     this.planVersion = admitted.planVersion();
     this.trial = admitted.trial();
+    this.mayHaveRun = admitted.mayHaveRun();
     this.arrivedAt = admitted.arrived();
     this.deadline = arrivedAt.plus(RequestDispatcher.maxDuration(request, route));
   }
@@ -232,7 +233,7 @@
   }
 
   private void refuseResumption(String detail, boolean mayChange) {
-    refuse(
+    refuseOrFail(
         mayChange
             ? Problem.retryable(
                 ErrorKind.STREAM_NOT_RESUMABLE,
@@ -278,7 +279,7 @@
 
   @Override
   public void onRefused(Problem problem) {
-    refuse(
+    refuseOrFail(
         problem.retryAfter().isEmpty()
             ? problem
             : Problem.retryable(
@@ -746,6 +747,11 @@
     }
   }
 
+  /** Refuses a request that waits, unless a server may have run it before. */
+  private void refuseOrFail(Problem problem) {
+    refuse(mayHaveRun ? Problem.of(ErrorKind.BACKEND_FAILED, problem.detail()) : problem);
+  }
+
   private void refuse(Problem problem) {
     HttpAnswer refusal = components.dialect().refuse(problem);
     answer.respond(refusal);
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
@@ -0,0 +1,174 @@
+package org.teaseldeal.gateway.handover;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A caller's request on its way from the instance that received it to the one that decides about
+ * it.
+ *
+ * @param sender the name of the instance that hands it over
+ * @param number a number that the sender uses for this request only
+ * @param planVersion the version of the sender's plan
+ * @param maxAttempts how many servers the request may be sent to
+ * @param waited the time from the request's arrival until it was handed over
+ * @param senderDelay by how much the sender is late
+ * @param headers the caller's headers, in order
+ */
+record HandoverMessage(
+    String sender,
+    long number,
+    long planVersion,
+    int maxAttempts,
+    Duration waited,
+    Duration senderDelay,
+    String method,
+    String target,
+    List<Map.Entry<String, String>> headers,
+    byte[] body) {
+  /** What became of a request, in the head of the answer. */
+  enum Result {
+    /** The answer is the caller's, as a whole. */
+    COMPLETE,
+    /** The answer is the caller's, in parts. */
+    STREAM,
+    /** The request was not taken, and will not be run because of this message. */
+    NOT_TAKEN,
+    /** A request with this number was taken before, and may have run. */
+    REPEATED,
+    /** The instance would take a request now. */
+    WILLING
+  }
+
+  static final String RESULT = "teaseldeal-handover";
+
+  private static final int LAYOUT = 1;
+  private static final int FIXED_BYTES = 512;
+
+  /** Headers of a single connection, which the instances' own client and server set. */
+  private static final Set<String> CONNECTION_HEADERS =
+      Set.of("connection", "content-length", "keep-alive", "transfer-encoding", RESULT);
+
+  byte[] encode() {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(FIXED_BYTES + body.length);
+    try (DataOutputStream out = new DataOutputStream(bytes)) {
+      out.writeByte(LAYOUT);
+      out.writeUTF(sender);
+      out.writeLong(number);
+      out.writeLong(planVersion);
+      out.writeInt(maxAttempts);
+      out.writeLong(waited.toNanos());
+      out.writeLong(senderDelay.toNanos());
+      out.writeUTF(method);
+      out.writeUTF(target);
+      out.writeShort(headers.size());
+      for (Map.Entry<String, String> header : headers) {
+        out.writeUTF(header.getKey());
+        out.writeUTF(header.getValue());
+      }
+      out.writeInt(body.length);
+      out.write(body);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Decodes a request.
+   *
+   * @throws IllegalArgumentException if {@code bytes} are not a whole request in a known layout
+   */
+  static HandoverMessage decode(byte[] bytes) {
+    try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(bytes))) {
+      int layout = in.readUnsignedByte();
+      if (layout != LAYOUT) {
+        throw new IllegalArgumentException("layout was %d, expected %d".formatted(layout, LAYOUT));
+      }
+      HandoverMessage message =
+          new HandoverMessage(
+              in.readUTF(),
+              in.readLong(),
+              in.readLong(),
+              in.readInt(),
+              readDuration(in),
+              readDuration(in),
+              in.readUTF(),
+              in.readUTF(),
+              readHeaders(in),
+              readBody(in));
+      if (in.available() > 0 || message.maxAttempts < 1) {
+        throw new IllegalArgumentException(
+            "the message has more bytes than a request, or none may be sent");
+      }
+      return message;
+    } catch (IOException e) {
+      throw new IllegalArgumentException("the message is not whole", e);
+    }
+  }
+
+  private static Duration readDuration(DataInputStream in) throws IOException {
+    long nanos = in.readLong();
+    if (nanos < 0) {
+      throw new IllegalArgumentException(
+          "a time was %d ns, expected none before 0".formatted(nanos));
+    }
+    return Duration.ofNanos(nanos);
+  }
+
+  private static List<Map.Entry<String, String>> readHeaders(DataInputStream in)
+      throws IOException {
+    int count = in.readUnsignedShort();
+    List<Map.Entry<String, String>> headers = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      headers.add(Map.entry(in.readUTF(), in.readUTF()));
+    }
+    return headers;
+  }
+
+  private static byte[] readBody(DataInputStream in) throws IOException {
+    int length = in.readInt();
+    if (length < 0 || length > in.available()) {
+      throw new IllegalArgumentException("the body's length was %d".formatted(length));
+    }
+    return in.readNBytes(length);
+  }
+
+  /** Returns the headers of an answer with a result. */
+  static Map<String, String> withResult(Map<String, String> headers, Result result) {
+    Map<String, String> all = new HashMap<>(headers);
+    all.put(RESULT, result.name());
+    return all;
+  }
+
+  /** Returns the headers of an answer that are passed on to the caller. */
+  static Map<String, String> callersHeaders(Map<String, String> headers) {
+    Map<String, String> kept = new HashMap<>(headers);
+    kept.keySet().removeAll(CONNECTION_HEADERS);
+    return kept;
+  }
+
+  /**
+   * Returns the result in an answer. One without a result comes from an instance of an earlier
+   * release, or was given before the request was looked at.
+   */
+  static Result result(Map<String, String> headers) {
+    String name = headers.get(RESULT);
+    for (Result result : Result.values()) {
+      if (result.name().equals(name)) {
+        return result;
+      }
+    }
+    return Result.NOT_TAKEN;
+  }
+}
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -0,0 +1,419 @@
+package org.teaseldeal.gateway.handover;
+
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.time.Instant;
+import java.time.InstantSource;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import org.teaseldeal.decisions.HandoverPolicy;
+import org.teaseldeal.gateway.event.EventSink;
+import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.flow.RequestDispatcher;
+import org.teaseldeal.gateway.handover.HandoverMessage.Result;
+import org.teaseldeal.gateway.path.BackendPort;
+import org.teaseldeal.gateway.plan.GatewayPlan;
+import org.teaseldeal.gateway.plan.Route;
+import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.HttpCall;
+import org.teaseldeal.net.HttpCallRequest;
+import org.teaseldeal.net.HttpExchange;
+import org.teaseldeal.net.HttpFailure;
+import org.teaseldeal.net.HttpHandler;
+import org.teaseldeal.net.HttpListener;
+import org.teaseldeal.net.ResponseStream;
+
+/**
+ * Receives callers' requests and hands those over to other instances that this one would serve too
+ * late. The instance that takes a request decides everything about it; this one passes the bytes of
+ * its answer on.
+ */
+public final class RequestHandover implements HttpHandler {
+  /** Shorter delays hold up no request, whatever its aim; most requests are handled during none. */
+  private static final Duration SHORTEST_DELAY = Duration.ofMillis(5);
+
+  private static final Duration ASK_INTERVAL = Duration.ofMillis(100);
+
+  /** How long after a caller's last request other instances are asked. */
+  private static final Duration ASK_TIME = Duration.ofSeconds(1);
+
+  private static final Duration ASK_TIMEOUT = Duration.ofMillis(500);
+
+  /** What is left to the instance that took a request to answer that its deadline has passed. */
+  private static final Duration DEADLINE_TOLERANCE = Duration.ofMillis(200);
+
+  /** A stream is aborted if its caller reads so slowly that more than this waits for it. */
+  private static final long MAX_PENDING_BYTES = 1 << 20;
+
+  /** The maximum size of all answers together that are collected before they are passed on. */
+  private static final int MAX_COLLECTED_BYTES = 6 << 20;
+
+  private static final int MAX_DETAIL_BYTES = 1 << 10;
+
+  private final String instance;
+  private final RequestDispatcher dispatcher;
+  private final BackendPort siblings;
+  private final Supplier<List<String>> addresses;
+  private final BooleanSupplier takesRequests;
+  private final Supplier<Duration> delay;
+  private final Supplier<@Nullable GatewayPlan> plan;
+  private final HandoverPolicy policy;
+  private final EventSink events;
+  private final InstantSource clock;
+  private final Set<HandedOverRequest> open = new LinkedHashSet<>();
+  private Instant askUntil = Instant.MIN;
+  private Instant askAt = Instant.MIN;
+  private long lastNumber;
+  private int collectedBytes;
+
+  /**
+   * Creates the handover of an instance.
+   *
+   * @param siblings sends requests to other instances
+   * @param addresses supplies the addresses of the other instances
+   * @param takesRequests whether the instance is ready and does not stop
+   * @param delay by how much the instance's event loop is late
+   */
+  public RequestHandover(
+      String instance,
+      RequestDispatcher dispatcher,
+      BackendPort siblings,
+      Supplier<List<String>> addresses,
+      BooleanSupplier takesRequests,
+      Supplier<Duration> delay,
+      Supplier<@Nullable GatewayPlan> plan,
+      HandoverPolicy policy,
+      EventSink events,
+      InstantSource clock) {
+    this.instance = instance;
+    this.dispatcher = dispatcher;
+    this.siblings = siblings;
+    this.addresses = addresses;
+    this.takesRequests = takesRequests;
+    this.delay = delay;
+    this.plan = plan;
+    this.policy = policy;
+    this.events = events;
+    this.clock = clock;
+    // The time of day in the upper bits makes a restarted process continue above its predecessor.
+    this.lastNumber = clock.instant().toEpochMilli() << 16;
+  }
+
+  /** The number of requests that other instances have taken and not answered completely. */
+  public int openRequests() {
+    return open.size();
+  }
+
+  @Override
+  public void handle(HttpExchange exchange) {
+    Instant now = clock.instant();
+    askUntil = now.plus(ASK_TIME);
+    Duration late = delay.get();
+    GatewayPlan current = plan.get();
+    if (late.compareTo(SHORTEST_DELAY) < 0 || current == null || !takesRequests.getAsBoolean()) {
+      dispatcher.handle(exchange);
+      return;
+    }
+    Optional<Route> route = current.route(exchange.header("host").orElse(""), exchange.path());
+    if (route.isEmpty() || !policy.isHeldUp(late, route.get().aim())) {
+      dispatcher.handle(exchange);
+      return;
+    }
+    new HandedOverRequest(exchange, route.get(), current.version(), late).offerOrServe();
+  }
+
+  /** Asks other instances whether they would take requests, and ends requests that are overdue. */
+  public void tick() {
+    Instant now = clock.instant();
+    if (!open.isEmpty()) {
+      new ArrayList<>(open).forEach(request -> request.endIfOverdue(now));
+    }
+    if (now.isBefore(askAt) || now.isAfter(askUntil)) {
+      return;
+    }
+    askAt = now.plus(ASK_INTERVAL);
+    policy.instancesToAsk(addresses.get(), now).forEach(this::ask);
+  }
+
+  /** Ends all requests; each caller whose answer has not begun is told that it may have run. */
+  public void abortAll() {
+    new ArrayList<>(open).forEach(request -> request.abandon("the instance ended while it ran"));
+  }
+
+  private void ask(String address) {
+    siblings.send(
+        new HttpCallRequest(
+            address, "GET", HandoverReceiver.PATH, Map.of(), new byte[0], ASK_TIMEOUT),
+        new Question(address));
+  }
+
+  /** Asks an instance whether it would take a request. */
+  private final class Question implements HttpListener {
+    private final String address;
+
+    Question(String address) {
+      this.address = address;
+    }
+
+    @Override
+    public void onHead(int status, Map<String, String> headers) {
+      if (HandoverMessage.result(headers) == Result.WILLING) {
+        policy.onWilling(address, clock.instant());
+      } else {
+        policy.onUnwilling(address, clock.instant());
+      }
+    }
+
+    @Override
+    public void onBodyPart(byte[] part) {}
+
+    @Override
+    public void onEnd(AnswerEnd end) {}
+
+    @Override
+    public void onFailure(HttpFailure failure, String detail) {
+      policy.onUnwilling(address, clock.instant());
+    }
+  }
+
+  /** One request, from the first offer to another instance to the end of its answer. */
+  private final class HandedOverRequest implements HttpListener {
+    private final HttpExchange exchange;
+    private final Route route;
+    private final long planVersion;
+    private final Duration late;
+    private final Instant overdueAt;
+    private final Set<String> tried = new HashSet<>();
+    private final ByteArrayOutputStream collected = new ByteArrayOutputStream(0);
+    private String sibling = "";
+    private int maxAttempts;
+    private HttpCall call = () -> {};
+    private @Nullable Result result;
+    private int status;
+    private Map<String, String> headers = Map.of();
+    private @Nullable ResponseStream stream;
+    private boolean ended;
+
+    HandedOverRequest(HttpExchange exchange, Route route, long planVersion, Duration late) {
+      this.exchange = exchange;
+      this.route = route;
+      this.planVersion = planVersion;
+      this.late = late;
+      this.overdueAt =
+          clock
+              .instant()
+              .minus(exchange.timeSinceHead())
+              .plus(route.timeout())
+              .plus(DEADLINE_TOLERANCE);
+    }
+
+    /** Offers the request to the next instance; serves it here if there is none. */
+    void offerOrServe() {
+      Instant now = clock.instant();
+      Optional<String> next =
+          now.isBefore(overdueAt) ? policy.choose(tried, now) : Optional.empty();
+      if (next.isEmpty()) {
+        ended = true;
+        open.remove(this);
+        dispatcher.handle(exchange);
+        return;
+      }
+      if (open.add(this)) {
+        exchange.onCallerDisconnect(this::onCallerDisconnected);
+      }
+      sibling = next.get();
+      tried.add(sibling);
+      result = null;
+      maxAttempts = policy.attemptsHandedOver(route.repeatable(), route.maxAttempts());
+      policy.onSent(sibling);
+      events.accept(new GatewayEvent.HandedOver(dispatcher.requestId(exchange), sibling, late));
+      String address = sibling;
+      HttpCall sent = siblings.send(request(address, now), this);
+      // The call may have failed at once and been replaced by the next one.
+      if (!ended && address.equals(sibling)) {
+        call = sent;
+      }
+    }
+
+    private HttpCallRequest request(String address, Instant now) {
+      HandoverMessage message =
+          new HandoverMessage(
+              instance,
+              ++lastNumber,
+              planVersion,
+              maxAttempts,
+              exchange.timeSinceHead(),
+              late,
+              exchange.method(),
+              exchange.path(),
+              exchange.headers(),
+              exchange.body());
+      return new HttpCallRequest(
+          address,
+          "POST",
+          HandoverReceiver.PATH,
+          Map.of(),
+          message.encode(),
+          Duration.between(now, overdueAt));
+    }
+
+    @Override
+    public void onHead(int answerStatus, Map<String, String> answerHeaders) {
+      if (ended) {
+        return;
+      }
+      result = HandoverMessage.result(answerHeaders);
+      status = answerStatus;
+      headers = HandoverMessage.callersHeaders(answerHeaders);
+      switch (result) {
+        case STREAM -> {
+          policy.onWilling(sibling, clock.instant());
+          stream = exchange.startStream(status, headers);
+        }
+        case COMPLETE -> policy.onWilling(sibling, clock.instant());
+        case NOT_TAKEN, REPEATED, WILLING -> policy.onUnwilling(sibling, clock.instant());
+      }
+    }
+
+    @Override
+    public void onBodyPart(byte[] part) {
+      ResponseStream begun = stream;
+      if (ended) {
+        return;
+      }
+      if (begun != null) {
+        begun.write(part);
+        if (begun.pendingBytes() > MAX_PENDING_BYTES) {
+          call.cancel();
+          abandon("the caller reads too slowly");
+        }
+      } else if (result == Result.COMPLETE) {
+        collected.writeBytes(part);
+        collectedBytes += part.length;
+        if (collectedBytes > MAX_COLLECTED_BYTES) {
+          call.cancel();
+          abandon("the answers that are collected are too large");
+        }
+      } else if (collected.size() + part.length <= MAX_DETAIL_BYTES) {
+        collected.writeBytes(part);
+      }
+    }
+
+    @Override
+    public void onEnd(AnswerEnd end) {
+      Result received = result;
+      if (ended || received == null) {
+        return;
+      }
+      switch (received) {
+        case COMPLETE -> {
+          end();
+          exchange.respond(status, headers, collected.toByteArray());
+        }
+        case STREAM -> {
+          if (end == AnswerEnd.LAST_CHUNK && stream != null) {
+            end();
+            stream.finish();
+          } else {
+            onLost("the answer ended without its last part");
+          }
+        }
+        case NOT_TAKEN -> onNotTaken(collected.toString(StandardCharsets.UTF_8));
+        case REPEATED, WILLING -> onLost(collected.toString(StandardCharsets.UTF_8));
+      }
+    }
+
+    @Override
+    public void onFailure(HttpFailure failure, String detail) {
+      if (ended) {
+        return;
+      }
+      if (failure == HttpFailure.NOT_SENT) {
+        policy.onUnwilling(sibling, clock.instant());
+        onNotTaken(detail);
+      } else if (result == Result.NOT_TAKEN) {
+        onNotTaken(detail);
+      } else {
+        policy.onUnwilling(sibling, clock.instant());
+        onLost(detail);
+      }
+    }
+
+    private void onNotTaken(String detail) {
+      policy.onEnded(sibling);
+      collected.reset();
+      events.accept(
+          new GatewayEvent.HandoverRefused(dispatcher.requestId(exchange), sibling, detail));
+      offerOrServe();
+    }
+
+    /**
+     * Handles the loss of an answer. The request may have run, as often as the other instance was
+     * allowed to send it; it is sent to a server again only if attempts are left.
+     */
+    private void onLost(String detail) {
+      int attemptsLeft = route.maxAttempts() - maxAttempts;
+      boolean again = stream == null && route.repeatable() && attemptsLeft > 0;
+      if (!again) {
+        abandon(detail);
+        return;
+      }
+      reportLost(detail, true);
+      end();
+      dispatcher.handleMayHaveRun(exchange, attemptsLeft);
+    }
+
+    /** Ends the request without its answer. */
+    void abandon(String detail) {
+      if (ended) {
+        return;
+      }
+      reportLost(detail, false);
+      end();
+      call.cancel();
+      if (stream != null) {
+        stream.abort();
+      } else {
+        dispatcher.respondMayHaveRun(exchange, "instance " + sibling + ": " + detail);
+      }
+    }
+
+    private void reportLost(String detail, boolean again) {
+      events.accept(
+          new GatewayEvent.HandoverLost(
+              dispatcher.requestId(exchange), sibling, stream != null, again, detail));
+    }
+
+    void endIfOverdue(Instant now) {
+      if (now.isAfter(overdueAt)) {
+        policy.onUnwilling(sibling, now);
+        abandon("no whole answer in time");
+      }
+    }
+
+    private void onCallerDisconnected() {
+      if (!ended) {
+        end();
+        call.cancel();
+      }
+    }
+
+    private void end() {
+      ended = true;
+      if (result == Result.COMPLETE) {
+        collectedBytes -= collected.size();
+      }
+      open.remove(this);
+      policy.onEnded(sibling);
+    }
+  }
+}
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -87,6 +87,11 @@
       case GatewayEvent.AnsweredLate late -> count("requests_answered_late");
       case GatewayEvent.LoopStalled stalled -> count("loop_stalls");
       case GatewayEvent.HolderUnreachable unreachable -> count("holders_unreachable");
+      case GatewayEvent.HandedOver handedOver -> count("requests_handed_over");
+      case GatewayEvent.HandoverRefused refused -> count("handovers_refused");
+      case GatewayEvent.HandoverLost lost -> count("handovers_lost");
+      case GatewayEvent.HandoverTaken taken -> count("handovers_taken");
+      case GatewayEvent.HandoverRejected rejected -> count("handovers_rejected");
       case GatewayEvent.LinesDropped dropped ->
           registry.counter("log_lines_dropped").inc(dropped.count());
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/Route.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/Route.java
@@ -57,6 +57,25 @@
     services = List.copyOf(services);
   }
 
+  /** Returns this route with another number of servers to which an attempt may be sent. */
+  public Route withMaxAttempts(int attempts) {
+    return attempts == maxAttempts
+        ? this
+        : new Route(
+            name,
+            host,
+            pathPrefix,
+            kind,
+            resumable,
+            keyless,
+            timeout,
+            aim,
+            pauseAim,
+            rank,
+            attempts,
+            services);
+  }
+
   /** Returns whether a request that may have run may be sent again. */
   public boolean repeatable() {
     return switch (kind) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -53,6 +53,9 @@
 
   static final String REPEATABLE_PATH = "/hold/";
 
+  /** The path prefix of a route whose requests may be sent to three servers. */
+  static final String OFTEN_REPEATABLE_PATH = "/read/";
+
   /** A request that the gateway sent to a server's address. */
   record SentRequest(HttpCallRequest request, HttpListener listener) {
     String address() {
@@ -84,6 +87,7 @@
   final List<SentRequest> sent = new ArrayList<>();
   final List<SentRequest> probes = new ArrayList<>();
   final List<GatewayEvent> events = new ArrayList<>();
+  final GatewayPlan plan;
   final RequestDispatcher dispatcher;
   final PromptPartQuarantine promptParts;
 
@@ -121,12 +125,13 @@
   private static final Set<String> ONLY_INSTANCE = Set.of("instance-1");
 
   GatewayFixture() {
-    GatewayPlan plan =
+    plan =
         new GatewayPlan(
             1,
             List.of(
                 route("bid", ONCE_PATH, RouteKind.AT_MOST_ONCE, 1),
-                route("hold", REPEATABLE_PATH, RouteKind.IDEMPOTENT, 2)),
+                route("hold", REPEATABLE_PATH, RouteKind.IDEMPOTENT, 2),
+                route("read", OFTEN_REPEATABLE_PATH, RouteKind.IDEMPOTENT, 3)),
             List.of(new PlannedService(SERVICE, 100, 0)),
             List.of(),
             CallerLimits.untilPublished());
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/handover/package-info.java
@@ -0,0 +1,4 @@
+@NullMarked
+package org.teaseldeal.gateway.handover;
+
+import org.jspecify.annotations.NullMarked;
