--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
@@ -130,6 +130,12 @@
     cancelTimer.run();
   }
 
+  /** Returns for how long the next round has been due; zero if it is not due yet. */
+  public Duration overdue() {
+    Instant now = clock.instant();
+    return now.isAfter(nextRoundAt) ? Duration.between(nextRoundAt, now) : Duration.ZERO;
+  }
+
   private void runRound() {
     if (stopped) {
       return;
