Place requests to services without engines by free slots, and let them wait for room

Callers of a service of three servers with six slots each were refused though its servers had room: sixty instances follow loads that are older than a request lives, and all send to the server that looks least loaded until the next report. A request that may be sent only once is lost to its caller with the first rejection.

PlainPlacement draws a server at random in proportion to its presumably free slots, and leaves out for 100 ms what has rejected a request. If no server is left, the request waits in RoomQueue: by rank, then customers in turn, then by the time left; what can't be served before its deadline is refused at once. An instance that hears of no other keeps to its share of the servers' rate, and so do less urgent requests while the servers hold more than one and a half times their slots.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -23,6 +23,15 @@
       String request, String customer, long tokens, long idleHere, boolean logReachable)
       implements GatewayEvent {}
 
+  /**
+   * No server of the request's service has room for it, so it waits at this instance.
+   *
+   * @param waiting the requests of the service that wait here, including this one
+   * @param startsPerSecond the rate at which this instance expects to send them
+   */
+  record WaitsForRoom(String request, String service, int rank, int waiting, double startsPerSecond)
+      implements GatewayEvent {}
+
   /**
    * A request was sent to a backend server.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -94,7 +94,9 @@
   private final Set<RequestFlow> flows = new LinkedHashSet<>();
   private final Map<String, RetryWindow> retryWindows = new HashMap<>();
   private final Map<String, RecentDurations> answerTimesByRoute = new HashMap<>();
+  private final WaitingRequests waitingRequests = new WaitingRequests();
   private @Nullable DrainAdmission drainAdmission;
+  private boolean placesPlainRequests;
   private boolean refusingAll;
   private long bufferedBytes;
 
@@ -139,6 +141,19 @@
     return selector.ejectedCount(components.clock().instant());
   }
 
+  /**
+   * From now on places requests to services without engines by the slots that are free at their
+   * servers, and lets requests wait for which there is no room.
+   */
+  public void placePlainRequests() {
+    placesPlainRequests = true;
+  }
+
+  /** The number of requests that wait until a server has room. */
+  public int requestsWaitingForRoom() {
+    return waitingRequests.size();
+  }
+
   /** From now on admits only the requests that {@code admission} allows. */
   public void drain(DrainAdmission admission) {
     drainAdmission = admission;
@@ -229,6 +244,11 @@
     components.quarantine().tick();
     components.promptParts().tick();
     new ArrayList<>(flows).forEach(flow -> isolatedTasks.run(flow.request().id(), flow::tick));
+    isolatedTasks.run("waiting requests", this::sendWaiting);
+  }
+
+  private void sendWaiting() {
+    waitingRequests.send(components.clock().instant());
   }
 
   private void start(HttpExchange exchange, Admitted admitted) {
@@ -432,6 +452,16 @@
   void onEnded(RequestFlow flow) {
     flows.remove(flow);
     isolatedTasks.forget(flow.request().id());
+    waitingRequests.remove(flow);
+    sendWaiting();
+  }
+
+  boolean placesPlainRequests() {
+    return placesPlainRequests;
+  }
+
+  WaitingRequests waitingRequests() {
+    return waitingRequests;
   }
 
   private RetryWindow retryWindow(String service) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
+import org.teaseldeal.decisions.RoomQueue;
 import org.teaseldeal.gateway.account.Reservation;
 import org.teaseldeal.gateway.account.ReservationListener;
 import org.teaseldeal.gateway.account.TokenRequests;
@@ -143,6 +144,10 @@
   private final CallerStream stream;
   private final long planVersion;
   private final boolean trial;
+
+  /** Whether the request is placed as one to a service without engines. */
+  private final boolean plain;
+
   private final Instant arrivedAt;
   private final Instant deadline;
   private final Set<ServerIncarnation> failedIncarnations = new HashSet<>();
@@ -156,6 +161,9 @@
   private int connectFailures;
   private boolean mayHaveRun;
 
+  /** Whether it is this request's turn among those that wait for room. */
+  private boolean hasTurn;
+
   private @Nullable Attempt attempt;
   private @Nullable HeldRepeat heldRepeat;
   private boolean promptPartsCleared;
@@ -180,6 +188,8 @@
             components, request, customer.map(PrepaidCustomer::name).orElse(""), service);
     this.planVersion = admitted.planVersion();
     this.trial = admitted.trial();
+    this.plain =
+        dispatcher.placesPlainRequests() && request.prompt().isEmpty() && !route.kind().streamed();
     this.arrivedAt = admitted.arrived();
     this.deadline = arrivedAt.plus(RequestDispatcher.maxDuration(request, route));
   }
@@ -300,7 +310,9 @@
     } else if (heldRepeat != null) {
       repeatUnlessSuspected(heldRepeat);
     } else if (stage == Stage.SERVER) {
-      send();
+      if (!dispatcher.waitingRequests().contains(this)) {
+        send();
+      }
     } else if (stage == Stage.ANSWER) {
       if (attempt != null && !attempt.relayed()) {
         components.links().onSilent(attempt.server(), attempt.silence());
@@ -332,6 +344,21 @@
     fail(Problem.of(ErrorKind.BACKEND_FAILED, "the instance ended while it ran"));
   }
 
+  /**
+   * Sends the request, whose turn it is, if a server has room; returns whether it waits no more.
+   */
+  boolean sendInTurn() {
+    hasTurn = true;
+    send();
+    hasTurn = false;
+    return stage != Stage.SERVER;
+  }
+
+  /** Refuses the request, which waits for room, because it can't be served before its deadline. */
+  void refuseOverdue() {
+    giveUp(ErrorKind.OVERLOADED, "no server had room in time");
+  }
+
   private void send() {
     if (dispatcher.refusingAll() && !mayHaveRun) {
       refuse(dispatcher.drainingProblem());
@@ -342,15 +369,18 @@
       giveUp(quarantine.get().kind(), quarantine.get().detail());
       return;
     }
-    Optional<ServerSelector.Selection> chosen =
-        dispatcher
-            .selector()
-            .select(
-                new ServerSelector.Criteria(
-                    service, request.prompt(), route.aim(), failedIncarnations, stream.version()),
-                now());
+    if (plain && !hasTurn && dispatcher.waitingRequests().size(service) > 0) {
+      waitForRoom();
+      return;
+    }
+    ServerSelector.Criteria criteria = criteria();
+    Optional<ServerSelector.Selection> chosen = dispatcher.selector().select(criteria, now());
     if (chosen.isEmpty()) {
-      waitOrGiveUp();
+      if (plain && dispatcher.selector().hasCandidates(criteria, now())) {
+        waitForRoom();
+      } else {
+        waitOrGiveUp();
+      }
       return;
     }
     BackendServer server = chosen.get().server();
@@ -384,6 +414,43 @@
             answer.lastEventId().isEmpty() ? Optional.empty() : Optional.of(answer.lastEventId())));
   }
 
+  private ServerSelector.Criteria criteria() {
+    return new ServerSelector.Criteria(
+        service,
+        request.prompt(),
+        route.aim(),
+        failedIncarnations,
+        stream.version(),
+        plain ? OptionalInt.of(rank()) : OptionalInt.empty());
+  }
+
+  private void waitForRoom() {
+    WaitingRequests waiting = dispatcher.waitingRequests();
+    if (waiting.contains(this)) {
+      return;
+    }
+    double startsPerSecond = dispatcher.selector().startsPerSecond(service);
+    Optional<Duration> retryAfter =
+        waiting.offer(
+            service,
+            new RoomQueue.Entry<>(
+                this,
+                customer.map(PrepaidCustomer::name).orElse(""),
+                rank(),
+                deadline.minus(dispatcher.selector().usualDuration(service))),
+            startsPerSecond,
+            now());
+    if (retryAfter.isPresent()) {
+      giveUp(ErrorKind.OVERLOADED, "no server will have room in time", retryAfter.get());
+      return;
+    }
+    components
+        .events()
+        .accept(
+            new GatewayEvent.WaitsForRoom(
+                request.id(), service, rank(), waiting.size(service), startsPerSecond));
+  }
+
   private GatewayEvent.Placed placedEvent(ServerSelector.Selection chosen, Way way) {
     BackendServer server = chosen.server();
     long unshared = request.prompt().map(PromptDescription::unsharedTokens).orElse(0L);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -14,6 +14,7 @@
 import java.util.random.RandomGenerator;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.decisions.BrittleLimits;
+import org.teaseldeal.decisions.PlainPlacement;
 import org.teaseldeal.decisions.PromptPlacement;
 import org.teaseldeal.decisions.ServerHealth;
 import org.teaseldeal.gateway.event.EventSink;
@@ -60,13 +61,25 @@
    *     since may be chosen again
    * @param softwareVersion the only version at which a stream that has begun may go on; empty if
    *     any version may serve the request
+   * @param plainRank the priority of a request that is placed by {@link PlainPlacement}; empty for
+   *     other requests
    */
   record Criteria(
       String service,
       Optional<PromptDescription> prompt,
       Duration targetTime,
       Set<ServerIncarnation> tried,
-      Optional<String> softwareVersion) {}
+      Optional<String> softwareVersion,
+      OptionalInt plainRank) {
+    Criteria(
+        String service,
+        Optional<PromptDescription> prompt,
+        Duration targetTime,
+        Set<ServerIncarnation> tried,
+        Optional<String> softwareVersion) {
+      this(service, prompt, targetTime, tried, softwareVersion, OptionalInt.empty());
+    }
+  }
 
   /**
    * The chosen server and the data that led to the choice.
@@ -94,6 +107,7 @@
   private final EventSink events;
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
   private final Map<String, BrittleLimits> limitsByService = new HashMap<>();
+  private final Map<String, PlainPlacement> plainByService = new HashMap<>();
   private final Map<BackendServerId, ServerIncarnation> knownIncarnations = new HashMap<>();
   private long lastSeenChanges = -1;
   private Instant nextUpdate = Instant.MIN;
@@ -145,6 +159,8 @@
                 listedByService.getOrDefault(service, Set.of()), now, lastSeenChanges < 0));
     limitsByService.forEach(
         (service, limits) -> limits.retain(listedByService.getOrDefault(service, Set.of())));
+    plainByService.forEach(
+        (service, placement) -> placement.retain(listedByService.getOrDefault(service, Set.of())));
     knownIncarnations.keySet().removeIf(id -> servers.find(id).isEmpty());
     lastSeenChanges = servers.changes();
   }
@@ -173,28 +189,20 @@
   Optional<Selection> select(Criteria criteria, Instant now) {
     refreshFromList(now);
     ServerHealth health = health(criteria.service());
-    Optional<PromptDescription> prompt = criteria.prompt();
-    PrefixLookup prefixes = new PrefixLookup(cachedPrompts, prompt);
+    PrefixLookup prefixes = new PrefixLookup(cachedPrompts, criteria.prompt());
     List<BackendServer> eligible = eligible(criteria, now);
     PeerLoads loads = peerLoads.get();
-    List<BackendServer> untried =
-        eligible.stream()
-            .filter(server -> !criteria.tried().contains(server.incarnation()))
-            .filter(server -> hasRoom(server, loads, now))
-            .toList();
-    List<BackendServer> sendable = sendable(untried, now);
+    List<BackendServer> sendable = sendable(untried(criteria, eligible, loads, now), now);
     List<BackendServer> healthy =
         sendable.stream()
             .filter(server -> !server.isExcluded(now) && health.isEligible(server.id(), now))
             .toList();
     List<BackendServer> candidates = healthy.isEmpty() ? sendable : healthy;
-    List<PromptPlacement.Candidate> views =
-        candidates.stream()
-            .map(server -> candidate(server, loads.at(server.id()), prefixes))
-            .toList();
-    String prefix = prompt.map(PromptDescription::lastSharedPartId).orElse("");
-    return PromptPlacement.choose(
-            views, new PromptPlacement.Prompt(prefix, criteria.targetTime()), random)
+    Optional<BackendServerId> chosen =
+        criteria.plainRank().isPresent()
+            ? choosePlain(candidates, criteria, loads, now)
+            : choosePrompt(candidates, criteria, loads, prefixes);
+    return chosen
         .flatMap(servers::find)
         .map(
             server ->
@@ -207,6 +215,73 @@
                     loads.age()));
   }
 
+  /** The eligible servers that have not failed the request before and have room for it. */
+  private List<BackendServer> untried(
+      Criteria criteria, List<BackendServer> eligible, PeerLoads loads, Instant now) {
+    return eligible.stream()
+        .filter(server -> !criteria.tried().contains(server.incarnation()))
+        .filter(server -> hasRoom(server, loads, now))
+        .toList();
+  }
+
+  private Optional<BackendServerId> choosePrompt(
+      List<BackendServer> candidates, Criteria criteria, PeerLoads loads, PrefixLookup prefixes) {
+    List<PromptPlacement.Candidate> views =
+        candidates.stream()
+            .map(server -> candidate(server, loads.at(server.id()), prefixes))
+            .toList();
+    String prefix = criteria.prompt().map(PromptDescription::lastSharedPartId).orElse("");
+    return PromptPlacement.choose(
+        views, new PromptPlacement.Prompt(prefix, criteria.targetTime()), random);
+  }
+
+  private Optional<BackendServerId> choosePlain(
+      List<BackendServer> candidates, Criteria criteria, PeerLoads loads, Instant now) {
+    return plain(criteria.service())
+        .choose(
+            plainCandidates(candidates, loads),
+            new PlainPlacement.Fleet(loads.age(), Math.max(1, instances.getAsInt())),
+            criteria.plainRank().getAsInt(),
+            now);
+  }
+
+  private List<PlainPlacement.Candidate> plainCandidates(
+      List<BackendServer> candidates, PeerLoads loads) {
+    return candidates.stream()
+        .map(
+            server ->
+                new PlainPlacement.Candidate(
+                    server.id(),
+                    Math.max(1, server.maxConcurrentRequests()),
+                    server.running(),
+                    loads.at(server.id()).running(),
+                    health(server.service()).slowness(server.id())))
+        .toList();
+  }
+
+  private PlainPlacement plain(String service) {
+    return plainByService.computeIfAbsent(service, name -> new PlainPlacement(random));
+  }
+
+  /** Whether a server could run the request once it has room. */
+  boolean hasCandidates(Criteria criteria, Instant now) {
+    List<BackendServer> eligible = eligible(criteria, now);
+    return !sendable(untried(criteria, eligible, peerLoads.get(), now), now).isEmpty();
+  }
+
+  /** The usual time of a request to a service without engines. */
+  Duration usualDuration(String service) {
+    return plain(service).usualDuration();
+  }
+
+  /** How many requests this instance may send in a second to a service whose servers are full. */
+  double startsPerSecond(String service) {
+    return plain(service)
+        .startsPerSecond(
+            plainCandidates(servers.ready(service), peerLoads.get()),
+            Math.max(1, instances.getAsInt()));
+  }
+
   /**
    * The servers that this instance may send a request to. If all are warming up and this instance
    * has used its share, these are the servers that another instance may send it to.
@@ -321,6 +396,10 @@
       limits.onRejected(
           server.id(), server.maxConcurrentRequests(), fleetLoad(server, peerLoads.get()), now);
     }
+    PlainPlacement placement = plainByService.get(server.service());
+    if (placement != null) {
+      placement.onRejected(server.id(), now);
+    }
   }
 
   /**
@@ -332,6 +411,10 @@
     if (servers.lists(server.incarnation())) {
       health(server.service()).onAnswered(server.id(), took, work);
       limits(server.service()).onAnswered(took);
+      PlainPlacement placement = plainByService.get(server.service());
+      if (placement != null) {
+        placement.onAnswered(took);
+      }
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -57,6 +57,7 @@
       case GatewayEvent.AnswerEnded ended -> onAnswerEnded(ended);
       case GatewayEvent.RequestEnded ended -> onRequestEnded(ended);
       case GatewayEvent.WaitsForTokens waiting -> count("requests_that_waited_for_tokens");
+      case GatewayEvent.WaitsForRoom waiting -> count("requests_that_waited_for_room");
       case GatewayEvent.PlanInForce plan -> planVersion.set(plan.version());
       case GatewayEvent.PlanUnreadable unreadable -> count("plans_unreadable");
       case GatewayEvent.ServerListed listed -> count("servers_listed_as_", listed.state());
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -17,7 +17,10 @@
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
 
-/** A dialect that accepts every request, for one host, and treats every answer as genuine. */
+/**
+ * A dialect that accepts every request, for one host, and treats answers as genuine unless they say
+ * otherwise.
+ */
 public final class FakeDialect implements Dialect {
   /** The status of an answer from a server other than the intended one. */
   private static final int OTHER_SERVER_STATUS = 421;
@@ -25,6 +28,9 @@
   /** In an answer: the rejections per second from which on the server fails. */
   public static final String BRITTLE_HEADER = "brittle";
 
+  /** In an answer: the server has not run the request. */
+  public static final String NOT_RUN_HEADER = "not-run";
+
   /** In a path: introduces the ids of the prompt's shared parts, separated by commas. */
   public static final String PARTS_QUERY = "?parts=";
 
@@ -86,6 +92,9 @@
 
   @Override
   public AnswerVerdict verdict(int status, Map<String, String> headers) {
+    if (headers.containsKey(NOT_RUN_HEADER)) {
+      return AnswerVerdict.NOT_RUN;
+    }
     return status == OTHER_SERVER_STATUS ? AnswerVerdict.OTHER_SERVER : AnswerVerdict.GENUINE;
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -73,6 +73,12 @@
       listener.onEnd(AnswerEnd.LENGTH);
     }
 
+    /** Answers as a server that has no room for the request. */
+    void rejectNotRun() {
+      listener.onHead(503, Map.of(FakeDialect.NOT_RUN_HEADER, "full"));
+      listener.onEnd(AnswerEnd.LENGTH);
+    }
+
     void answer(int status) {
       listener.onHead(status, Map.of());
       listener.onEnd(AnswerEnd.LENGTH);
