Choose engines by fitted speeds and memory, and divide them between long and short prompts

Callers of short prompts waited behind prompts of 12,000 tokens at the same engine, because an instance hears of the others' prompts a tenth of a second late. Engines were all taken to read 60 tokens in a millisecond, and nothing kept requests of all instances from filling an engine's memory. Each choice compared all engines of the service and copied the other instances' loads.

- EngineRates fits how fast engines read and how much a running request adds, with a factor for each engine.
ServerHealth's slowness counts only beyond its bound for ejection, so that speed isn't counted twice.
- EngineMemory limits the tokens of all instances at an engine to a share of its memory, read from the configuration.
Without room a request waits briefly and is refused as not run.
- PromptMix divides the engines between long and short prompts by the observed shares of reading; either kind uses any engine when its own ones would take more than half of its aim.
- EngineShortlist examines the first homes of the prefix and a few random engines instead of all.
- The list of ready servers and the others' loads are kept instead of copied for each request, and the order of homes no longer hashes texts for each engine.

All are switched on by the table [engines] of the instance's settings.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerHealth.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerHealth.java
@@ -219,6 +219,15 @@
     return Math.max(overdue >= SLOW_RATIO ? Math.max(answered, overdue) : answered, 0.1);
   }
 
+  /**
+   * Returns {@link #slowness} of a server that is so slow that it would be ejected, 1 for any
+   * other; for callers that know by other means how fast each server is.
+   */
+  public double outlierSlowness(BackendServerId server) {
+    double slowness = slowness(server);
+    return slowness >= SLOW_RATIO ? slowness : 1;
+  }
+
   private boolean isUnhealthy(Observations observations, double poolMedian) {
     boolean slow =
         observations.samples >= MIN_EJECTION_SAMPLES
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -28,6 +28,7 @@
 
   private final RequestFlow flow;
   private final GatewayComponents components;
+  private final ServerSelector.Selection selection;
   private final BackendServer server;
 
   /** The number of prompt tokens that no server can have in its cache. */
@@ -36,6 +37,9 @@
   /** The number of prompt tokens that the server presumably has to read. */
   private final long uncachedTokens;
 
+  /** The number of tokens of the prompt and its answer; 0 for a request without a prompt. */
+  private final long maxTokens;
+
   private final boolean streamed;
   private final boolean relayed;
   private final Instant startedAt;
@@ -60,14 +64,15 @@
   Attempt(
       RequestFlow flow,
       GatewayComponents components,
-      BackendServer server,
-      long uncachedTokens,
+      ServerSelector.Selection selection,
       boolean streamed,
       boolean relayed) {
     this.flow = flow;
     this.components = components;
-    this.server = server;
-    this.uncachedTokens = uncachedTokens;
+    this.selection = selection;
+    this.server = selection.server();
+    this.uncachedTokens = selection.uncachedTokens();
+    this.maxTokens = flow.request().prompt().map(PromptDescription::maxTokens).orElse(0L);
     this.streamed = streamed;
     this.relayed = relayed;
     this.unsharedTokens = flow.request().prompt().map(PromptDescription::unsharedTokens).orElse(0L);
@@ -78,6 +83,7 @@
 
   void start(ForwardingTerms terms) {
     server.onRequestSent(uncachedTokens);
+    server.holdTokens(maxTokens);
     HttpCallRequest request = components.dialect().forward(flow.request(), terms);
     HttpCall sent =
         relayed
@@ -209,6 +215,9 @@
       if (limits.onEvent(event)) {
         lastProgressAt = lastReceivedAt;
       }
+      if (!promptMarkedRead && !relayed && maxTokens > 0) {
+        flow.onFirstEvent(selection, Duration.between(startedAt, lastReceivedAt));
+      }
       markPromptRead();
       flow.onEvent(status, headers, event);
       if (ended) {
@@ -301,6 +310,7 @@
     ended = true;
     markPromptRead();
     flow.releaseBuffered(body.size());
+    server.releaseTokens(maxTokens);
     server.onRequestEnded();
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
@@ -24,6 +24,7 @@
  * @param peerLoads the load that the other instances have outstanding at the backend servers
  * @param cachedPrompts the prompt parts that are presumably in the backend servers' caches
  * @param instances the number of instances, including this one
+ * @param engineOptions how the engines of prompts are chosen
  */
 public record GatewayComponents(
     Supplier<@Nullable GatewayPlan> plan,
@@ -40,4 +41,41 @@
     RetryLimits retryLimits,
     EventSink events,
     InstantSource clock,
-    RandomGenerator random) {}
+    RandomGenerator random,
+    EngineOptions engineOptions) {
+  /** Creates components that choose engines without any option. */
+  public GatewayComponents(
+      Supplier<@Nullable GatewayPlan> plan,
+      ServerDirectory servers,
+      TokenRequests tokens,
+      RequestQuarantine quarantine,
+      PromptPartQuarantine promptParts,
+      StreamOrigins streamOrigins,
+      Dialect dialect,
+      ServerLinks links,
+      Supplier<PeerLoads> peerLoads,
+      CachedPrompts cachedPrompts,
+      IntSupplier instances,
+      RetryLimits retryLimits,
+      EventSink events,
+      InstantSource clock,
+      RandomGenerator random) {
+    this(
+        plan,
+        servers,
+        tokens,
+        quarantine,
+        promptParts,
+        streamOrigins,
+        dialect,
+        links,
+        peerLoads,
+        cachedPrompts,
+        instances,
+        retryLimits,
+        events,
+        clock,
+        random,
+        EngineOptions.NONE);
+  }
+}
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -108,10 +108,17 @@
             components.instances(),
             components.links().warmUpLimits(),
             components.events(),
-            components.random());
+            components.random(),
+            components.engineOptions(),
+            this::memoryTokens);
     components.links().setListener(new LinkObserver());
   }
 
+  private long memoryTokens(String service) {
+    GatewayPlan plan = components.plan().get();
+    return plan == null ? 0 : plan.service(service).map(PlannedService::memoryTokens).orElse(0L);
+  }
+
   /** Keeps failures of this instance's paths apart from failures of servers. */
   private final class LinkObserver implements ServerLinks.Listener {
     @Override
@@ -139,6 +146,16 @@
     return selector.ejectedCount(components.clock().instant());
   }
 
+  /** The number of prompts placed at engines that prompts of the other length use first. */
+  public long promptsAtOtherEngines() {
+    return selector.promptsAtOtherEngines();
+  }
+
+  /** The microseconds in which an average engine is taken to read a token of a prompt. */
+  public long engineReadMicrosPerToken() {
+    return selector.engineReadMicrosPerToken();
+  }
+
   /** From now on admits only the requests that {@code admission} allows. */
   public void drain(DrainAdmission admission) {
     drainAdmission = admission;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -365,14 +365,12 @@
     placementDelay = Duration.between(arrivedAt, now());
     components.events().accept(placedEvent(chosen.get(), way));
     components.cachedPrompts().onSent(server.incarnation(), sharedPartIds(), now());
+    request
+        .prompt()
+        .ifPresent(
+            prompt -> dispatcher.selector().onPromptSent(chosen.get(), prompt, route.aim(), now()));
     Attempt next =
-        new Attempt(
-            this,
-            components,
-            server,
-            chosen.get().uncachedTokens(),
-            route.kind().streamed(),
-            way == Way.RELAY);
+        new Attempt(this, components, chosen.get(), route.kind().streamed(), way == Way.RELAY);
     attempt = next;
     next.start(
         new ForwardingTerms(
@@ -503,6 +501,11 @@
     dispatcher.selector().onAnswerHead(server, maxRejections, now());
   }
 
+  /** Records the time to the first event of an answer to a prompt. */
+  void onFirstEvent(ServerSelector.Selection selection, Duration took) {
+    dispatcher.selector().onFirstEvent(selection, took);
+  }
+
   void onEvent(int status, Map<String, String> headers, EventSplitter.Event event) {
     if (stage == Stage.ENDED) {
       return;
@@ -579,6 +582,9 @@
     if (last != null) {
       tokenUsage.onAttemptEnded(last);
       dispatcher.selector().onAnswered(last.server(), last.age(), expectedAnswerMillis());
+      if (request.prompt().isPresent()) {
+        dispatcher.selector().onPromptAnswered(last.server(), last.age());
+      }
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -10,8 +10,11 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import java.util.function.IntSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
+import java.util.function.ToLongFunction;
 import java.util.random.RandomGenerator;
+import java.util.stream.Stream;
 import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.decisions.BrittleLimits;
 import org.teaseldeal.decisions.PromptPlacement;
@@ -71,10 +74,13 @@
   /**
    * The chosen server and the data that led to the choice.
    *
-   * @param candidates the number of servers that the choice was made from
+   * @param candidates the number of servers that may be used, not all of which need to have been
+   *     examined
    * @param otherVersions the number of servers that were left out because of their version
    * @param peerLoad the load that the other instances were presumed to have at the server
    * @param uncachedTokens the number of prompt tokens that the server has to read
+   * @param tokensAhead the prompt tokens of all instances that the server has to read before
+   * @param running the number of requests of all instances that run at the server
    * @param loadAge the age of the other instances' load figures
    */
   record Selection(
@@ -83,6 +89,8 @@
       int otherVersions,
       PeerLoad peerLoad,
       long uncachedTokens,
+      long tokensAhead,
+      int running,
       Duration loadAge) {}
 
   private final ServerDirectory servers;
@@ -94,6 +102,9 @@
   private final EventSink events;
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
   private final Map<String, BrittleLimits> limitsByService = new HashMap<>();
+  private final Map<String, EngineChoice> enginesByService = new HashMap<>();
+  private final EngineOptions engineOptions;
+  private final ToLongFunction<String> memoryTokens;
   private final Map<BackendServerId, ServerIncarnation> knownIncarnations = new HashMap<>();
   private long lastSeenChanges = -1;
   private Instant nextUpdate = Instant.MIN;
@@ -106,6 +117,35 @@
       WarmUpLimits warmUpLimits,
       EventSink events,
       RandomGenerator random) {
+    this(
+        servers,
+        peerLoads,
+        cachedPrompts,
+        instances,
+        warmUpLimits,
+        events,
+        random,
+        EngineOptions.NONE,
+        service -> 0);
+  }
+
+  /**
+   * Creates a selector.
+   *
+   * @param memoryTokens the tokens that the memory of an engine of a service holds; 0 if unknown
+   */
+  ServerSelector(
+      ServerDirectory servers,
+      Supplier<PeerLoads> peerLoads,
+      CachedPrompts cachedPrompts,
+      IntSupplier instances,
+      WarmUpLimits warmUpLimits,
+      EventSink events,
+      RandomGenerator random,
+      EngineOptions engineOptions,
+      ToLongFunction<String> memoryTokens) {
+    this.engineOptions = engineOptions;
+    this.memoryTokens = memoryTokens;
     this.instances = instances;
     this.warmUpLimits = warmUpLimits;
     this.events = events;
@@ -145,6 +185,8 @@
                 listedByService.getOrDefault(service, Set.of()), now, lastSeenChanges < 0));
     limitsByService.forEach(
         (service, limits) -> limits.retain(listedByService.getOrDefault(service, Set.of())));
+    enginesByService.forEach(
+        (service, engines) -> engines.retain(listedByService.getOrDefault(service, Set.of())));
     knownIncarnations.keySet().removeIf(id -> servers.find(id).isEmpty());
     lastSeenChanges = servers.changes();
   }
@@ -158,6 +200,7 @@
   private void forgetEarlierIncarnation(BackendServer server, Instant now) {
     if (!server.incarnation().equals(knownIncarnations.put(server.id(), server.incarnation()))) {
       health(server.service()).forget(server.id());
+      engines(server.service()).forget(server.id());
       limits(server.service())
           .onListed(server.id(), server.maxConcurrentRequests(), instances.getAsInt(), now);
     }
@@ -172,8 +215,11 @@
   /** Chooses a server; empty if there is none with room for the request. */
   Optional<Selection> select(Criteria criteria, Instant now) {
     refreshFromList(now);
-    ServerHealth health = health(criteria.service());
     Optional<PromptDescription> prompt = criteria.prompt();
+    if (prompt.isPresent()) {
+      return selectEngine(criteria, prompt.get(), now);
+    }
+    ServerHealth health = health(criteria.service());
     PrefixLookup prefixes = new PrefixLookup(cachedPrompts, prompt);
     List<BackendServer> eligible = eligible(criteria, now);
     PeerLoads loads = peerLoads.get();
@@ -198,13 +244,71 @@
         .flatMap(servers::find)
         .map(
             server ->
-                new Selection(
+                selection(
                     server,
                     candidates.size(),
                     servers.ready(criteria.service()).size() - eligible.size(),
-                    loads.at(server.id()),
-                    prefixes.uncachedTokens(server),
-                    loads.age()));
+                    loads,
+                    prefixes));
+  }
+
+  private static Selection selection(
+      BackendServer server,
+      int candidates,
+      int otherVersions,
+      PeerLoads loads,
+      PrefixLookup prefixes) {
+    PeerLoad peerLoad = loads.at(server.id());
+    return new Selection(
+        server,
+        candidates,
+        otherVersions,
+        peerLoad,
+        prefixes.uncachedTokens(server),
+        Math.max(0, server.promptTokensAhead()) + peerLoad.promptTokensAhead(),
+        server.running() + peerLoad.running(),
+        loads.age());
+  }
+
+  /**
+   * Chooses an engine for a prompt among the first of these groups that isn't empty: the engines
+   * that are healthy and that this instance may send to, those that it may send to, and those that
+   * another instance may send to.
+   */
+  private Optional<Selection> selectEngine(
+      Criteria criteria, PromptDescription prompt, Instant now) {
+    ServerHealth health = health(criteria.service());
+    EngineChoice engines = engines(criteria.service());
+    PrefixLookup prefixes = new PrefixLookup(cachedPrompts, criteria.prompt());
+    List<BackendServer> eligible = eligible(criteria, now);
+    PeerLoads loads = peerLoads.get();
+    Predicate<BackendServer> untried =
+        server -> !criteria.tried().contains(server.incarnation()) && hasRoom(server, loads, now);
+    Predicate<BackendServer> direct = server -> warmUpLimits.hasRoom(server, now);
+    Predicate<BackendServer> healthy =
+        server -> !server.isExcluded(now) && health.isEligible(server.id(), now);
+    Predicate<BackendServer> relayed = warmUpLimits::hasOtherHolders;
+    Predicate<BackendServer> usable =
+        Stream.of(untried.and(direct).and(healthy), untried.and(direct))
+            .filter(each -> eligible.stream().anyMatch(each))
+            .findFirst()
+            .orElse(untried.and(relayed));
+    return engines
+        .choose(eligible, usable, prompt, prefixes, criteria.targetTime(), loads, health)
+        .map(
+            server ->
+                selection(
+                    server,
+                    eligible.size(),
+                    servers.ready(criteria.service()).size() - eligible.size(),
+                    loads,
+                    prefixes));
+  }
+
+  private EngineChoice engines(String service) {
+    return enginesByService.computeIfAbsent(
+        service,
+        name -> new EngineChoice(engineOptions, () -> memoryTokens.applyAsLong(name), random));
   }
 
   /**
@@ -283,7 +387,9 @@
   /** Whether servers of a service get no more requests than they have room for. */
   boolean limitsRequests(String service, Instant now) {
     BrittleLimits limits = limitsByService.get(service);
-    return (limits != null && limits.isInForce(now))
+    EngineChoice engines = enginesByService.get(service);
+    return (engines != null && engines.lacksMemory())
+        || (limits != null && limits.isInForce(now))
         || servers.ready(service).stream().anyMatch(warmUpLimits::isLimited);
   }
 
@@ -306,6 +412,45 @@
     }
   }
 
+  /** The number of prompts placed at engines that prompts of the other length use first. */
+  long promptsAtOtherEngines() {
+    return enginesByService.values().stream().mapToLong(EngineChoice::placedElsewhere).sum();
+  }
+
+  /** The microseconds in which the slowest service's average engine reads a token of a prompt. */
+  long engineReadMicrosPerToken() {
+    return enginesByService.values().stream()
+        .mapToLong(EngineChoice::readMicrosPerToken)
+        .max()
+        .orElse(0);
+  }
+
+  /** Records a prompt that was sent to an engine. */
+  void onPromptSent(
+      Selection selection, PromptDescription prompt, Duration targetTime, Instant now) {
+    engines(selection.server().service())
+        .onSent(prompt, selection.uncachedTokens(), targetTime, now);
+  }
+
+  /** Records the first event of an answer to a prompt. */
+  void onFirstEvent(Selection selection, Duration took) {
+    BackendServer server = selection.server();
+    if (servers.lists(server.incarnation())) {
+      engines(server.service())
+          .onFirstEvent(
+              server,
+              took,
+              selection.tokensAhead(),
+              selection.uncachedTokens(),
+              selection.running());
+    }
+  }
+
+  /** Records the end of an answer to a prompt. */
+  void onPromptAnswered(BackendServer server, Duration took) {
+    engines(server.service()).onEnded(took);
+  }
+
   /** Records that a request was sent to a server. */
   void onSent(BackendServer server, Instant now) {
     BrittleLimits limits = limitsByService.get(server.service());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -368,7 +368,8 @@
     Instant now = clock.instant();
     refreshServerHashes();
     if (!now.isBefore(sumsValidUntil)) {
-      sumsByServer = sumByServer(now);
+      // Copied once here, as a copy for each choice of a server would be costly.
+      sumsByServer = Map.copyOf(sumByServer(now));
       sumsValidUntil = now.plus(SUMS_MAX_AGE);
     }
     return new PeerLoads(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/BackendServer.java
@@ -22,6 +22,7 @@
   private boolean leaving;
   private int running;
   private long promptTokensAhead;
+  private long tokensHeld;
   private Instant excludeUntil = Instant.MIN;
   private final RestartEvidence restartEvidence = new RestartEvidence();
   private final WarmUp warmUp;
@@ -96,6 +97,11 @@
     return promptTokensAhead;
   }
 
+  /** The tokens of this instance's requests that run there, with their answers to come. */
+  public long tokensHeld() {
+    return tokensHeld;
+  }
+
   /** Whether the server gets no requests because of a recent failure that would probably recur. */
   public boolean isExcluded(Instant now) {
     return now.isBefore(excludeUntil);
@@ -173,6 +179,16 @@
     onLoadChange.run();
   }
 
+  /** Counts the tokens of a request and its answer, which the server's memory has to hold. */
+  public void holdTokens(long tokens) {
+    tokensHeld += tokens;
+  }
+
+  /** Counts the tokens of a request that has ended as released. */
+  public void releaseTokens(long tokens) {
+    tokensHeld -= tokens;
+  }
+
   /** Counts a request as ended. */
   public void onRequestEnded() {
     running--;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -29,6 +29,8 @@
   private final DepartedServers departed = new DepartedServers();
   private Consumer<BackendServer> replacedListener = earlier -> {};
   private Instant now = Instant.MIN;
+  private final Map<String, List<BackendServer>> readyByService = new HashMap<>();
+  private long readyAtChanges;
   private long changes;
   private long loadChanges;
 
@@ -71,7 +73,9 @@
     }
     known.onHeartbeat(listing.warmUpLeft(), now);
     boolean hadExpired = graceEnds.remove(listing.id()) != null;
-    boolean back = unusable.remove(listing.id()) || hadExpired;
+    boolean usableAgain = unusable.remove(listing.id());
+    boolean back = usableAgain || hadExpired;
+    changes += usableAgain ? 1 : 0;
     if (!known.isListedAsReady()) {
       return ListingChange.NONE;
     }
@@ -223,10 +227,16 @@
 
   /**
    * The servers of a service that accept requests according to the list. Servers of a service that
-   * no configuration contains are kept too, for a configuration that adds the service.
+   * no configuration contains are kept too, for a configuration that adds the service. The list is
+   * the same object until {@link #changes} increases.
    */
   public List<BackendServer> ready(String service) {
-    return usable(service).filter(BackendServer::isListedAsReady).toList();
+    if (readyAtChanges != changes) {
+      readyAtChanges = changes;
+      readyByService.clear();
+    }
+    return readyByService.computeIfAbsent(
+        service, name -> usable(name).filter(BackendServer::isListedAsReady).toList());
   }
 
   /**
