Bound what handovers hold and write, and count those that a stop cuts off

Bodies that are handed over or taken are in memory twice until their answers end: beyond 4 MiB of them an instance serves further ones itself. The lines of handed-over requests are sampled like those of served ones, as an instance that hands over is short of time; lost and refused ones are always written. The last line of an instance counts handed-over requests that its stop cut off.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
@@ -22,10 +22,11 @@
  * callers must not wait for it. Lines that don't fit are dropped and counted, and the count is
  * written as soon as there is room.
  *
- * <p>The lines of requests that were answered at the first attempt are written up to {@link
- * #UNSAMPLED_LINES_PER_SECOND} a second. Beyond that rate they are written for one in {@link
- * #SAMPLING_DIVISOR} requests only, which are the same ones at every instance. The lines of all
- * other requests and events are always written.
+ * <p>The lines of requests that were answered at the first attempt, and of requests that instances
+ * hand over to each other without a failure, are written up to {@link #UNSAMPLED_LINES_PER_SECOND}
+ * a second. Beyond that rate they are written for one in {@link #SAMPLING_DIVISOR} requests only,
+ * which are the same ones at every instance. The lines of all other requests and events are always
+ * written.
  */
 public final class EventLog implements EventSink {
   /** The number of buffered lines: about a second of a busy instance without sampling. */
@@ -137,6 +138,8 @@
           placed.attempt() == 1 && placed.resumes().isEmpty() && !placed.relayed();
       case GatewayEvent.RequestEnded ended ->
           ended.outcome().equals("answered") && ended.attempts() == 1;
+      case GatewayEvent.HandedOver handedOver -> true;
+      case GatewayEvent.HandoverTaken taken -> true;
       default -> false;
     };
   }
@@ -160,6 +163,8 @@
         switch (event) {
           case GatewayEvent.Placed placed -> placed.request();
           case GatewayEvent.RequestEnded ended -> ended.request();
+          case GatewayEvent.HandedOver handedOver -> handedOver.request();
+          case GatewayEvent.HandoverTaken taken -> taken.request();
           default -> "";
         };
     return Math.floorMod(request.hashCode(), SAMPLING_DIVISOR) != 0;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/HandedOverRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/HandedOverRequests.java
@@ -11,12 +11,14 @@
         }
 
         @Override
-        public void abortHandedOver() {}
+        public int abortHandedOver() {
+          return 0;
+        }
       };
 
   /** The number of requests that this instance has taken and not answered completely. */
   int taken();
 
-  /** Ends the requests that other instances have taken from this one. */
-  void abortHandedOver();
+  /** Ends the requests that other instances have taken from this one, and returns their number. */
+  int abortHandedOver();
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
@@ -126,7 +126,7 @@
       case ABORTING -> {
         abortedRequests = dispatcher.openRequests() + relay.openRequests();
         dispatcher.abortAll();
-        handedOver.abortHandedOver();
+        abortedRequests += handedOver.abortHandedOver();
       }
       case CLOSING -> callerServer.stopAcceptingAsync();
       case FLUSHING -> callerServer.closeIdleConnections(dispatcher.drainingAnswer());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverReceiver.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverReceiver.java
@@ -32,9 +32,11 @@
   /** The path of the calls: a question whether a request would be taken, or a request. */
   public static final String PATH = "/handovers";
 
-  /** Limits the memory that requests of other instances take. */
+  /** Limits the memory that requests of other instances take, with the size of their bodies. */
   private static final int MAX_OPEN_REQUESTS = 256;
 
+  private static final int MAX_TAKEN_BYTES = 4 << 20;
+
   /** The number of requests that are remembered, so that none is run again if it is repeated. */
   private static final int REMEMBERED_REQUESTS = 4_096;
 
@@ -51,6 +53,7 @@
   private final EventSink events;
   private final Set<String> taken = Collections.newSetFromMap(new RecentRequests());
   private int openRequests;
+  private int takenBytes;
 
   /**
    * Creates the receiver of an instance.
@@ -115,6 +118,11 @@
     dispatcher.handleHandedOver(handedOver, message.maxAttempts());
   }
 
+  private void onEnded(HandoverMessage message) {
+    openRequests--;
+    takenBytes -= message.body().length;
+  }
+
   /** Why a request is not taken; empty if it is. */
   private String obstacle(HandoverMessage message) {
     GatewayPlan current = plan.get();
@@ -125,8 +133,8 @@
       return "the plan's version is %d, expected %d"
           .formatted(current.version(), message.planVersion());
     }
-    if (openRequests >= MAX_OPEN_REQUESTS) {
-      return openRequests + " requests were taken";
+    if (openRequests >= MAX_OPEN_REQUESTS || takenBytes + message.body().length > MAX_TAKEN_BYTES) {
+      return "%d requests of %d bytes were taken".formatted(openRequests, takenBytes);
     }
     Optional<Route> route = current.route(host(message), message.target());
     Duration late = delay.get();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/Handovers.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/Handovers.java
@@ -16,7 +16,7 @@
   }
 
   @Override
-  public void abortHandedOver() {
-    sent.abortAll();
+  public int abortHandedOver() {
+    return sent.abortAll();
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -59,6 +59,12 @@
 
   private static final int MAX_DETAIL_BYTES = 1 << 10;
 
+  /**
+   * The maximum size of all bodies together that are handed over. Each is in memory twice until its
+   * answer has ended.
+   */
+  private static final int MAX_SENT_BYTES = 4 << 20;
+
   private final String instance;
   private final RequestDispatcher dispatcher;
   private final BackendPort siblings;
@@ -74,6 +80,7 @@
   private Instant askAt = Instant.MIN;
   private long lastNumber;
   private int collectedBytes;
+  private int sentBytes;
 
   /**
    * Creates the handover of an instance.
@@ -124,7 +131,9 @@
       return;
     }
     Optional<Route> route = current.route(exchange.header("host").orElse(""), exchange.path());
-    if (route.isEmpty() || !policy.isHeldUp(late, route.get().aim())) {
+    if (route.isEmpty()
+        || !policy.isHeldUp(late, route.get().aim())
+        || sentBytes + exchange.body().length > MAX_SENT_BYTES) {
       dispatcher.handle(exchange);
       return;
     }
@@ -144,9 +153,14 @@
     policy.instancesToAsk(addresses.get(), now).forEach(this::ask);
   }
 
-  /** Ends all requests; each caller whose answer has not begun is told that it may have run. */
-  public void abortAll() {
-    new ArrayList<>(open).forEach(request -> request.abandon("the instance ended while it ran"));
+  /**
+   * Ends all requests and returns their number; each caller whose answer has not begun is told that
+   * it may have run.
+   */
+  public int abortAll() {
+    List<HandedOverRequest> ended = new ArrayList<>(open);
+    ended.forEach(request -> request.abandon("the instance ended while it ran"));
+    return ended.size();
   }
 
   private void ask(String address) {
@@ -223,11 +237,12 @@
           now.isBefore(overdueAt) ? policy.choose(tried, now) : Optional.empty();
       if (next.isEmpty()) {
         ended = true;
-        open.remove(this);
+        remove();
         dispatcher.handle(exchange);
         return;
       }
       if (open.add(this)) {
+        sentBytes += exchange.body().length;
         exchange.onCallerDisconnect(this::onCallerDisconnected);
       }
       sibling = next.get();
@@ -412,8 +427,14 @@
       if (result == Result.COMPLETE) {
         collectedBytes -= collected.size();
       }
-      open.remove(this);
+      remove();
       policy.onEnded(sibling);
     }
+
+    private void remove() {
+      if (open.remove(this)) {
+        sentBytes -= exchange.body().length;
+      }
+    }
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/event/SampledLinesTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/event/SampledLinesTests.java
@@ -37,6 +37,19 @@
     assertTrue(lines() < 250, "the lines of 1,000 requests in the same second were not sampled");
   }
 
+  /** An instance that hands most requests over is late, and has no time for a line of each. */
+  @Test
+  void samplesTheLinesOfHandedOverRequestsButNotOfLostOnes() {
+    for (int i = 0; i < 1_000; i++) {
+      log.accept(new GatewayEvent.HandedOver("r" + i, "10.0.0.2:1", Duration.ofMillis(100)));
+    }
+    for (int i = 0; i < 100; i++) {
+      log.accept(new GatewayEvent.HandoverLost("r" + i, "10.0.0.2:1", false, false, "reset"));
+    }
+    long lines = lines();
+    assertTrue(lines >= 100 && lines < 350, lines + " lines were written");
+  }
+
   @Test
   void keepsAllLinesOfRequestsThatWereNotServed() {
     for (int i = 0; i < 1_000; i++) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -272,11 +272,26 @@
   @Test
   void tellsCallersOfHandedOverRequestsThatTheyMayHaveRunWhenItEnds() {
     Caller caller = call(GatewayFixture.ONCE_PATH);
-    handover.abortAll();
+    assertEquals(1, handover.abortAll());
     assertEquals(502, caller.status());
     assertEquals(0, receiver.openRequests());
   }
 
+  /** Guards against bodies that fill the memory, as each is kept twice while it is handed over. */
+  @Test
+  void servesRequestsItselfWhoseBodiesWouldFillTheMemory() {
+    List<Caller> callers = new ArrayList<>();
+    for (int i = 0; i < 3; i++) {
+      callers.add(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
+      handover.handle(callers.getLast());
+    }
+    assertEquals(2, receiver.openRequests());
+    assertEquals(1, first.sent.size());
+    second.sent.getFirst().answer();
+    handover.handle(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
+    assertEquals(1, first.sent.size());
+  }
+
   @Test
   void learnsOfInstancesByAsking() {
     HandoverPolicy unused = new HandoverPolicy(new Random(3));
@@ -310,7 +325,11 @@
     }
 
     Caller(String path, Duration waited) {
-      super(path);
+      this(path, waited, new byte[0]);
+    }
+
+    Caller(String path, Duration waited, byte[] body) {
+      super(path, body);
       this.waited = waited;
     }
 
