Derive the addresses of the fleet once for each change, and allocate less in the clock and the logs

FleetMembership built the list of addresses for each store call and the set of names for each instance that joins.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
@@ -13,14 +13,14 @@
  *
  * <p>A task is due at the time that it named after its last run, when it is woken, and at the
  * latest {@link #MAX_PAUSE} after its last run, so that a lost wake-up delays a task but doesn't
- * stop it. Tasks run at multiples of {@link #RESOLUTION}: several that are due at almost the same
- * time share one wake-up of the event loop. Tasks that are due together run in the order in which
- * they were added. A task that fails doesn't prevent the others from running.
+ * stop it. Tasks run at multiples of {@link #RESOLUTION} within a second: several that are due at
+ * almost the same time share one wake-up of the event loop. Tasks that are due together run in the
+ * order in which they were added. A task that fails doesn't prevent the others from running.
  *
  * <p>Only the event loop may call the methods.
  */
 public final class DueTasks {
-  /** Short compared with the shortest latency target, 100 ms. */
+  /** Short compared with the shortest latency target, 100 ms; divides a second. */
   public static final Duration RESOLUTION = Duration.ofMillis(20);
 
   /** The longest time between two runs of a task. */
@@ -87,7 +87,6 @@
   private final Consumer<Duration> onRound;
   private final IsolatedTasks isolatedTasks = new IsolatedTasks();
   private final List<Entry> entries = new ArrayList<>();
-  private final Instant origin;
   private Instant nextRoundAt = Instant.MAX;
   private Runnable cancelTimer = () -> {};
   private boolean inRound;
@@ -102,7 +101,6 @@
     this.timer = timer;
     this.clock = clock;
     this.onRound = onRound;
-    this.origin = clock.instant();
   }
 
   /**
@@ -153,9 +151,7 @@
     }
     Instant first = now.plus(MAX_PAUSE);
     for (Entry entry : entries) {
-      if (entry.dueAt.isBefore(first)) {
-        first = entry.dueAt;
-      }
+      first = entry.dueAt.isBefore(first) ? entry.dueAt : first;
     }
     Instant round = first.isAfter(now) ? roundFrom(first) : roundFrom(now.plusNanos(1));
     if (round.isBefore(nextRoundAt) || nextRoundAt.minus(MAX_PAUSE).isAfter(now)) {
@@ -166,9 +162,8 @@
   }
 
   /** Returns the time of the first round at or after {@code time}. */
-  private Instant roundFrom(Instant time) {
-    long resolution = RESOLUTION.toNanos();
-    long sinceOrigin = Duration.between(origin, time).toNanos();
-    return origin.plusNanos(Math.ceilDiv(sinceOrigin, resolution) * resolution);
+  private static Instant roundFrom(Instant time) {
+    int resolution = RESOLUTION.getNano();
+    return time.plusNanos(Math.floorMod(-time.getNano(), resolution));
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
@@ -291,11 +291,7 @@
 
   private void appendDueNotes(Instant now) {
     if (batch.isEmpty()) {
-      batch =
-          participants.stream()
-              .flatMap(participant -> participant.notesToWrite(now).stream())
-              .map(NoteCodec::encode)
-              .toList();
+      batch = encodeDueNotes(now);
     }
     if (!batch.isEmpty()) {
       appending = true;
@@ -303,6 +299,16 @@
     }
   }
 
+  private List<KeyedRecord> encodeDueNotes(Instant now) {
+    List<KeyedRecord> records = new ArrayList<>();
+    for (LogParticipant participant : participants) {
+      for (SharedNote note : participant.notesToWrite(now)) {
+        records.add(NoteCodec.encode(note));
+      }
+    }
+    return List.copyOf(records);
+  }
+
   private void onAppendOutcome(SharedLog.AppendOutcome outcome) {
     appending = false;
     switch (outcome) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetMembership.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetMembership.java
@@ -12,6 +12,8 @@
   private final SharedNote.Presence own;
   private final Map<String, String> addresses = new TreeMap<>();
   private Set<String> instanceNames;
+  private List<String> peerAddresses = List.of();
+  private boolean changed;
   private boolean ownNoteWritten;
 
   /**
@@ -28,9 +30,26 @@
    * change.
    */
   public Set<String> instanceNames() {
+    refresh();
     return instanceNames;
   }
 
+  /** Derives what is asked for often from the addresses, once after many instances have joined. */
+  private void refresh() {
+    if (!changed) {
+      return;
+    }
+    changed = false;
+    if (instanceNames.size() != addresses.size()) {
+      instanceNames = Set.copyOf(addresses.keySet());
+    }
+    peerAddresses =
+        addresses.entrySet().stream()
+            .filter(entry -> !entry.getKey().equals(own.instance()))
+            .map(Map.Entry::getValue)
+            .toList();
+  }
+
   /**
    * Returns the number of known instances, including this one and those that have left for good.
    */
@@ -45,10 +64,8 @@
 
   /** Returns the addresses of the other instances. */
   public List<String> peerAddresses() {
-    return addresses.entrySet().stream()
-        .filter(entry -> !entry.getKey().equals(own.instance()))
-        .map(Map.Entry::getValue)
-        .toList();
+    refresh();
+    return peerAddresses;
   }
 
   @Override
@@ -66,9 +83,8 @@
   }
 
   private void join(SharedNote.Presence presence) {
-    if (addresses.put(presence.instance(), presence.peerAddress()) == null) {
-      instanceNames = Set.copyOf(addresses.keySet());
-    }
+    String earlier = addresses.put(presence.instance(), presence.peerAddress());
+    changed |= !presence.peerAddress().equals(earlier);
   }
 
   @Override
