--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -206,11 +206,17 @@
 
   private void onStreamPart(byte[] part) {
     for (EventSplitter.Event event : eventSplitter.add(part)) {
-      if (limits.onEvent(event)) {
+      boolean progressed = limits.onEvent(event);
+      if (limits.isStreamTooLarge()) {
+        break;
+      }
+      if (progressed) {
         lastProgressAt = lastReceivedAt;
       }
       markPromptRead();
-      flow.onEvent(status, headers, event);
+      if (progressed || event.hasData() || event.id().isEmpty()) {
+        flow.onEvent(status, headers, event);
+      }
       if (ended) {
         return;
       }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
@@ -62,7 +62,10 @@
     return eventsSent;
   }
 
-  /** The id of the last event that was sent; empty if no event had an id. */
+  /**
+   * The id of the last event with data that was sent; empty if none had an id. If a stream went on
+   * after an empty event of a faulty server, the true event of that id would be missing.
+   */
   String lastEventId() {
     return lastEventId;
   }
@@ -78,7 +81,7 @@
       stream = open;
     }
     eventsSent++;
-    if (!event.id().isEmpty()) {
+    if (!event.id().isEmpty() && event.hasData()) {
       lastEventId = event.id();
     }
     open.write(event.bytes());
