--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -222,14 +222,20 @@
 
   private void onStreamPart(byte[] part) {
     for (EventSplitter.Event event : eventSplitter.add(part)) {
-      if (limits.onEvent(event)) {
+      boolean progressed = limits.onEvent(event);
+      if (limits.isStreamTooLarge()) {
+        break;
+      }
+      if (progressed) {
         lastProgressAt = lastReceivedAt;
       }
       if (!promptMarkedRead && !relayed && maxTokens > 0) {
         flow.onFirstEvent(selection, Duration.between(startedAt, lastReceivedAt));
       }
       markPromptRead();
-      flow.onEvent(status, headers, event);
+      if (progressed || event.hasData() || event.id().isEmpty()) {
+        flow.onEvent(status, headers, event);
+      }
       if (ended) {
         return;
       }
