--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/LoadExchange.java
@@ -50,15 +50,6 @@
    */
   private static final Duration GROUP_INTERVAL = Duration.ofMillis(80);
 
-  /**
-   * The same while no load changes. The instances of the group go on to another collector if they
-   * receive nothing for more than twice this time.
-   */
-  private static final Duration QUIET_GROUP_INTERVAL = Duration.ofMillis(120);
-
-  /** How long after the last change messages are sent as usual; each change is repeated. */
-  private static final Duration QUIET_AFTER = Duration.ofMillis(300);
-
   /** The interval of messages that contain all servers, which make up for lost messages. */
   private static final Duration COMPLETE_PERIOD = Duration.ofMillis(500);
 
@@ -103,9 +94,6 @@
   private @Nullable Instant lastReceivedAt;
   private Instant nextMessageAt = Instant.MIN;
   private Instant nextToGroupAt = Instant.MIN;
-  private Instant nextQuietToGroupAt = Instant.MIN;
-  private Instant lastChangeAt = Instant.MIN;
-  private Runnable dueListener = () -> {};
   private Instant lastToGroupAt = Instant.MIN;
   private Instant nextCompleteAt = Instant.MIN;
   private long sequence;
@@ -157,30 +145,20 @@
     return droppedMessages;
   }
 
-  /** Sets what runs whenever {@link #tick} becomes due before the time of {@link #dueAt}. */
-  public void onDue(Runnable listener) {
-    dueListener = listener;
-  }
-
   /**
-   * Returns when {@link #tick} is due again, unless a load changes before. While no load changes,
-   * an instance sends only what shows that it is present.
+   * Returns when {@link #tick} is due again, unless the load changes before: an instance that
+   * reports to a collector sends nothing between two complete reports while nothing changes.
    */
   public Instant dueAt() {
-    Instant now = clock.instant();
-    if (lastLoadChanges != servers.loadChanges()) {
+    if (collectors.isCollector() || lastLoadChanges != servers.loadChanges()) {
       return nextMessageAt;
     }
-    if (collectors.isCollector()) {
-      return isQuiet(now) ? earlier(nextCompleteAt, nextQuietToGroupAt) : nextMessageAt;
+    Instant now = clock.instant();
+    if (!now.isAfter(reportUntil)) {
+      return nextMessageAt;
     }
-    return now.isAfter(reportUntil)
-        ? earlier(nextCompleteAt, now.plus(SILENCE_CHECK_INTERVAL))
-        : nextMessageAt;
-  }
-
-  private static Instant earlier(Instant one, Instant other) {
-    return one.isBefore(other) ? one : other;
+    Instant silenceCheck = now.plus(SILENCE_CHECK_INTERVAL);
+    return silenceCheck.isBefore(nextCompleteAt) ? silenceCheck : nextCompleteAt;
   }
 
   /** Sends the messages that are due. */
@@ -196,41 +174,17 @@
     if (complete) {
       nextCompleteAt = now.plus(COMPLETE_PERIOD);
     }
-    noticeOwnChanges(now);
     if (!collectors.isCollector()) {
       reportToCollector(complete, now);
       return;
     }
-    boolean quiet = isQuiet(now);
-    if (complete || !quiet) {
-      sendToCollectors(complete, now);
-    }
-    if (complete || !now.isBefore(quiet ? nextQuietToGroupAt : nextToGroupAt)) {
+    sendToCollectors(complete, now);
+    if (complete || !now.isBefore(nextToGroupAt)) {
       nextToGroupAt = now.plus(GROUP_INTERVAL);
-      nextQuietToGroupAt = now.plus(QUIET_GROUP_INTERVAL);
       sendToGroup(complete, now);
     }
   }
 
-  /** Records whether this instance's load or the list of servers has changed. */
-  private void noticeOwnChanges(Instant now) {
-    if (lastLoadChanges != servers.loadChanges() || hashedChanges != lastServerChanges) {
-      lastLoadChanges = servers.loadChanges();
-      lastServerChanges = hashedChanges;
-      reportUntil = now.plus(REPORTING_TIME);
-      lastChangeAt = now;
-    }
-  }
-
-  /**
-   * Whether no load of any instance is known to have changed for a while. Nothing is sent then
-   * except what shows that this instance is present, as summing up unchanged loads would be most of
-   * the work of an idle collector.
-   */
-  private boolean isQuiet(Instant now) {
-    return lastLoadChanges == servers.loadChanges() && now.isAfter(lastChangeAt.plus(QUIET_AFTER));
-  }
-
   /** The time since which changes are included in a message that is sent every {@code interval}. */
   private static Instant repeatedSince(Instant now, Duration interval) {
     return now.minus(Durations.times(interval, REPEATED_INTERVALS));
@@ -248,6 +202,11 @@
    * and examining all servers would be most of the work of an idle instance.
    */
   private void reportToCollector(boolean complete, Instant now) {
+    if (lastLoadChanges != servers.loadChanges() || hashedChanges != lastServerChanges) {
+      lastLoadChanges = servers.loadChanges();
+      lastServerChanges = hashedChanges;
+      reportUntil = now.plus(REPORTING_TIME);
+    }
     if (!complete && now.isAfter(reportUntil)) {
       return;
     }
@@ -381,13 +340,6 @@
     }
     recordCachedParts(received.sentParts());
     keepForForwarding(received, now);
-    if (!received.loads().isEmpty() || !received.sentParts().isEmpty()) {
-      boolean quiet = isQuiet(now);
-      lastChangeAt = now;
-      if (quiet && collectors.isCollector()) {
-        dueListener.run();
-      }
-    }
   }
 
   /** Keeps prompt parts that a collector has to forward to its group or to other collectors. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/LoadFleet.java
@@ -46,8 +46,6 @@
     boolean down;
     long messageCount;
     long byteCount;
-    int rounds;
-    private Instant dueAt = Instant.MIN;
 
     private Instance(String name, int serverCount) {
       this.name = name;
@@ -56,20 +54,6 @@
       }
       exchange =
           new LoadExchange(name, servers, cached, () -> names, Optional::of, this::send, clock);
-      servers.onLoadChanged(this::wake);
-      exchange.onDue(this::wake);
-    }
-
-    private void wake() {
-      dueAt = Instant.MIN;
-    }
-
-    private void runRound() {
-      if (!onlyWhenDue || !clock.instant().isBefore(dueAt)) {
-        rounds++;
-        exchange.tick();
-        dueAt = exchange.dueAt();
-      }
     }
 
     private void send(String to, byte[] message) {
@@ -118,9 +102,6 @@
   private final List<Datagram> inTransit = new ArrayList<>();
   private final Random random = new Random(5);
 
-  /** Whether the instances' exchanges run when they say that they are due, and not in each step. */
-  boolean onlyWhenDue;
-
   LoadFleet(int size, int serverCount) {
     names =
         IntStream.range(0, size)
@@ -157,7 +138,7 @@
         instance.start(server, "subject-" + part);
       }
       instances.forEach(this::endSome);
-      instances.stream().filter(each -> !each.down).forEach(Instance::runRound);
+      instances.stream().filter(each -> !each.down).forEach(each -> each.exchange.tick());
     }
   }
 
@@ -183,7 +164,6 @@
     for (Instance each : instances) {
       each.messageCount = 0;
       each.byteCount = 0;
-      each.rounds = 0;
     }
   }
 
