Look after the accounts' log and the requests for tokens in each round

Suspected, not shown: an instance that misses its collector's messages for a moment takes up the account log and loads all notes again, and notes that refill a lease are found later.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -123,11 +123,6 @@
     return accounts.acceptsClaims();
   }
 
-  /** Returns when {@link #tick} is due again. */
-  public Instant dueAt() {
-    return nextReturn;
-  }
-
   /**
    * Returns to the holders the tokens that they gave and that no request has used.
    *
