Count the bytes of requests that were taken from other instances

An instance that takes requests of several others was to hold 4 MiB of their bodies at most, but nothing counted them: only its 256 requests bounded its memory, which callers of all others could fill.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverReceiver.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverReceiver.java
@@ -111,7 +111,9 @@
   private void take(HttpExchange exchange, HandoverMessage message) {
     taken.add(id(message));
     openRequests++;
-    HandedOverExchange handedOver = new HandedOverExchange(exchange, message, () -> openRequests--);
+    takenBytes += message.body().length;
+    HandedOverExchange handedOver =
+        new HandedOverExchange(exchange, message, () -> onEnded(message));
     events.accept(
         new GatewayEvent.HandoverTaken(
             dispatcher.requestId(handedOver), message.sender(), message.waited()));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -292,6 +292,33 @@
     assertEquals(1, first.sent.size());
   }
 
+  /** Guards against bodies of several instances that fill the memory of the one that takes them. */
+  @Test
+  void takesNoBodiesBeyondItsBoundWhoeverSendsThem() {
+    HandoverPolicy otherPolicy = new HandoverPolicy(new Random(3));
+    otherPolicy.onWilling(SIBLING, first.clock.instant());
+    RequestHandover other =
+        new RequestHandover(
+            "instance-3",
+            first.dispatcher,
+            this::send,
+            () -> List.of(SIBLING),
+            () -> true,
+            () -> firstDelay,
+            () -> first.plan,
+            otherPolicy,
+            first.events::add,
+            first.clock);
+    handover.handle(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
+    handover.handle(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
+    other.handle(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
+    assertEquals(2, receiver.openRequests());
+    second.sent.getFirst().answer();
+    first.clock.advance(Duration.ofMillis(600));
+    other.handle(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
+    assertEquals(2, receiver.openRequests());
+  }
+
   @Test
   void learnsOfInstancesByAsking() {
     HandoverPolicy unused = new HandoverPolicy(new Random(3));
