--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.teaseldeal.decisions.LoopDelay;
 
 /**
  * Runs the tasks of an event loop when they are due, and nothing while none is due.
@@ -85,6 +86,7 @@
   private final Timer timer;
   private final InstantSource clock;
   private final Consumer<Duration> onRound;
+  private final LoopDelay delay = new LoopDelay();
   private final IsolatedTasks isolatedTasks = new IsolatedTasks();
   private final List<Entry> entries = new ArrayList<>();
   private Instant nextRoundAt = Instant.MAX;
@@ -128,10 +130,10 @@
     cancelTimer.run();
   }
 
-  /** Returns for how long the next round has been due; zero if it is not due yet. */
-  public Duration overdue() {
+  /** Returns by how much the event loop is late; see {@link LoopDelay}. */
+  public Duration delay() {
     Instant now = clock.instant();
-    return now.isAfter(nextRoundAt) ? Duration.between(nextRoundAt, now) : Duration.ZERO;
+    return delay.at(now.isAfter(nextRoundAt) ? Duration.between(nextRoundAt, now) : Duration.ZERO);
   }
 
   private void runRound() {
@@ -139,9 +141,10 @@
       return;
     }
     Instant now = clock.instant();
-    Duration late = Duration.between(nextRoundAt, now);
+    Duration late = now.isAfter(nextRoundAt) ? Duration.between(nextRoundAt, now) : Duration.ZERO;
+    delay.onRound(late);
     inRound = true;
-    isolatedTasks.run("round", () -> onRound.accept(late.isNegative() ? Duration.ZERO : late));
+    isolatedTasks.run("round", () -> onRound.accept(late));
     for (Entry entry : entries) {
       entry.runIfDue(now);
     }
