--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
@@ -132,8 +132,12 @@
 
   /** Returns by how much the event loop is late; see {@link LoopDelay}. */
   public Duration delay() {
-    Instant now = clock.instant();
-    return delay.at(now.isAfter(nextRoundAt) ? Duration.between(nextRoundAt, now) : Duration.ZERO);
+    return delay.at(overdue(clock.instant()));
+  }
+
+  /** Returns for how long the next round has been due; zero if it is not due yet. */
+  private Duration overdue(Instant now) {
+    return now.isAfter(nextRoundAt) ? Duration.between(nextRoundAt, now) : Duration.ZERO;
   }
 
   private void runRound() {
@@ -141,7 +145,7 @@
       return;
     }
     Instant now = clock.instant();
-    Duration late = now.isAfter(nextRoundAt) ? Duration.between(nextRoundAt, now) : Duration.ZERO;
+    Duration late = overdue(now);
     delay.onRound(late);
     inRound = true;
     isolatedTasks.run("round", () -> onRound.accept(late));
