Start every request of the dispatcher in one place

A request that is sent again after its taker was lost was started by a copy of the usual start that left the wake-up out, so that it was looked at up to a tenth of a second later while it waited for a server. The tests' senders of handovers are made by one method.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -266,11 +266,7 @@
     Result<CallerRequest> read = components.dialect().read(exchange);
     if (admit(read, arrived) instanceof Result.Ok<Admitted> admitted
         && tryRetry(admitted.value().service())) {
-      RequestFlow flow =
-          new RequestFlow(
-              components, this, exchange, admitted.value().withMaxAttempts(attemptsLeft, true));
-      flows.add(flow);
-      flow.start();
+      run(exchange, admitted.value().withMaxAttempts(attemptsLeft, true));
     } else {
       respondMayHaveRun(exchange, "it is not sent again");
     }
@@ -380,10 +376,14 @@
   }
 
   private void start(HttpExchange exchange, Admitted admitted) {
+    retryWindow(admitted.service()).onFirstAttempt(admitted.arrived());
+    run(exchange, admitted);
+  }
+
+  private void run(HttpExchange exchange, Admitted admitted) {
     RequestFlow flow = new RequestFlow(components, this, exchange, admitted);
     flows.add(flow);
     wake();
-    retryWindow(admitted.service()).onFirstAttempt(admitted.arrived());
     flow.start();
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -51,18 +51,7 @@
           () -> secondDelay,
           new HandoverPolicy(new Random(2)),
           second.events::add);
-  private final RequestHandover handover =
-      new RequestHandover(
-          "instance-1",
-          first.dispatcher,
-          this::send,
-          () -> List.of(SIBLING),
-          () -> true,
-          () -> firstDelay,
-          () -> first.plan,
-          policy,
-          first.events::add,
-          first.clock);
+  private final RequestHandover handover = sender("instance-1", policy);
 
   @BeforeEach
   void start() {
@@ -71,6 +60,20 @@
     policy.onWilling(SIBLING, first.clock.instant());
   }
 
+  private RequestHandover sender(String instance, HandoverPolicy itsPolicy) {
+    return new RequestHandover(
+        instance,
+        first.dispatcher,
+        this::send,
+        () -> List.of(SIBLING),
+        () -> true,
+        () -> firstDelay,
+        () -> first.plan,
+        itsPolicy,
+        first.events::add,
+        first.clock);
+  }
+
   private HttpCall send(HttpCallRequest request, HttpListener listener) {
     if (linkDown) {
       listener.onFailure(HttpFailure.NOT_SENT, "refused");
@@ -297,18 +300,7 @@
   void takesNoBodiesBeyondItsBoundWhoeverSendsThem() {
     HandoverPolicy otherPolicy = new HandoverPolicy(new Random(3));
     otherPolicy.onWilling(SIBLING, first.clock.instant());
-    RequestHandover other =
-        new RequestHandover(
-            "instance-3",
-            first.dispatcher,
-            this::send,
-            () -> List.of(SIBLING),
-            () -> true,
-            () -> firstDelay,
-            () -> first.plan,
-            otherPolicy,
-            first.events::add,
-            first.clock);
+    RequestHandover other = sender("instance-3", otherPolicy);
     handover.handle(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
     handover.handle(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
     other.handle(new Caller(GatewayFixture.ONCE_PATH, Duration.ZERO, new byte[2 << 20]));
