--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -314,18 +314,7 @@
   @Test
   void learnsOfInstancesByAsking() {
     HandoverPolicy unused = new HandoverPolicy(new Random(3));
-    RequestHandover other =
-        new RequestHandover(
-            "instance-1",
-            first.dispatcher,
-            this::send,
-            () -> List.of(SIBLING),
-            () -> true,
-            () -> firstDelay,
-            () -> first.plan,
-            unused,
-            first.events::add,
-            first.clock);
+    RequestHandover other = sender("instance-1", unused);
     other.handle(new Caller(GatewayFixture.ONCE_PATH));
     other.tick();
     assertEquals(Optional.of(SIBLING), unused.choose(Set.of(), first.clock.instant()));
