Choose a server for a request without a prompt without looking up a prompt

Since engines are chosen on a path of their own, requests that come to the other one have no prompt; it still built a prefix and asked for cached parts, always with the answer none. 0 tokens and no prefix stand there now; the choice is the same.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -247,7 +247,7 @@
     Optional<BackendServerId> chosen =
         criteria.plainRank().isPresent()
             ? choosePlain(candidates, criteria, loads, now)
-            : choosePrompt(candidates, criteria, loads, prefixes);
+            : chooseSoonest(candidates, criteria, loads);
     return chosen
         .flatMap(servers::find)
         .map(
@@ -328,15 +328,12 @@
         .toList();
   }
 
-  private Optional<BackendServerId> choosePrompt(
-      List<BackendServer> candidates, Criteria criteria, PeerLoads loads, PrefixLookup prefixes) {
+  private Optional<BackendServerId> chooseSoonest(
+      List<BackendServer> candidates, Criteria criteria, PeerLoads loads) {
     List<PromptPlacement.Candidate> views =
-        candidates.stream()
-            .map(server -> candidate(server, loads.at(server.id()), prefixes))
-            .toList();
-    String prefix = criteria.prompt().map(PromptDescription::lastSharedPartId).orElse("");
+        candidates.stream().map(server -> candidate(server, loads.at(server.id()))).toList();
     return PromptPlacement.choose(
-        views, new PromptPlacement.Prompt(prefix, criteria.targetTime()), random);
+        views, new PromptPlacement.Prompt("", criteria.targetTime()), random);
   }
 
   private Optional<BackendServerId> choosePlain(
@@ -430,15 +427,13 @@
         .isEmpty();
   }
 
-  private PromptPlacement.Candidate candidate(
-      BackendServer server, PeerLoad peerLoad, PrefixLookup prefixes) {
-    long tokensToRead = prefixes.uncachedTokens(server);
+  private PromptPlacement.Candidate candidate(BackendServer server, PeerLoad peerLoad) {
     return new PromptPlacement.Candidate(
         server.id(),
         server.running() + peerLoad.running(),
         Math.max(0, server.promptTokensAhead()) + peerLoad.promptTokensAhead(),
-        tokensToRead,
-        prefixes.isWholePrefixCached(tokensToRead),
+        0,
+        false,
         health(server.service()).slowness(server.id()));
   }
 
