Name the options of engines wherever a gateway or a selector is made

Two constructors repeated all components only to leave the options out, one of them for tests alone. The model and the tests now say that they use none.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
@@ -42,40 +42,4 @@
     EventSink events,
     InstantSource clock,
     RandomGenerator random,
-    EngineOptions engineOptions) {
-  /** Creates components that choose engines without any option. */
-  public GatewayComponents(
-      Supplier<@Nullable GatewayPlan> plan,
-      ServerDirectory servers,
-      TokenRequests tokens,
-      RequestQuarantine quarantine,
-      PromptPartQuarantine promptParts,
-      StreamOrigins streamOrigins,
-      Dialect dialect,
-      ServerLinks links,
-      Supplier<PeerLoads> peerLoads,
-      CachedPrompts cachedPrompts,
-      IntSupplier instances,
-      RetryLimits retryLimits,
-      EventSink events,
-      InstantSource clock,
-      RandomGenerator random) {
-    this(
-        plan,
-        servers,
-        tokens,
-        quarantine,
-        promptParts,
-        streamOrigins,
-        dialect,
-        links,
-        peerLoads,
-        cachedPrompts,
-        instances,
-        retryLimits,
-        events,
-        clock,
-        random,
-        EngineOptions.NONE);
-  }
-}
+    EngineOptions engineOptions) {}
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -123,26 +123,6 @@
   private long lastSeenChanges = -1;
   private Instant nextUpdate = Instant.MIN;
 
-  ServerSelector(
-      ServerDirectory servers,
-      Supplier<PeerLoads> peerLoads,
-      CachedPrompts cachedPrompts,
-      IntSupplier instances,
-      WarmUpLimits warmUpLimits,
-      EventSink events,
-      RandomGenerator random) {
-    this(
-        servers,
-        peerLoads,
-        cachedPrompts,
-        instances,
-        warmUpLimits,
-        events,
-        random,
-        EngineOptions.NONE,
-        service -> 0);
-  }
-
   /**
    * Creates a selector.
    *
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -209,7 +209,8 @@
                 new RetryLimits(0.2, 50, Duration.ofSeconds(10)),
                 events::add,
                 clock,
-                new Random(1)));
+                new Random(1),
+                EngineOptions.NONE));
   }
 
   void list(String id, String address, Instant start) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
@@ -32,7 +32,9 @@
           () -> 1,
           WarmUpLimits.none(() -> NOW),
           event -> {},
-          new Random(1));
+          new Random(1),
+          EngineOptions.NONE,
+          service -> 0);
 
   @BeforeEach
   void list() {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -22,6 +22,7 @@
 import org.teaseldeal.gateway.account.TokenHolders;
 import org.teaseldeal.gateway.account.TokenRequests;
 import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.flow.EngineOptions;
 import org.teaseldeal.gateway.flow.GatewayComponents;
 import org.teaseldeal.gateway.flow.RequestDispatcher;
 import org.teaseldeal.gateway.flow.RetryLimits;
@@ -195,7 +196,8 @@
                 RETRY_LIMITS,
                 this::onEvent,
                 time,
-                new Random(fleet.nextSeed())));
+                new Random(fleet.nextSeed()),
+                EngineOptions.NONE));
     fleet.runningServers().forEach(server -> updateListing(server, true));
     long phaseNanos = new Random(fleet.nextSeed()).nextLong(TICK_INTERVAL.toNanos());
     time.scheduleNanos(phaseNanos, this::tick);
