Log the limits that servers name in their answers

A server in need names in its answers how many requests a second it takes from all instances together. Nothing read that header, so neither logs nor metrics could tell whether an instance knew of a limit that it did not keep.

Nothing is decided by it yet.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -51,6 +51,8 @@
    *     up a stream of an earlier attempt; otherwise empty
    * @param fingerprint a hash that is equal for all attempts of the caller
    * @param relayed whether it was sent through another instance
+   * @param serverLimit the requests in a second that the server takes; negative without a limit
+   * @param limitedServers the servers of the service that take a limited number of requests
    */
   record Placed(
       String request,
@@ -68,7 +70,9 @@
       String resumeAfter,
       String resumes,
       String fingerprint,
-      boolean relayed)
+      boolean relayed,
+      double serverLimit,
+      int limitedServers)
       implements GatewayEvent {}
 
   /**
@@ -259,6 +263,28 @@
   record ServersBrittle(String service, boolean brittle, int maxRejections)
       implements GatewayEvent {}
 
+  /**
+   * A backend server named a limit of the requests that it takes in a second from all instances
+   * together, changed it, or names it no longer.
+   *
+   * @param server the id of the server
+   * @param startedAt when its process started, as the server says; empty if it doesn't
+   * @param state {@code named}, {@code changed} or {@code ended}
+   * @param requestsPerSecond the limit; the last one if it has ended
+   * @param source the instance whose answer said so
+   */
+  record ServerRateLimit(
+      String server,
+      String service,
+      String startedAt,
+      String state,
+      double requestsPerSecond,
+      String source)
+      implements GatewayEvent {}
+
+  /** An answer named a limit that can't be read. It is reported once for each server process. */
+  record ServerRateLimitUnreadable(String server, String value) implements GatewayEvent {}
+
   /**
    * The use of a customer's prepaid total, as this instance knows it.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -179,6 +179,10 @@
     verdict = components.dialect().verdict(answerStatus, answerHeaders);
     if (verdict == AnswerVerdict.GENUINE || verdict == AnswerVerdict.NOT_RUN) {
       flow.onAnswerHead(server, components.dialect().maxRejectionsPerSecond(answerHeaders));
+      components
+          .links()
+          .announcedLimits()
+          .onAnswer(server, components.dialect().rateAnnouncement(answerHeaders), startedAt);
     }
     String contentType = headers.get(CONTENT_TYPE);
     eventStream =
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
@@ -4,6 +4,7 @@
 import java.util.OptionalInt;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.api.Result;
+import org.teaseldeal.gateway.server.RateAnnouncement;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -36,6 +37,11 @@
     return OptionalInt.empty();
   }
 
+  /** What an answer says about the requests in a second that its server takes. */
+  default RateAnnouncement rateAnnouncement(Map<String, String> headers) {
+    return new RateAnnouncement.Absent();
+  }
+
   /** The headers of a backend server's answer that are passed on to the caller. */
   Map<String, String> answerHeaders(Map<String, String> headers);
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -132,6 +132,7 @@
             components.cachedPrompts(),
             components.instances(),
             components.links().warmUpLimits(),
+            components.links().announcedLimits(),
             components.events(),
             components.random(),
             components.engineOptions(),
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -503,7 +503,9 @@
         resumeAfter(),
         stream.resumedAttempt(),
         fingerprint(),
-        way == Way.RELAY);
+        way == Way.RELAY,
+        components.links().announcedLimits().requestsPerSecond(server),
+        dispatcher.selector().limitedServers(service));
   }
 
   /** The id of the last event that the caller has received; empty if it has received none. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -22,6 +22,7 @@
 import org.teaseldeal.decisions.ServerHealth;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.path.AnnouncedLimits;
 import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.PeerLoad;
 import org.teaseldeal.gateway.peer.PeerLoads;
@@ -112,6 +113,7 @@
   private final RandomGenerator random;
   private final IntSupplier instances;
   private final WarmUpLimits warmUpLimits;
+  private final AnnouncedLimits announcedLimits;
   private final EventSink events;
   private final Map<String, ServerHealth> healthByService = new HashMap<>();
   private final Map<String, BrittleLimits> limitsByService = new HashMap<>();
@@ -134,6 +136,7 @@
       CachedPrompts cachedPrompts,
       IntSupplier instances,
       WarmUpLimits warmUpLimits,
+      AnnouncedLimits announcedLimits,
       EventSink events,
       RandomGenerator random,
       EngineOptions engineOptions,
@@ -142,6 +145,7 @@
     this.memoryTokens = memoryTokens;
     this.instances = instances;
     this.warmUpLimits = warmUpLimits;
+    this.announcedLimits = announcedLimits;
     this.events = events;
     this.servers = servers;
     this.peerLoads = peerLoads;
@@ -434,6 +438,13 @@
         server.running(), loads.at(server.id()).running(), Math.max(1, instances.getAsInt()));
   }
 
+  /** The number of servers of a service that name a limit of the requests that they take. */
+  int limitedServers(String service) {
+    return announcedLimits.isEmpty()
+        ? 0
+        : (int) servers.ready(service).stream().filter(announcedLimits::isLimited).count();
+  }
+
   /** Whether servers of a service get no more requests than they have room for. */
   boolean limitsRequests(String service, Instant now) {
     BrittleLimits limits = limitsByService.get(service);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -72,6 +72,9 @@
           count(path.reachable() ? "server_paths_regained" : "server_paths_lost");
       case GatewayEvent.ServersBrittle brittle ->
           count(brittle.brittle() ? "services_brittle" : "services_no_longer_brittle");
+      case GatewayEvent.ServerRateLimit limit -> count("server_rate_limits_", limit.state());
+      case GatewayEvent.ServerRateLimitUnreadable unreadable ->
+          count("server_rate_limits_unreadable");
       case GatewayEvent.AccountLevel level -> accounts.put(level.customer(), level);
       case GatewayEvent.AccountTakenOver taken ->
           registry
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -70,6 +70,7 @@
   private final Function<BackendServer, HttpCallRequest> probeRequests;
   private final ServerDirectory servers;
   private final WarmUpLimits warmUpLimits;
+  private final AnnouncedLimits announcedLimits;
   private final EventSink events;
   private final InstantSource clock;
   private final ServerPaths paths = new ServerPaths(new PathEvents());
@@ -98,6 +99,7 @@
       Function<BackendServer, HttpCallRequest> probeRequests,
       ServerDirectory servers,
       WarmUpLimits warmUpLimits,
+      AnnouncedLimits announcedLimits,
       EventSink events,
       InstantSource clock,
       RandomGenerator random) {
@@ -110,6 +112,7 @@
     this.probeRequests = probeRequests;
     this.servers = servers;
     this.warmUpLimits = warmUpLimits;
+    this.announcedLimits = announcedLimits;
     this.events = events;
     this.clock = clock;
   }
@@ -144,6 +147,11 @@
     return warmUpLimits;
   }
 
+  /** The limits that servers name in their answers. */
+  public AnnouncedLimits announcedLimits() {
+    return announcedLimits;
+  }
+
   /** Returns whether this instance knows others that may relay requests. */
   public boolean hasRelays() {
     return relays.hasUsable(peerAddresses.get(), clock.instant());
@@ -213,6 +221,7 @@
       unreachableReports.keySet().retainAll(listed);
       lastRelays.keySet().retainAll(listed);
       warmUpLimits.retain(listed);
+      announcedLimits.retain(listed);
     }
     for (BackendServerId id : paths.takeDueProbes(clock.instant())) {
       servers.find(id).ifPresentOrElse(this::probe, () -> onUnlisted(id));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EngineSelectionTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EngineSelectionTests.java
@@ -14,6 +14,7 @@
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.path.AnnouncedLimits;
 import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.PeerLoad;
 import org.teaseldeal.gateway.peer.PeerLoads;
@@ -43,6 +44,7 @@
         new CachedPrompts(),
         () -> 1,
         WarmUpLimits.none(() -> NOW),
+        new AnnouncedLimits("instance-1", event -> {}, () -> NOW),
         event -> {},
         new Random(1),
         options,
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -20,6 +20,7 @@
 import org.teaseldeal.gateway.fake.FakeDialect;
 import org.teaseldeal.gateway.fake.FakeExchange;
 import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.path.AnnouncedLimits;
 import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.PeerLoads;
@@ -125,6 +126,9 @@
           service -> warmUpLimit,
           clock);
 
+  private final AnnouncedLimits announcedLimits =
+      new AnnouncedLimits("instance-1", events::add, clock);
+
   /** Whether the configuration has been read. */
   boolean configured = true;
 
@@ -200,6 +204,7 @@
                             Duration.ofMillis(400)),
                     servers,
                     warmUpLimits,
+                    announcedLimits,
                     events::add,
                     clock,
                     new Random(1)),
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/ServerSelectorTests.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.path.AnnouncedLimits;
 import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.server.BackendServer;
@@ -31,6 +32,7 @@
           new CachedPrompts(),
           () -> 1,
           WarmUpLimits.none(() -> NOW),
+          new AnnouncedLimits("instance-1", event -> {}, () -> NOW),
           event -> {},
           new Random(1),
           EngineOptions.NONE,
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
@@ -51,6 +51,7 @@
           server -> REQUEST,
           servers,
           WarmUpLimits.none(clock),
+          new AnnouncedLimits("instance-1", event -> {}, clock),
           event -> {},
           clock,
           new Random(1));
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -27,6 +27,7 @@
 import org.teaseldeal.gateway.flow.RequestDispatcher;
 import org.teaseldeal.gateway.flow.RetryLimits;
 import org.teaseldeal.gateway.log.FleetLog;
+import org.teaseldeal.gateway.path.AnnouncedLimits;
 import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.LoadExchange;
@@ -187,6 +188,7 @@
                             PROBE_TIMEOUT),
                     servers,
                     WarmUpLimits.none(time),
+                    new AnnouncedLimits(name, this::onEvent, time),
                     this::onEvent,
                     time,
                     new Random(fleet.nextSeed())),
