Play engines that name limits in the model, and list the test that fails

The bound is the platform's rule; only arrivals from instances in touch count that passed on such an answer half a second before.

Scenarios: few, slow, decimal limits with most callers at one instance, all engines limited, losses of power and stops, a cut of half, all isolated from each other, engines reborn, limits in a burst with a hot prefix.

--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
@@ -106,6 +106,8 @@
         fleet.setSkew(fault.share());
         fleet.time().schedule(fault.lasting(), () -> fleet.setSkew(0));
       }
+      case RATE_LIMIT -> limit(randomSubset(engineNames(), fault.share()), fault);
+      case PLAIN_RATE_LIMIT -> limit(randomSubset(plainNames(), fault.share()), fault);
       case HOLDER_LOST -> {
         List<String> holders =
             TokenHolderChoice.holders(load.customers().getFirst(), fleet.memberNames()).stream()
@@ -119,10 +121,22 @@
     }
   }
 
+  private void limit(List<String> names, Scenario.Fault fault) {
+    for (String name : names) {
+      ModelServer server = fleet.server(name);
+      fleet.limitServer(server, fault.factor());
+      fleet.time().schedule(fault.lasting(), () -> fleet.endLimit(server));
+    }
+  }
+
   private List<String> engineNames() {
     return fleet.serverNames().stream().filter(name -> name.startsWith("engine")).toList();
   }
 
+  private List<String> plainNames() {
+    return fleet.serverNames().stream().filter(name -> !name.startsWith("engine")).toList();
+  }
+
   private List<String> randomSubset(List<String> all, double share) {
     List<String> remaining = new ArrayList<>(all);
     List<String> chosen = new ArrayList<>();
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -12,6 +12,7 @@
 import org.teaseldeal.gateway.flow.ForwardingTerms;
 import org.teaseldeal.gateway.flow.PromptDescription;
 import org.teaseldeal.gateway.flow.Resumption;
+import org.teaseldeal.gateway.server.RateAnnouncement;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -29,6 +30,9 @@
   /** Header of a server's answer that marks the request as not run. */
   static final String NOT_RUN_HEADER = "full";
 
+  /** Header of a server's answer that holds the requests in a second that it takes. */
+  static final String RATE_LIMIT_HEADER = "limit";
+
   /** Header that carries the id of the last event that the caller has; 0 if it has none. */
   static final String LAST_EVENT_HEADER = "last-event";
 
@@ -96,6 +100,14 @@
     return headers.containsKey(NOT_RUN_HEADER) ? AnswerVerdict.NOT_RUN : AnswerVerdict.GENUINE;
   }
 
+  @Override
+  public RateAnnouncement rateAnnouncement(Map<String, String> headers) {
+    String value = headers.get(RATE_LIMIT_HEADER);
+    return value == null
+        ? new RateAnnouncement.Absent()
+        : new RateAnnouncement.Limited(Double.parseDouble(value));
+  }
+
   @Override
   public Map<String, String> answerHeaders(Map<String, String> headers) {
     return headers;
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -10,11 +10,13 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.stream.Stream;
 import org.teaseldeal.gateway.account.ClockReading;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.plan.CallerLimits;
@@ -70,6 +72,8 @@
   private final StreamCheck streamCheck = new StreamCheck();
   private final CrashingPartCheck crashingPartCheck;
   private final SkewCheck skewCheck;
+  private final RateLimitCheck limitCheck;
+  private final Map<String, Double> serverLimits = new HashMap<>();
   private final Map<String, ModelInstance> instances = new TreeMap<>();
   private final Map<String, Long> steadyClockOffsetsNanos = new HashMap<>();
   private final Map<String, ModelRequest> attempts = new HashMap<>();
@@ -94,6 +98,7 @@
     this.crashingPartCheck =
         new CrashingPartCheck(time, scenario.kinds().getFirst().name(), STABILISATION_TIME);
     this.skewCheck = new SkewCheck(time, STABILISATION_TIME);
+    this.limitCheck = new RateLimitCheck(time, STABILISATION_TIME);
     this.network = new ModelNetwork(time, scenario.links(), random.split());
     this.log = new ModelLog(time, network, scenario.log());
     this.fleetTopic = new ModelLog(time, network, scenario.log());
@@ -146,6 +151,7 @@
     violations.addAll(streamCheck.violations());
     violations.addAll(crashingPartCheck.violations());
     violations.addAll(skewCheck.violations());
+    violations.addAll(limitCheck.violations());
     return result();
   }
 
@@ -161,6 +167,7 @@
     startedAtNanos.put(name, time.elapsedNanos());
     time.schedule(MAX_PLAN_DELAY, () -> instance.applyPlan(plan()));
     planOrders.remove(name);
+    limitCheck.onInstanceStarted(name);
   }
 
   // Accessors for instances, callers and the fault injector.
@@ -360,8 +367,34 @@
     crashServer(engine, part.downtime());
   }
 
-  /** Records an attempt that an instance sends to an engine. */
-  void onSentToServer(String instance, ModelRequest request) {
+  /** Sets the requests in a second that a server takes. */
+  void limitServer(ModelServer server, double requestsPerSecond) {
+    serverLimits.put(server.name(), requestsPerSecond);
+  }
+
+  /** Ends the limit of a server. */
+  void endLimit(ModelServer server) {
+    serverLimits.remove(server.name());
+    limitCheck.onEnded(server.name());
+  }
+
+  /** Returns the limit that a server names in an answer that it begins; empty if it names none. */
+  OptionalDouble nameLimit(ModelServer server) {
+    Double limit = serverLimits.get(server.name());
+    if (limit == null) {
+      return OptionalDouble.empty();
+    }
+    limitCheck.onNamed(server.name(), limit);
+    return OptionalDouble.of(limit);
+  }
+
+  RateLimitCheck limitCheck() {
+    return limitCheck;
+  }
+
+  /** Records an attempt of an instance that arrives at a server. */
+  void onSentToServer(String instance, ModelServer server, ModelRequest request) {
+    limitCheck.onArrival(instance, server.name(), inTouch(instance));
     request.crashingPart().ifPresent(part -> crashingPartCheck.onArrival(part, inTouch(instance)));
   }
 
@@ -461,6 +494,7 @@
   /** Crashes a server, which starts again without requests and cache after {@code lasting}. */
   void crashServer(ModelServer server, Duration lasting) {
     server.setDown(true);
+    endLimit(server);
     time.schedule(LISTING_DELAY, () -> updateListings(server, false));
     time.schedule(
         lasting,
@@ -545,7 +579,8 @@
             log.reads() / instanceSeconds,
             sharedTokensRead,
             crashingPartCheck.crashes()),
-        crashingPartCheck.observations(),
+        Stream.concat(crashingPartCheck.observations().stream(), limitCheck.observations().stream())
+            .toList(),
         violations);
   }
 }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -2,10 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Random;
 import java.util.Set;
@@ -495,6 +497,11 @@
     private final ModelServer server;
     private HttpCall serverRun = () -> {};
     private boolean headSent;
+    private boolean headWritten;
+
+    /** The limit that the server named in the head of its answer. */
+    private OptionalDouble limitNamed = OptionalDouble.empty();
+
     private String version = "";
     private int partCount;
     private boolean ended;
@@ -532,7 +539,7 @@
                   String id = String.valueOf(request.headers().get(ModelDialect.ATTEMPT_ID_HEADER));
                   fleet.onAttemptStarted(id);
                   version = fleet.versionOf(server);
-                  fleet.onSentToServer(name, fleet.requestOf(id));
+                  fleet.onSentToServer(name, server, fleet.requestOf(id));
                   serverRun = server.run(fleet.requestOf(id), partCount, this);
                 }
               });
@@ -567,19 +574,27 @@
 
     @Override
     public void onBodyPart() {
+      nameLimit();
       int part = ++partCount;
       deliver(
           () -> {
-            deliverHead(Map.of());
+            deliverHead(200, Map.of());
             listener.onBodyPart(ModelFleet.eventFrame(part, version));
           });
     }
 
-    private void deliverHead(Map<String, String> headers) {
-      if (!headSent) {
-        headSent = true;
-        listener.onHead(headers.isEmpty() ? 200 : 503, headers);
+    private void deliverHead(int status, Map<String, String> headers) {
+      if (headSent) {
+        return;
       }
+      headSent = true;
+      Map<String, String> all = new HashMap<>(headers);
+      limitNamed.ifPresent(
+          limit -> {
+            fleet.limitCheck().onPassedOn(name, server.name());
+            all.put(ModelDialect.RATE_LIMIT_HEADER, Double.toString(limit));
+          });
+      listener.onHead(status, all);
     }
 
     @Override
@@ -591,11 +606,20 @@
           });
     }
 
+    /** Takes the limit at the time at which the server writes the head of its answer. */
+    private void nameLimit() {
+      if (!headWritten) {
+        headWritten = true;
+        limitNamed = fleet.nameLimit(server);
+      }
+    }
+
     @Override
     public void onQueueFull() {
+      nameLimit();
       deliver(
           () -> {
-            deliverHead(Map.of(ModelDialect.NOT_RUN_HEADER, "1"));
+            deliverHead(503, Map.of(ModelDialect.NOT_RUN_HEADER, "1"));
             ended = true;
             listener.onEnd(AnswerEnd.LAST_CHUNK);
           });
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
@@ -181,7 +181,11 @@
      */
     CRASHING_PART,
     /** A share of the callers' attempts reach the same instance. */
-    SKEW
+    SKEW,
+    /** Engines name a limit of {@code factor} requests a second in their answers. */
+    RATE_LIMIT,
+    /** Plain servers name a limit of {@code factor} requests a second in their answers. */
+    PLAIN_RATE_LIMIT
   }
 
   /** Where in a prompt a part stands, which is never the last. */
@@ -196,8 +200,8 @@
    * @param at the start, counted from the start of the load
    * @param lasting the duration
    * @param share the share of the instances or engines that are affected
-   * @param factor the factor by which the load is multiplied, the number of plans, or the number of
-   *     crashing requests a second
+   * @param factor the factor by which the load is multiplied, the number of plans, the number of
+   *     crashing requests a second, or the limit of requests a second
    * @param gap the time between consecutive stops, losses of power or published plans, or until a
    *     crashed engine is back
    * @param position where the crashing part stands
--- /dev/null
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/ServerRateLimitTests.java
@@ -0,0 +1,63 @@
+package org.teaseldeal.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.parallel.Execution;
+import org.junit.jupiter.api.parallel.ExecutionMode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.teaseldeal.settings.SettingsParser.Parsed;
+
+/** Fleets with engines that name how many requests a second they take of all instances together. */
+@Execution(ExecutionMode.CONCURRENT)
+class ServerRateLimitTests {
+  private static final Path SCENARIOS = Path.of("limit-scenarios");
+  private static final List<Integer> SIZES = List.of(7, 67, 95);
+  private static final int SEEDS = 2;
+
+  static Stream<Arguments> plays() throws IOException {
+    try (Stream<Path> files = Files.list(SCENARIOS)) {
+      return files.sorted().toList().stream()
+          .map(file -> file.getFileName().toString())
+          .flatMap(
+              file ->
+                  SIZES.stream()
+                      .flatMap(
+                          size ->
+                              IntStream.rangeClosed(1, SEEDS)
+                                  .mapToObj(seed -> Arguments.of(file, size, seed))));
+    }
+  }
+
+  /**
+   * Guards against engines in need that get more than they take, because no instance reads what
+   * their answers say, or because each keeps to the limit of all by itself.
+   */
+  @Tag("known-red")
+  @ParameterizedTest(name = "{0}, {1} instances, seed {2}")
+  @MethodSource("plays")
+  void keepsToTheLimitsThatEnginesName(String file, int size, long seed) throws IOException {
+    SimulationResult result =
+        ModelFleet.simulate(scenario(SCENARIOS.resolve(file)), size, seed, Set.of());
+    assertEquals(List.of(), result.violations(), result.text());
+    assertFalse(result.observations().isEmpty(), result.text());
+  }
+
+  private static Scenario scenario(Path file) throws IOException {
+    return switch (ScenarioParser.parse(Files.readString(file))) {
+      case Parsed.Valid<Scenario> valid -> valid.settings();
+      case Parsed.Invalid<Scenario> invalid ->
+          throw new IllegalArgumentException(file + ": " + invalid.problems());
+    };
+  }
+}
