Keep limiters with long intervals from giving permits at the same moment

An engine that names one request a second could get 18 and more in 4 s from 65 instances (13.6 allowed): a permit could be taken a quarter of an interval early, and the intervals of instances without a share of their own are many minutes long, so a quarter of them could send as soon as they heard of a limit.

The tolerance is a quarter of a second at most now.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RateLimiter.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RateLimiter.java
@@ -17,6 +17,9 @@
   /** Covers the time in which a short interval's permits can't be taken, as the process is busy. */
   private static final Duration MIN_TOLERANCE = Duration.ofMillis(100);
 
+  /** Keeps many limiters with long intervals from giving permits in the same moment. */
+  private static final Duration MAX_TOLERANCE = Duration.ofMillis(250);
+
   private double permitsPerSecond;
   private Instant dueAt;
 
@@ -76,8 +79,8 @@
   }
 
   private Duration tolerance() {
-    Duration part = times(interval(), TOLERATED_INTERVALS);
-    return part.compareTo(MIN_TOLERANCE) > 0 ? part : MIN_TOLERANCE;
+    long nanos = times(interval(), TOLERATED_INTERVALS).toNanos();
+    return Duration.ofNanos(Math.clamp(nanos, MIN_TOLERANCE.toNanos(), MAX_TOLERANCE.toNanos()));
   }
 
   private static Duration times(Duration duration, double factor) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
@@ -30,6 +30,9 @@
             new SharedNote.ServerCrash("a", "i-1@17", 0, List.of()),
             new SharedNote.ClearedPart("a", "00ff", List.of("i-1@17", "i-2")),
             new SharedNote.ClearedPart("a", "00ff", List.of()),
+            new SharedNote.ServerLimit("a", "i-1@17", 3, 1.5, false, "b"),
+            new SharedNote.ServerLimit("a", "i-1@17", 4, 1.5, true, "a"),
+            new SharedNote.ServerLimit("a", "i-1@17", 0, 0, true, "a"),
             new SharedNote.Presence("a", "10.0.0.1:7340"))) {
       assertEquals(note, NoteCodec.decode(NoteCodec.encode(note)));
       assertEquals(note, NoteMessage.decode(NoteMessage.encode(note)));
