Give the notes of limits a class of their own, and order by one rendezvous hash

No change of behaviour: which limits are written to the log and when stands in LimitNotes, the ranks of WarmUpShares come from RendezvousHash, whose keys are the same.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/WarmUpShares.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/WarmUpShares.java
@@ -1,7 +1,5 @@
 package org.teaseldeal.decisions;
 
-import com.dynatrace.hash4j.hashing.Hashing;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Set;
 import org.teaseldeal.api.BackendServerId;
@@ -46,19 +44,10 @@
 
   /** Returns the instances that have a share of a server, those with the largest share first. */
   public static List<String> holders(BackendServerId server, Set<String> instances, int limit) {
-    return instances.stream()
-        .sorted(
-            Comparator.comparingLong((String instance) -> score(server, instance))
-                .thenComparing(Comparator.naturalOrder()))
-        .limit(used(limit))
-        .toList();
+    return RendezvousHash.order(server.name(), instances).stream().limit(used(limit)).toList();
   }
 
   private static int used(int limit) {
     return limit == 0 ? 0 : Math.max(1, (int) (limit * USED_FRACTION));
   }
-
-  private static long score(BackendServerId server, String instance) {
-    return Hashing.komihash5_0().hashCharsToLong(server.name() + '\n' + instance);
-  }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/AnnouncedLimits.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/AnnouncedLimits.java
@@ -3,7 +3,6 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -40,12 +39,6 @@
   /** How long limits of servers that aren't listed are kept, as lists differ between instances. */
   private static final Duration UNLISTED_RETENTION = Duration.ofSeconds(30);
 
-  /**
-   * The longest time after which a limit is written to the shared log. Several instances hear of a
-   * change at about the same time; each waits for a random time, and only the first ones write.
-   */
-  private static final Duration MAX_NOTE_DELAY = Duration.ofMillis(400);
-
   /** How long the holders of a server aren't asked after none could be. */
   private static final Duration NO_HOLDER_PAUSE = Duration.ofMillis(200);
 
@@ -57,10 +50,7 @@
   private final InstantSource clock;
   private final RandomGenerator random;
   private final Map<String, LimitedServer> servers = new HashMap<>();
-  private final Map<String, AnnouncedLimit> onLog = new HashMap<>();
-  private final Map<String, Instant> notesDueAt = new HashMap<>();
-  private final Set<String> ownNotes = new HashSet<>();
-  private final Set<String> withdrawnNotes = new HashSet<>();
+  private final LimitNotes notes;
   private final Set<String> reportedUnreadable = new HashSet<>();
 
   /**
@@ -86,6 +76,7 @@
     this.events = events;
     this.clock = clock;
     this.random = random;
+    this.notes = new LimitNotes(instance, random);
   }
 
   /** Creates limits of an instance that knows no other one. */
@@ -184,25 +175,18 @@
   /** Records that a request is offered to a holder at an address. */
   void onOffered(BackendServer server, String address) {
     LimitedServer limited = find(server);
-    holderAt(address)
-        .ifPresent(
-            holder -> {
-              if (limited != null) {
-                limited.onOffered(holder, clock.instant());
-              }
-            });
+    if (limited != null) {
+      holderAt(address).ifPresent(holder -> limited.onOffered(holder, clock.instant()));
+    }
   }
 
   /** Records that a holder at an address has no room for some time. */
   void onNoRoom(BackendServer server, String address, Duration noRoomFor) {
     LimitedServer limited = find(server);
-    holderAt(address)
-        .ifPresent(
-            holder -> {
-              if (limited != null) {
-                limited.onNoRoom(holder, clock.instant().plus(noRoomFor));
-              }
-            });
+    if (limited != null) {
+      Instant until = clock.instant().plus(noRoomFor);
+      holderAt(address).ifPresent(holder -> limited.onNoRoom(holder, until));
+    }
   }
 
   /** Records that no holder of a server could be asked. */
@@ -247,7 +231,6 @@
       publish(server.incarnation(), known.limit().changedTo(requestsPerSecond, instance));
     } else {
       known.setLimit(known.limit().adjustedTo(requestsPerSecond), now);
-      known.onNamedAgain(now);
     }
   }
 
@@ -260,19 +243,8 @@
 
   private void publish(ServerIncarnation server, AnnouncedLimit limit) {
     apply(server.name(), limit);
-    notesDueAt.put(
-        server.name(), clock.instant().plusMillis(random.nextLong(MAX_NOTE_DELAY.toMillis())));
-    broadcast.accept(note(server.name(), limit));
-  }
-
-  private SharedNote note(String server, AnnouncedLimit limit) {
-    return new SharedNote.ServerLimit(
-        instance,
-        server,
-        limit.sequence(),
-        limit.requestsPerSecond(),
-        limit.ended(),
-        limit.source());
+    notes.onChanged(server.name(), clock.instant());
+    broadcast.accept(notes.note(server.name(), limit));
   }
 
   private void apply(String server, AnnouncedLimit limit) {
@@ -312,33 +284,21 @@
 
   private void take(SharedNote.ServerLimit note) {
     if (note.sequence() > 0) {
-      apply(note.server(), limitOf(note));
+      apply(note.server(), LimitNotes.limitIn(note));
     }
   }
 
-  private static AnnouncedLimit limitOf(SharedNote.ServerLimit note) {
-    return new AnnouncedLimit(
-        note.sequence(), note.requestsPerSecond(), note.ended(), note.source());
-  }
-
   @Override
   public void onNote(SharedNote note, boolean own) {
     if (note instanceof SharedNote.ServerLimit limit && limit.sequence() > 0) {
-      onLog.merge(
-          limit.server(), limitOf(limit), (known, read) -> read.supersedes(known) ? read : known);
+      notes.onRead(limit, own);
       take(limit);
     }
   }
 
   @Override
-  public void onLoaded(List<SharedNote> notes, boolean first) {
-    for (SharedNote note : notes) {
-      boolean own = note.instance().equals(instance);
-      if (own && note instanceof SharedNote.ServerLimit limit) {
-        ownNotes.add(limit.server());
-      }
-      onNote(note, own);
-    }
+  public void onLoaded(List<SharedNote> loaded, boolean first) {
+    loaded.forEach(note -> onNote(note, note.instance().equals(instance)));
   }
 
   @Override
@@ -348,38 +308,16 @@
 
   @Override
   public List<SharedNote> notesToWrite(Instant now) {
-    if (notesDueAt.isEmpty() && withdrawnNotes.isEmpty()) {
-      return List.of();
-    }
-    List<SharedNote> notes = new ArrayList<>();
-    Set<String> due = new HashSet<>();
-    notesDueAt.forEach(
-        (server, at) -> {
-          if (!now.isBefore(at)) {
-            due.add(server);
-          }
-        });
-    for (String server : due) {
-      notesDueAt.remove(server);
-      LimitedServer known = servers.get(server);
-      AnnouncedLimit written = onLog.get(server);
-      if (known != null && (written == null || known.limit().supersedes(written))) {
-        ownNotes.add(server);
-        notes.add(note(server, known.limit()));
-      }
-    }
-    for (String server : withdrawnNotes) {
-      notes.add(new SharedNote.ServerLimit(instance, server, 0, 0, true, instance));
-    }
-    withdrawnNotes.clear();
-    return notes;
+    return notes.takeDue(now, this::limitOf);
+  }
+
+  private @Nullable AnnouncedLimit limitOf(String server) {
+    LimitedServer known = servers.get(server);
+    return known == null ? null : known.limit();
   }
 
   /** Forgets processes of servers that have not been listed for a while. */
   void retain(Set<ServerIncarnation> listed) {
-    if (servers.isEmpty() && ownNotes.isEmpty() && reportedUnreadable.isEmpty()) {
-      return;
-    }
     Instant now = clock.instant();
     Set<String> names = new HashSet<>();
     listed.forEach(each -> names.add(each.name()));
@@ -390,14 +328,7 @@
             each ->
                 !names.contains(each.getKey())
                     && now.isAfter(each.getValue().heardAt().plus(UNLISTED_RETENTION)));
-    onLog.keySet().retainAll(servers.keySet());
-    notesDueAt.keySet().retainAll(servers.keySet());
-    for (String server : Set.copyOf(ownNotes)) {
-      if (!servers.containsKey(server)) {
-        ownNotes.remove(server);
-        withdrawnNotes.add(server);
-      }
-    }
+    notes.retain(servers::containsKey);
   }
 
   /** A request to a server that names no limit. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/LimitedServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/LimitedServer.java
@@ -60,7 +60,7 @@
     return limit;
   }
 
-  /** Replaces what is known of the limit. */
+  /** Replaces what is known of the limit, which an answer or another instance has just said. */
   void setLimit(AnnouncedLimit newLimit, Instant now) {
     if (newLimit.ended() != limit.ended()) {
       learnedAt = now;
@@ -69,11 +69,6 @@
     heardAt = now;
   }
 
-  /** Records that an answer named the limit again. */
-  void onNamedAgain(Instant now) {
-    heardAt = now;
-  }
-
   /** When an answer or another instance said last that the limit holds, or has ended. */
   Instant heardAt() {
     return heardAt;
