Count what a server takes just after its limit has ended

For three seconds after a limit's end the server still counts as limited, but what its service takes was summed up as 0 then, so a request that waited behind another was refused with a turn in five seconds, the longest there is. The sum is of what all instances may send now, which the limiter uses too. Found by reading; AnnouncedLimitsTests.limitIsRaisedStepByStepAfterItsEnd.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -111,7 +111,7 @@
    * What the servers of a service take that all name limits.
    *
    * @param roomAt when one of them has room for a request of this instance
-   * @param requestsPerSecond the requests that they take of all instances together
+   * @param requestsPerSecond the requests that all instances together may send them, more than 0
    */
   record LimitedService(Instant roomAt, double requestsPerSecond) {}
 
@@ -455,7 +455,7 @@
     for (BackendServer server : ready) {
       Instant room = announced.roomAt(server, now);
       roomAt = room.isBefore(roomAt) ? room : roomAt;
-      requestsPerSecond += Math.max(0, announced.requestsPerSecond(server));
+      requestsPerSecond += announced.allowedPerSecond(server, now);
     }
     return Optional.of(new LimitedService(roomAt, requestsPerSecond));
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/AnnouncedLimits.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/AnnouncedLimits.java
@@ -148,6 +148,15 @@
     return own.isBefore(others) ? own : others;
   }
 
+  /**
+   * Returns the requests in a second that all instances together may send to a server at {@code
+   * now}; 0 if the server names no limit. It is more than the limit for a while after its end.
+   */
+  public double allowedPerSecond(BackendServer server, Instant now) {
+    LimitedServer limited = inForce(server, now);
+    return limited == null ? 0 : limited.rate(now);
+  }
+
   private static Duration notNegative(Duration duration) {
     return duration.isNegative() ? Duration.ZERO : duration;
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/AnnouncedLimitsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/AnnouncedLimitsTests.java
@@ -111,6 +111,19 @@
     assertFalse(second.isLimited(server));
   }
 
+  /** Guards against a crowd of requests, or none at all, at a server whose limit has just ended. */
+  @Test
+  void limitIsRaisedStepByStepAfterItsEnd() {
+    answer(first, 1.5);
+    assertEquals(1.5, first.allowedPerSecond(server, clock.instant()));
+    answerWithout(first);
+    assertEquals(3, first.allowedPerSecond(server, clock.instant()));
+    clock.advance(Duration.ofSeconds(2));
+    assertEquals(12, first.allowedPerSecond(server, clock.instant()));
+    clock.advance(Duration.ofSeconds(1));
+    assertEquals(0, first.allowedPerSecond(server, clock.instant()));
+  }
+
   /** Guards against instances that start, or missed the messages, and don't know of a limit. */
   @Test
   void limitIsReadFromTheLog() {
