--- a/teaseldeal-api/src/main/java/org/teaseldeal/api/Durations.java
+++ b/teaseldeal-api/src/main/java/org/teaseldeal/api/Durations.java
@@ -13,4 +13,14 @@
   public static Duration times(Duration duration, long factor) {
     return Duration.ofNanos(duration.toNanos() * factor);
   }
+
+  /** Returns the shorter one of two durations. */
+  public static Duration shorter(Duration one, Duration other) {
+    return one.compareTo(other) < 0 ? one : other;
+  }
+
+  /** Returns the longer one of two durations. */
+  public static Duration longer(Duration one, Duration other) {
+    return one.compareTo(other) > 0 ? one : other;
+  }
 }
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/DrainAdmission.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/DrainAdmission.java
@@ -2,6 +2,7 @@
 
 import java.time.Duration;
 import java.time.Instant;
+import org.teaseldeal.api.Durations;
 
 /**
  * Decides which requests an instance still accepts during its shutdown.
@@ -71,12 +72,13 @@
    * Returns the time from which the balancer sends callers to other instances, if there are any.
    */
   Instant balancerNoticed() {
-    return drainStart.plus(shorter(BALANCER_NOTICE_TIME, total().dividedBy(NOTICE_DIVISOR)));
+    return drainStart.plus(
+        Durations.shorter(BALANCER_NOTICE_TIME, total().dividedBy(NOTICE_DIVISOR)));
   }
 
   /** Returns the time from which no request is sent to a server for the first time. */
   Instant lastDispatch() {
-    return abortTime.minus(shorter(MIN_RUN_TIME, total().dividedBy(MIN_RUN_DIVISOR)));
+    return abortTime.minus(Durations.shorter(MIN_RUN_TIME, total().dividedBy(MIN_RUN_DIVISOR)));
   }
 
   /** Returns the delay after which a refused caller should retry. */
@@ -87,8 +89,4 @@
   private Duration total() {
     return Duration.between(drainStart, abortTime);
   }
-
-  private static Duration shorter(Duration one, Duration other) {
-    return one.compareTo(other) < 0 ? one : other;
-  }
 }
--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LoopDelay.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/LoopDelay.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.decisions;
 
 import java.time.Duration;
+import org.teaseldeal.api.Durations;
 
 /**
  * How late an event loop is: the longer of the time that its next round is overdue and what is left
@@ -14,7 +15,7 @@
 
   /** Records that a round has begun {@code late} after it was due. */
   public void onRound(Duration late) {
-    recent = longer(late, recent.dividedBy(2));
+    recent = Durations.longer(late, recent.dividedBy(2));
   }
 
   /**
@@ -23,10 +24,6 @@
    * @param overdue for how long the next round has been due; zero if it is not due yet
    */
   public Duration at(Duration overdue) {
-    return longer(overdue, recent);
-  }
-
-  private static Duration longer(Duration one, Duration other) {
-    return one.compareTo(other) > 0 ? one : other;
+    return Durations.longer(overdue, recent);
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -10,6 +10,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.BooleanSupplier;
+import org.teaseldeal.api.Durations;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.gateway.event.EventSink;
@@ -200,7 +201,7 @@
     private void requestFrom(String holder) {
       Instant now = clock.instant();
       long missing = tokens - Math.min(accounts.drawn(customer), tokens - 1);
-      Duration maxWait = shorter(MAX_WAIT, Duration.between(now, callerTimeout));
+      Duration maxWait = Durations.shorter(MAX_WAIT, Duration.between(now, callerTimeout));
       HolderPort.Request request =
           new HolderPort.Request(customer, missing, maxWait, Duration.between(now, deadline));
       port.request(holder, request, answer -> onAnswer(holder, missing, answer));
@@ -256,8 +257,4 @@
       }
     }
   }
-
-  private static Duration shorter(Duration one, Duration other) {
-    return one.compareTo(other) <= 0 ? one : other;
-  }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -566,8 +566,8 @@
         limited.get().requestsPerSecond() / Math.max(1, components.instances().getAsInt());
     double turnSeconds = Math.min(MAX_TURN.toSeconds(), waitingBefore(flow) / ownPerSecond);
     Duration turn = Duration.ofMillis((long) (turnSeconds * 1000));
-    Duration room = shorter(Duration.between(now, limited.get().roomAt()), MAX_TURN);
-    return longer(turn, room);
+    Duration room = Durations.shorter(Duration.between(now, limited.get().roomAt()), MAX_TURN);
+    return Durations.longer(turn, room);
   }
 
   private long waitingBefore(RequestFlow flow) {
@@ -577,14 +577,6 @@
         .count();
   }
 
-  private static Duration longer(Duration one, Duration other) {
-    return one.compareTo(other) > 0 ? one : other;
-  }
-
-  private static Duration shorter(Duration one, Duration other) {
-    return one.compareTo(other) < 0 ? one : other;
-  }
-
   boolean tryRetry(String service) {
     return retryWindow(service)
         .tryRetry(components.clock().instant(), components.instances().getAsInt());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -9,6 +9,7 @@
 import java.util.OptionalInt;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
+import org.teaseldeal.api.Durations;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.decisions.RoomQueue;
@@ -557,11 +558,11 @@
     if (dispatcher.selector().limitsRequests(service, now())) {
       // The servers would fail if they had to reject it.
       Duration turnIn = dispatcher.turnIn(this);
-      if (waiting.plus(turnIn).compareTo(shorter(MAX_WAIT_FOR_SERVER, route.aim())) > 0) {
+      if (waiting.plus(turnIn).compareTo(Durations.shorter(MAX_WAIT_FOR_SERVER, route.aim())) > 0) {
         giveUp(
             ErrorKind.OVERLOADED,
             "the servers of the service can take no more requests",
-            turnIn.compareTo(FULL_RETRY_AFTER) > 0 ? turnIn : FULL_RETRY_AFTER);
+            Durations.longer(turnIn, FULL_RETRY_AFTER));
       }
       return;
     }
@@ -584,10 +585,6 @@
     return true;
   }
 
-  private static Duration shorter(Duration one, Duration other) {
-    return one.compareTo(other) < 0 ? one : other;
-  }
-
   /**
    * Sends the request to another server if the present one has sent nothing for too long.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/FleetTrafficMeter.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/FleetTrafficMeter.java
@@ -5,6 +5,7 @@
 import java.time.InstantSource;
 import java.util.List;
 import java.util.function.Consumer;
+import org.teaseldeal.api.Durations;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.log.KeyedRecord;
@@ -79,7 +80,7 @@
 
   /** Records the delay of a round of the event loop. */
   public void recordStall(Duration stall) {
-    longestStall = longer(longestStall, stall);
+    longestStall = Durations.longer(longestStall, stall);
   }
 
   /** Returns when the present period ends. */
@@ -129,7 +130,7 @@
     appends++;
     notesWritten += notes;
     totalAppendTime = totalAppendTime.plus(took);
-    slowestAppend = longer(slowestAppend, took);
+    slowestAppend = Durations.longer(slowestAppend, took);
   }
 
   private void onRead(SharedLog.ReadOutcome outcome) {
@@ -139,10 +140,6 @@
     }
   }
 
-  private static Duration longer(Duration one, Duration other) {
-    return one.compareTo(other) >= 0 ? one : other;
-  }
-
   private final class MeteredLog implements SharedLog {
     private final SharedLog log;
 
