Let a limited server know whose share it keeps

Each of its methods was given the instance and all instances anew, and this instance's rate was kept beside the division that it follows from. A relay's time without room is parsed only in an answer that has one. No change of behaviour.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/AnnouncedLimits.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/AnnouncedLimits.java
@@ -111,7 +111,7 @@
   /** Returns whether this instance may send a request to a server at {@code now}. */
   public boolean hasRoom(BackendServer server, Instant now) {
     LimitedServer limited = inForce(server, now);
-    return limited == null || limited.hasRoom(instance, instances.get(), now);
+    return limited == null || limited.hasRoom(now);
   }
 
   /** Returns the addresses of the other instances that may have room for a request. */
@@ -120,7 +120,7 @@
     LimitedServer limited = inForce(server, now);
     return limited == null
         ? List.of()
-        : limited.holdersWithRoom(instance, instances.get(), now).stream()
+        : limited.holdersWithRoom(now).stream()
             .flatMap(holder -> addressOf.apply(holder).stream())
             .toList();
   }
@@ -131,7 +131,7 @@
     LimitedServer limited = inForce(server, now);
     return limited == null
         ? Duration.ZERO
-        : notNegative(Duration.between(now, limited.roomAt(instance, instances.get(), now)));
+        : notNegative(Duration.between(now, limited.roomAt(now)));
   }
 
   /**
@@ -143,8 +143,8 @@
     if (limited == null) {
       return now;
     }
-    Instant own = limited.roomAt(instance, instances.get(), now);
-    Instant others = limited.roomAtOthers(instance, instances.get(), now);
+    Instant own = limited.roomAt(now);
+    Instant others = limited.roomAtOthers(now);
     return own.isBefore(others) ? own : others;
   }
 
@@ -177,7 +177,7 @@
     if (limited == null) {
       return Uncounted.INSTANCE;
     }
-    limited.onSent(instance, instances.get(), now);
+    limited.onSent(now);
     return new Counted(limited);
   }
 
@@ -260,7 +260,8 @@
     Instant now = clock.instant();
     LimitedServer known = servers.get(server);
     if (known == null) {
-      servers.put(server, new LimitedServer(serverId(server), limit, now, random));
+      servers.put(
+          server, new LimitedServer(serverId(server), instance, instances, limit, now, random));
       report(server, limit, "named");
     } else if (limit.supersedes(known.limit())) {
       boolean begins = known.limit().ended() && !limit.ended();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/LimitedServer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/LimitedServer.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.random.RandomGenerator;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.api.BackendServerId;
@@ -31,13 +32,20 @@
   /**
    * How the rate is divided, valid while the instances and the rate stay the same.
    *
+   * @param ownRate the requests in a second that this instance may send
    * @param otherHolders the other instances that have a share that counts
    * @param holderInterval the time between two requests of one of them
    */
   private record Division(
-      Set<String> instances, double rate, List<String> otherHolders, Duration holderInterval) {}
+      Set<String> instances,
+      double rate,
+      double ownRate,
+      List<String> otherHolders,
+      Duration holderInterval) {}
 
   private final BackendServerId id;
+  private final String instance;
+  private final Supplier<Set<String>> instances;
   private final RandomGenerator random;
   private final Map<String, Instant> roomAtHolders = new HashMap<>();
   private AnnouncedLimit limit;
@@ -45,11 +53,23 @@
   private Instant heardAt;
   private @Nullable RateLimiter share;
   private @Nullable Division division;
-  private double ownRate;
   private int unanswered;
 
-  LimitedServer(BackendServerId id, AnnouncedLimit limit, Instant now, RandomGenerator random) {
+  /**
+   * Creates the state of a server process of which this instance has just heard.
+   *
+   * @param instances supplies the names of all instances, as a different object after each change
+   */
+  LimitedServer(
+      BackendServerId id,
+      String instance,
+      Supplier<Set<String>> instances,
+      AnnouncedLimit limit,
+      Instant now,
+      RandomGenerator random) {
     this.id = id;
+    this.instance = instance;
+    this.instances = instances;
     this.limit = limit;
     this.learnedAt = now;
     this.heardAt = now;
@@ -86,25 +106,25 @@
   }
 
   /** Returns whether this instance may send a request. */
-  boolean hasRoom(String instance, Set<String> instances, Instant now) {
-    RateLimiter own = share(instance, instances, now);
-    return own.hasPermit(now) && unanswered < maxUnanswered();
+  boolean hasRoom(Instant now) {
+    RateLimiter own = share(now);
+    return own.hasPermit(now) && unanswered < maxUnanswered(now);
   }
 
   /** Returns when this instance may send a request. */
-  Instant roomAt(String instance, Set<String> instances, Instant now) {
-    RateLimiter own = share(instance, instances, now);
-    boolean awaitsAnswer = unanswered >= maxUnanswered();
+  Instant roomAt(Instant now) {
+    RateLimiter own = share(now);
+    boolean awaitsAnswer = unanswered >= maxUnanswered(now);
     return awaitsAnswer && own.hasPermit(now) ? now.plus(own.interval()) : own.nextAt();
   }
 
-  private int maxUnanswered() {
-    return Math.max(MIN_UNANSWERED, (int) (ownRate * UNANSWERED_SECONDS));
+  private int maxUnanswered(Instant now) {
+    return Math.max(MIN_UNANSWERED, (int) (division(now).ownRate() * UNANSWERED_SECONDS));
   }
 
   /** Counts a request that is sent now. */
-  void onSent(String instance, Set<String> instances, Instant now) {
-    share(instance, instances, now).take(now);
+  void onSent(Instant now) {
+    share(now).take(now);
     unanswered++;
   }
 
@@ -121,15 +141,15 @@
   }
 
   /** Returns the names of the other holders that may have room. */
-  List<String> holdersWithRoom(String instance, Set<String> instances, Instant now) {
-    return division(instance, instances, now).otherHolders().stream()
+  List<String> holdersWithRoom(Instant now) {
+    return division(now).otherHolders().stream()
         .filter(holder -> !now.isBefore(roomAt(holder)))
         .toList();
   }
 
   /** Returns when another holder may have room; {@link Instant#MAX} if there is none. */
-  Instant roomAtOthers(String instance, Set<String> instances, Instant now) {
-    return division(instance, instances, now).otherHolders().stream()
+  Instant roomAtOthers(Instant now) {
+    return division(now).otherHolders().stream()
         .map(this::roomAt)
         .min(Instant::compareTo)
         .orElse(Instant.MAX);
@@ -166,8 +186,8 @@
     return one.isAfter(other) ? one : other;
   }
 
-  private RateLimiter share(String instance, Set<String> instances, Instant now) {
-    division(instance, instances, now);
+  private RateLimiter share(Instant now) {
+    double ownRate = division(now).ownRate();
     RateLimiter own = share;
     if (own == null) {
       // The server may just have got a request, and not all instances are to send their first at
@@ -179,19 +199,20 @@
     return own;
   }
 
-  private Division division(String instance, Set<String> instances, Instant now) {
+  private Division division(Instant now) {
+    Set<String> names = instances.get();
     double rate = rate(now);
     Division known = division;
-    if (known != null && known.instances() == instances && known.rate() == rate) {
+    if (known != null && known.instances() == names && known.rate() == rate) {
       return known;
     }
-    List<String> holders = SharedRate.holders(id, instances, rate);
-    ownRate = SharedRate.of(id, instance, instances, rate);
-    double holderRate = SharedRate.of(id, holders.getFirst(), instances, rate);
+    List<String> holders = SharedRate.holders(id, names, rate);
+    double holderRate = SharedRate.of(id, holders.getFirst(), names, rate);
     Division next =
         new Division(
-            instances,
+            names,
             rate,
+            SharedRate.of(id, instance, names, rate),
             holders.stream().filter(holder -> !holder.equals(instance)).toList(),
             Duration.ofNanos((long) (1e9 / holderRate)));
     division = next;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -60,7 +60,9 @@
   @Override
   public void onHead(int status, Map<String, String> headers) {
     result = RelayMessages.result(headers);
-    noRoomFor = RelayMessages.noRoomFor(headers);
+    if (result == Result.NO_ROOM) {
+      noRoomFor = RelayMessages.noRoomFor(headers);
+    }
     if (result == Result.ANSWER) {
       announcedEnd = RelayMessages.answerEnd(headers);
       outcome.onAnswered();
