Read scenarios in the model's tests as its commands do

Three test classes read a scenario file each by a method of their own; the new one had copied it. ScenarioFiles does the same and names file and problems. The assertions are unchanged.

--- a/teaseldeal-model/src/test/java/org/teaseldeal/model/CrashingPartTests.java
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/CrashingPartTests.java
@@ -17,7 +17,7 @@
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.teaseldeal.settings.SettingsParser.Parsed;
+import org.teaseldeal.cli.CommandException;
 
 /** Fleets whose engines crash under requests with one part in their prompts. */
 @Execution(ExecutionMode.CONCURRENT)
@@ -56,9 +56,9 @@
   @ParameterizedTest(name = "{0}, {1} instances, seed {2}")
   @MethodSource("plays")
   void stopsSendingRequestsWithThePartAndServesTheOthers(String file, int size, long seed)
-      throws IOException {
+      throws CommandException {
     SimulationResult result =
-        ModelFleet.simulate(scenario(SCENARIOS.resolve(file)), size, seed, Set.of());
+        ModelFleet.simulate(ScenarioFiles.read(SCENARIOS.resolve(file)), size, seed, Set.of());
     assertEquals(List.of(), result.violations(), result.text());
     assertTrue(result.cost().crashedByParts() > 0, result.text());
   }
@@ -66,16 +66,9 @@
   /** Guards against refusals of sound requests because engines crash for another reason. */
   @ParameterizedTest
   @ValueSource(ints = {SMALL_FLEET, LARGE_FLEET})
-  void refusesNothingIfEnginesCrashByChance(int size) throws IOException {
-    SimulationResult result = ModelFleet.simulate(scenario(CHANCE_SCENARIO), size, 1, Set.of());
+  void refusesNothingIfEnginesCrashByChance(int size) throws CommandException {
+    SimulationResult result =
+        ModelFleet.simulate(ScenarioFiles.read(CHANCE_SCENARIO), size, 1, Set.of());
     assertNull(result.refusals().get("quarantined"), result.text());
   }
-
-  private static Scenario scenario(Path file) throws IOException {
-    return switch (ScenarioParser.parse(Files.readString(file))) {
-      case Parsed.Valid<Scenario> valid -> valid.settings();
-      case Parsed.Invalid<Scenario> invalid ->
-          throw new IllegalArgumentException(file + ": " + invalid.problems());
-    };
-  }
 }
--- a/teaseldeal-model/src/test/java/org/teaseldeal/model/ModelInvariantTests.java
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/ModelInvariantTests.java
@@ -16,7 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.teaseldeal.settings.SettingsParser.Parsed;
+import org.teaseldeal.cli.CommandException;
 
 /** The invariants that callers rely on hold in each scenario, whichever faults it injects. */
 @Execution(ExecutionMode.CONCURRENT)
@@ -41,9 +41,10 @@
    */
   @ParameterizedTest(name = "{0}, seed {1}")
   @MethodSource("scenariosAndSeeds")
-  void keepsAllInvariants(String file, long seed) throws IOException {
+  void keepsAllInvariants(String file, long seed) throws CommandException {
     SimulationResult result =
-        ModelFleet.simulate(scenario(file), LARGE_FLEET_INSTANCES, seed, Set.of());
+        ModelFleet.simulate(
+            ScenarioFiles.read(SCENARIOS.resolve(file)), LARGE_FLEET_INSTANCES, seed, Set.of());
     assertEquals(List.of(), result.violations());
     assertTrue(result.total().sent() > 0, result.text());
   }
@@ -53,18 +54,10 @@
    * show chance rather than the mechanism that was switched off.
    */
   @Test
-  void repeatsASimulationExactlyForTheSameSeed() throws IOException {
-    Scenario scenario = scenario("power-of-some.toml");
+  void repeatsASimulationExactlyForTheSameSeed() throws CommandException {
+    Scenario scenario = ScenarioFiles.read(SCENARIOS.resolve("power-of-some.toml"));
     assertEquals(
         ModelFleet.simulate(scenario, 20, 7, Set.of()).text(),
         ModelFleet.simulate(scenario, 20, 7, Set.of()).text());
   }
-
-  private static Scenario scenario(String file) throws IOException {
-    return switch (ScenarioParser.parse(Files.readString(SCENARIOS.resolve(file)))) {
-      case Parsed.Valid<Scenario> valid -> valid.settings();
-      case Parsed.Invalid<Scenario> invalid ->
-          throw new IllegalArgumentException(file + ": " + invalid.problems());
-    };
-  }
 }
--- a/teaseldeal-model/src/test/java/org/teaseldeal/model/ServerRateLimitTests.java
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/ServerRateLimitTests.java
@@ -15,7 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.teaseldeal.settings.SettingsParser.Parsed;
+import org.teaseldeal.cli.CommandException;
 
 /** Fleets with engines that name how many requests a second they take of all instances together. */
 @Execution(ExecutionMode.CONCURRENT)
@@ -44,18 +44,10 @@
    */
   @ParameterizedTest(name = "{0}, {1} instances, seed {2}")
   @MethodSource("plays")
-  void keepsToTheLimitsThatEnginesName(String file, int size, long seed) throws IOException {
+  void keepsToTheLimitsThatEnginesName(String file, int size, long seed) throws CommandException {
     SimulationResult result =
-        ModelFleet.simulate(scenario(SCENARIOS.resolve(file)), size, seed, Set.of());
+        ModelFleet.simulate(ScenarioFiles.read(SCENARIOS.resolve(file)), size, seed, Set.of());
     assertEquals(List.of(), result.violations(), result.text());
     assertFalse(result.observations().isEmpty(), result.text());
   }
-
-  private static Scenario scenario(Path file) throws IOException {
-    return switch (ScenarioParser.parse(Files.readString(file))) {
-      case Parsed.Valid<Scenario> valid -> valid.settings();
-      case Parsed.Invalid<Scenario> invalid ->
-          throw new IllegalArgumentException(file + ": " + invalid.problems());
-    };
-  }
 }
