Log what servers say in their answers about leaving and pauses

Callers' requests reached servers that had said that they leave, or had asked for a pause, and no log line told whether an instance had heard it.

One decoder (ServerStatementReader) reads all that an answer's head says of its server: limit, rejections it endures, leaving, pause; of requests, relayed requests and probes alike, of its own answers only. ServerLeaveAnnounced and ServerPause tell the hypotheses apart; no decision changes.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -280,6 +280,28 @@
   /** An answer named a limit that can't be read. It is reported once for each server process. */
   record ServerRateLimitUnreadable(String server, String value) implements GatewayEvent {}
 
+  /**
+   * A process of a backend server said in an answer that it leaves.
+   *
+   * @param server the id of the server, and when its process started in milliseconds since 1970
+   * @param source the instance that got the answer
+   */
+  record ServerLeaveAnnounced(String server, String source) implements GatewayEvent {}
+
+  /**
+   * A process of a backend server rejected a request of this instance and asked for a pause.
+   *
+   * @param status the status of the rejection
+   */
+  record ServerPause(String server, int status, Duration pause) implements GatewayEvent {}
+
+  /**
+   * An answer said something about its server that can't be read. It is reported once for each
+   * server process and statement.
+   */
+  record ServerStatementUnreadable(String server, String statement, String value)
+      implements GatewayEvent {}
+
   /**
    * The use of a customer's prepaid total, as this instance knows it.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -8,7 +8,6 @@
 import org.teaseldeal.decisions.PrefillTime;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.server.BackendServer;
-import org.teaseldeal.gateway.server.RateAnnouncement;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpCall;
@@ -178,10 +177,6 @@
     status = answerStatus;
     headers = components.dialect().answerHeaders(answerHeaders);
     verdict = components.dialect().verdict(answerStatus, answerHeaders);
-    if (verdict == AnswerVerdict.GENUINE || verdict == AnswerVerdict.NOT_RUN) {
-      flow.onAnswerHead(server, components.dialect().maxRejectionsPerSecond(answerHeaders));
-      readRateAnnouncement(answerHeaders);
-    }
     String contentType = headers.get(CONTENT_TYPE);
     eventStream =
         streamed
@@ -192,14 +187,6 @@
     }
   }
 
-  /** Rejections and errors may come from a part of the server that knows of no limit. */
-  private void readRateAnnouncement(Map<String, String> answerHeaders) {
-    RateAnnouncement announcement = components.dialect().rateAnnouncement(answerHeaders);
-    if (status == OK || !(announcement instanceof RateAnnouncement.Absent)) {
-      components.links().limits().announced().onAnswer(server, announcement, startedAt);
-    }
-  }
-
   @Override
   public void onBodyPart(byte[] part) {
     if (ended) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
@@ -1,10 +1,8 @@
 package org.teaseldeal.gateway.flow;
 
 import java.util.Map;
-import java.util.OptionalInt;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.api.Result;
-import org.teaseldeal.gateway.server.RateAnnouncement;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -29,19 +27,6 @@
   /** Interprets the status and headers of an answer. */
   AnswerVerdict verdict(int status, Map<String, String> headers);
 
-  /**
-   * The number of rejections per second from which on the server that sent an answer fails; empty
-   * if it announces none.
-   */
-  default OptionalInt maxRejectionsPerSecond(Map<String, String> headers) {
-    return OptionalInt.empty();
-  }
-
-  /** What an answer says about the requests in a second that its server takes. */
-  default RateAnnouncement rateAnnouncement(Map<String, String> headers) {
-    return new RateAnnouncement.Absent();
-  }
-
   /** The headers of a backend server's answer that are passed on to the caller. */
   Map<String, String> answerHeaders(Map<String, String> headers);
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -25,6 +25,7 @@
 import org.teaseldeal.gateway.plan.PrepaidCustomer;
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpExchange;
 import org.teaseldeal.net.HttpHandler;
@@ -159,6 +160,13 @@
       components.quarantine().onUnreachable(server.incarnation());
       components.promptParts().onUnreachable(server.incarnation());
     }
+
+    @Override
+    public void onStatements(BackendServer server, ServerStatements statements) {
+      if (statements.authoritative() || statements.maxRejections().isPresent()) {
+        selector.onAnswerHead(server, statements.maxRejections(), components.clock().instant());
+      }
+    }
   }
 
   /** The number of requests that have no final answer yet. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -614,10 +614,6 @@
     return waiting.stalledFor().compareTo(dispatcher.maxSilence(route)) > 0;
   }
 
-  void onAnswerHead(BackendServer server, OptionalInt maxRejections) {
-    dispatcher.selector().onAnswerHead(server, maxRejections, now());
-  }
-
   /** Records the time to the first event of an answer to a prompt. */
   void onFirstEvent(ServerSelector.Selection selection, Duration took) {
     dispatcher.selector().onFirstEvent(selection, took);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -75,6 +75,10 @@
       case GatewayEvent.ServerRateLimit limit -> count("server_rate_limits_", limit.state());
       case GatewayEvent.ServerRateLimitUnreadable unreadable ->
           count("server_rate_limits_unreadable");
+      case GatewayEvent.ServerLeaveAnnounced leave -> count("server_leaves_announced");
+      case GatewayEvent.ServerPause pause -> count("server_pauses");
+      case GatewayEvent.ServerStatementUnreadable unreadable ->
+          count("server_statements_unreadable");
       case GatewayEvent.AccountLevel level -> accounts.put(level.customer(), level);
       case GatewayEvent.AccountTakenOver taken ->
           registry
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -17,7 +17,7 @@
   /** Receives what became of the request besides its answer. */
   interface Outcome {
     /** Called when the relay has passed on the head of the server's answer. */
-    void onAnswered();
+    void onAnswered(int status, Map<String, String> headers);
 
     /** Called if the relay did not send the request and another instance may. */
     void onRefused(String detail);
@@ -65,8 +65,9 @@
     }
     if (result == Result.ANSWER) {
       announcedEnd = RelayMessages.answerEnd(headers);
-      outcome.onAnswered();
-      listener.onHead(status, RelayMessages.withoutRelayHeaders(headers));
+      Map<String, String> serverHeaders = RelayMessages.withoutRelayHeaders(headers);
+      outcome.onAnswered(status, serverHeaders);
+      listener.onHead(status, serverHeaders);
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -21,6 +21,8 @@
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerIncarnation;
+import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
@@ -47,6 +49,9 @@
 
     /** Called when neither this instance nor the ones that it asked can connect to the server. */
     void onUnreachable(BackendServer server);
+
+    /** Called with what the head of an answer to a request says about its server. */
+    default void onStatements(BackendServer server, ServerStatements statements) {}
   }
 
   /**
@@ -70,6 +75,7 @@
   private final Function<BackendServer, HttpCallRequest> probeRequests;
   private final ServerDirectory servers;
   private final ServerLimits limits;
+  private final ServerStatementHandler statements;
   private final EventSink events;
   private final InstantSource clock;
   private final ServerPaths paths = new ServerPaths(new PathEvents());
@@ -98,6 +104,7 @@
       Function<BackendServer, HttpCallRequest> probeRequests,
       ServerDirectory servers,
       ServerLimits limits,
+      ServerStatementHandler statements,
       EventSink events,
       InstantSource clock,
       RandomGenerator random) {
@@ -110,6 +117,7 @@
     this.probeRequests = probeRequests;
     this.servers = servers;
     this.limits = limits;
+    this.statements = statements;
     this.events = events;
     this.clock = clock;
   }
@@ -156,7 +164,7 @@
   public HttpCall sendDirectly(
       BackendServer server, HttpCallRequest request, HttpListener listener) {
     SentRequest sent = limits.onSent(server);
-    HttpCall call = direct.send(request, new ObservedCall(server.id(), sent, listener));
+    HttpCall call = direct.send(request, new ObservedCall(server, sent, listener));
     return () -> {
       sent.onArrived();
       call.cancel();
@@ -212,8 +220,10 @@
       paths.onListed(listed);
       unreachableReports.keySet().retainAll(listed);
       lastRelays.keySet().retainAll(listed);
-      limits.retain(
-          servers.all().stream().map(BackendServer::incarnation).collect(Collectors.toSet()));
+      Set<ServerIncarnation> incarnations =
+          servers.all().stream().map(BackendServer::incarnation).collect(Collectors.toSet());
+      limits.retain(incarnations);
+      statements.retain(incarnations);
     }
     for (BackendServerId id : paths.takeDueProbes(clock.instant())) {
       servers.find(id).ifPresentOrElse(this::probe, () -> onUnlisted(id));
@@ -233,7 +243,7 @@
 
   private void probe(BackendServer server) {
     HttpCallRequest request = probeRequests.apply(server);
-    new Probe(server.id(), limits.announced().onSent(server)).send(request);
+    new Probe(server, limits.announced().onSent(server)).send(request);
     if (paths.isLost(server.id())) {
       probeThroughRelay(server, request);
     }
@@ -291,6 +301,11 @@
     }
   }
 
+  private void onAnswerHead(
+      BackendServer server, int status, Map<String, String> headers, Instant sentAt) {
+    pathListener.onStatements(server, statements.onAnswer(server, status, headers, sentAt));
+  }
+
   private String address(BackendServerId id) {
     return servers.find(id).map(BackendServer::address).orElse("");
   }
@@ -313,12 +328,12 @@
 
   /** Derives from a request's outcome whether the path to its server works. */
   private final class ObservedCall implements HttpListener {
-    private final BackendServerId server;
+    private final BackendServer server;
     private final SentRequest sent;
     private final HttpListener listener;
     private final Instant sentAt = clock.instant();
 
-    ObservedCall(BackendServerId server, SentRequest sent, HttpListener listener) {
+    ObservedCall(BackendServer server, SentRequest sent, HttpListener listener) {
       this.server = server;
       this.sent = sent;
       this.listener = listener;
@@ -332,13 +347,14 @@
     @Override
     public void onHead(int status, Map<String, String> headers) {
       sent.onArrived();
-      paths.onReceived(server, sentAt, clock.instant());
+      paths.onReceived(server.id(), sentAt, clock.instant());
+      onAnswerHead(server, status, headers, sentAt);
       listener.onHead(status, headers);
     }
 
     @Override
     public void onBodyPart(byte[] part) {
-      paths.onReceived(server, sentAt, clock.instant());
+      paths.onReceived(server.id(), sentAt, clock.instant());
       listener.onBodyPart(part);
     }
 
@@ -351,10 +367,10 @@
     public void onFailure(HttpFailure failure, String detail) {
       if (failure == HttpFailure.NOT_SENT) {
         sent.onNotSent();
-        paths.onConnectFailed(server, clock.instant());
+        paths.onConnectFailed(server.id(), clock.instant());
       } else {
         sent.onArrived();
-        paths.onBroken(server, clock.instant());
+        paths.onBroken(server.id(), clock.instant());
       }
       listener.onFailure(failure, detail);
     }
@@ -415,8 +431,9 @@
     }
 
     @Override
-    public void onAnswered() {
+    public void onAnswered(int status, Map<String, String> headers) {
       onRelayed(server, peer);
+      onAnswerHead(server, status, headers, startedAt);
     }
 
     @Override
@@ -477,9 +494,10 @@
     }
 
     @Override
-    public void onAnswered() {
+    public void onAnswered(int status, Map<String, String> headers) {
       call.onHead();
       onRelayed(server, peer);
+      statements.onProbeAnswer(server, status, headers);
     }
 
     @Override
@@ -551,12 +569,12 @@
 
   /** A request whose answer shows only that the path works. */
   private final class Probe implements HttpListener {
-    private final BackendServerId server;
+    private final BackendServer server;
     private final SentRequest sent;
     private final CallUntilHead call = new CallUntilHead();
     private boolean answered;
 
-    Probe(BackendServerId server, SentRequest sent) {
+    Probe(BackendServer server, SentRequest sent) {
       this.server = server;
       this.sent = sent;
     }
@@ -570,7 +588,8 @@
       answered = true;
       sent.onArrived();
       call.onHead();
-      paths.onProbeAnswered(server, clock.instant());
+      statements.onProbeAnswer(server, status, headers);
+      paths.onProbeAnswered(server.id(), clock.instant());
     }
 
     @Override
@@ -581,8 +600,10 @@
 
     /** Without another instance to ask, answers of other servers show that the path is not lost. */
     private void reportIfOthersAnswer() {
-      if (peerAddresses.get().isEmpty() && paths.isLost(server) && !paths.areAllLost()) {
-        servers.find(server).ifPresent(unreached -> onReportedUnreachable(unreached, instance));
+      if (peerAddresses.get().isEmpty() && paths.isLost(server.id()) && !paths.areAllLost()) {
+        servers
+            .find(server.id())
+            .ifPresent(unreached -> onReportedUnreachable(unreached, instance));
       }
     }
 
@@ -596,7 +617,7 @@
       if (!answered) {
         reportIfOthersAnswer();
         paths.onProbeFailed(
-            server,
+            server.id(),
             failure == HttpFailure.NOT_SENT
                 ? ServerPaths.Evidence.CONNECT_FAILED
                 : ServerPaths.Evidence.NO_ANSWER,
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.fake;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
 import org.teaseldeal.gateway.flow.PromptDescription;
 import org.teaseldeal.gateway.flow.PromptPart;
 import org.teaseldeal.gateway.server.RateAnnouncement;
+import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -32,6 +34,12 @@
   /** In an answer: the requests a second that the server takes. */
   public static final String LIMIT_HEADER = "limit";
 
+  /** In an answer: the server leaves. */
+  public static final String LEAVING_HEADER = "leaving";
+
+  /** In a rejection: the milliseconds for which the server wants no further requests. */
+  public static final String PAUSE_HEADER = "pause-ms";
+
   /** In an answer: the server has not run the request. */
   public static final String NOT_RUN_HEADER = "not-run";
 
@@ -102,14 +110,20 @@
     return status == OTHER_SERVER_STATUS ? AnswerVerdict.OTHER_SERVER : AnswerVerdict.GENUINE;
   }
 
-  @Override
-  public OptionalInt maxRejectionsPerSecond(Map<String, String> headers) {
-    String value = headers.get(BRITTLE_HEADER);
-    return value == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(value));
+  /** Returns what the head of an answer says about its server. */
+  public static ServerStatements statements(int status, Map<String, String> headers) {
+    String brittle = headers.get(BRITTLE_HEADER);
+    return new ServerStatements(
+        status != OTHER_SERVER_STATUS,
+        rateAnnouncement(headers),
+        brittle == null ? OptionalInt.empty() : OptionalInt.of(Integer.parseInt(brittle)),
+        headers.containsKey(LEAVING_HEADER),
+        Optional.ofNullable(headers.get(PAUSE_HEADER))
+            .map(millis -> Duration.ofMillis(Long.parseLong(millis))),
+        List.of());
   }
 
-  @Override
-  public RateAnnouncement rateAnnouncement(Map<String, String> headers) {
+  private static RateAnnouncement rateAnnouncement(Map<String, String> headers) {
     String value = headers.get(LIMIT_HEADER);
     if (value == null) {
       return new RateAnnouncement.Absent();
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -23,6 +23,7 @@
 import org.teaseldeal.gateway.path.AnnouncedLimits;
 import org.teaseldeal.gateway.path.ServerLimits;
 import org.teaseldeal.gateway.path.ServerLinks;
+import org.teaseldeal.gateway.path.ServerStatementHandler;
 import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.PeerLoads;
 import org.teaseldeal.gateway.plan.CallerLimits;
@@ -90,6 +91,24 @@
       listener.onEnd(AnswerEnd.LENGTH);
     }
 
+    /** Answers as a server that leaves. */
+    void answerAsLeaving() {
+      listener.onHead(200, Map.of(FakeDialect.LEAVING_HEADER, "1"));
+      listener.onEnd(AnswerEnd.LENGTH);
+    }
+
+    /** Answers as a server that has no room and wants no further requests for a time. */
+    void rejectWithPause(Duration pause) {
+      listener.onHead(
+          503,
+          Map.of(
+              FakeDialect.NOT_RUN_HEADER,
+              "full",
+              FakeDialect.PAUSE_HEADER,
+              Long.toString(pause.toMillis())));
+      listener.onEnd(AnswerEnd.LENGTH);
+    }
+
     void answer(int status) {
       listener.onHead(status, Map.of());
       listener.onEnd(AnswerEnd.LENGTH);
@@ -214,6 +233,11 @@
                             Duration.ofMillis(400)),
                     servers,
                     serverLimits,
+                    new ServerStatementHandler(
+                        "instance-1",
+                        (server, status, headers) -> FakeDialect.statements(status, headers),
+                        serverLimits,
+                        events::add),
                     events::add,
                     clock,
                     new Random(1)),
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
@@ -19,6 +19,7 @@
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.gateway.server.ServerListing;
+import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
@@ -41,6 +42,8 @@
   private final List<String> peers = new ArrayList<>(List.of("peer-1:1", "peer-2:1"));
   private final List<String> down = new ArrayList<>();
   private final List<String> outcomes = new ArrayList<>();
+  private final ServerLimits limits =
+      ServerLimits.alone("instance-1", event -> {}, clock, new Random(1));
   private final ServerLinks links =
       new ServerLinks(
           "instance-1",
@@ -50,7 +53,12 @@
           recordIn(probes),
           server -> REQUEST,
           servers,
-          ServerLimits.alone("instance-1", event -> {}, clock, new Random(1)),
+          limits,
+          new ServerStatementHandler(
+              "instance-1",
+              (server, status, headers) -> ServerStatements.NONE,
+              limits,
+              event -> {}),
           event -> {},
           clock,
           new Random(1));
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.model;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
@@ -108,6 +109,15 @@
       }
       case RATE_LIMIT -> limit(randomSubset(engineNames(), fault.share()), fault);
       case PLAIN_RATE_LIMIT -> limit(randomSubset(plainNames(), fault.share()), fault);
+      case LEAVE ->
+          randomSubset(engineNames(), fault.share())
+              .forEach(
+                  name -> fleet.announceLeave(fleet.server(name), fault.lasting(), fault.gap()));
+      case PAUSE -> {
+        Duration pause = Duration.ofMillis(Math.round(fault.factor() * 1_000));
+        randomSubset(engineNames(), fault.share())
+            .forEach(name -> fleet.rejectWithPause(fleet.server(name), pause, fault.lasting()));
+      }
       case HOLDER_LOST -> {
         List<String> holders =
             TokenHolderChoice.holders(load.customers().getFirst(), fleet.memberNames()).stream()
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.api.Result;
 import org.teaseldeal.gateway.flow.AnswerVerdict;
@@ -13,6 +14,7 @@
 import org.teaseldeal.gateway.flow.PromptDescription;
 import org.teaseldeal.gateway.flow.Resumption;
 import org.teaseldeal.gateway.server.RateAnnouncement;
+import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -33,6 +35,12 @@
   /** Header of a server's answer that holds the requests in a second that it takes. */
   static final String RATE_LIMIT_HEADER = "limit";
 
+  /** Header of a server's answer that says that the server leaves. */
+  static final String LEAVING_HEADER = "leaving";
+
+  /** Header of a server's rejection that holds the milliseconds for which it wants no requests. */
+  static final String PAUSE_HEADER = "pause-ms";
+
   /** Header that carries the id of the last event that the caller has; 0 if it has none. */
   static final String LAST_EVENT_HEADER = "last-event";
 
@@ -100,8 +108,19 @@
     return headers.containsKey(NOT_RUN_HEADER) ? AnswerVerdict.NOT_RUN : AnswerVerdict.GENUINE;
   }
 
-  @Override
-  public RateAnnouncement rateAnnouncement(Map<String, String> headers) {
+  /** Returns what the head of an answer says about its server. */
+  static ServerStatements statements(Map<String, String> headers) {
+    return new ServerStatements(
+        true,
+        rateAnnouncement(headers),
+        OptionalInt.empty(),
+        headers.containsKey(LEAVING_HEADER),
+        Optional.ofNullable(headers.get(PAUSE_HEADER))
+            .map(millis -> Duration.ofMillis(Long.parseLong(millis))),
+        List.of());
+  }
+
+  private static RateAnnouncement rateAnnouncement(Map<String, String> headers) {
     String value = headers.get(RATE_LIMIT_HEADER);
     return value == null
         ? new RateAnnouncement.Absent()
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -6,6 +6,7 @@
 import java.util.ArrayList;
 import java.util.EnumSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -74,9 +75,13 @@
   private final SkewCheck skewCheck;
   private final RateLimitCheck limitCheck;
   private final Map<String, Double> serverLimits = new HashMap<>();
+  private final StatementCheck statementCheck;
+  private final Set<String> leavingServers = new HashSet<>();
+  private final Map<String, Duration> pausesByServer = new HashMap<>();
   private final Map<String, ModelInstance> instances = new TreeMap<>();
   private final Map<String, Long> steadyClockOffsetsNanos = new HashMap<>();
   private final Map<String, ModelRequest> attempts = new HashMap<>();
+  private final Map<String, Long> attemptSentAtNanos = new HashMap<>();
   private final Map<String, Integer> runsOfAtMostOnceAttempts = new HashMap<>();
   private final Map<String, PlanOrderCheck> planOrders = new HashMap<>();
   private final Map<String, SimulationResult.Tally> tallies = new TreeMap<>();
@@ -99,6 +104,7 @@
         new CrashingPartCheck(time, scenario.kinds().getFirst().name(), STABILISATION_TIME);
     this.skewCheck = new SkewCheck(time, STABILISATION_TIME);
     this.limitCheck = new RateLimitCheck(time, STABILISATION_TIME);
+    this.statementCheck = new StatementCheck(time);
     this.network = new ModelNetwork(time, scenario.links(), random.split());
     this.log = new ModelLog(time, network, scenario.log());
     this.fleetTopic = new ModelLog(time, network, scenario.log());
@@ -152,6 +158,7 @@
     violations.addAll(crashingPartCheck.violations());
     violations.addAll(skewCheck.violations());
     violations.addAll(limitCheck.violations());
+    violations.addAll(statementCheck.violations());
     return result();
   }
 
@@ -168,6 +175,7 @@
     time.schedule(MAX_PLAN_DELAY, () -> instance.applyPlan(plan()));
     planOrders.remove(name);
     limitCheck.onInstanceStarted(name);
+    statementCheck.onInstanceStarted(name);
   }
 
   // Accessors for instances, callers and the fault injector.
@@ -352,6 +360,7 @@
 
   void registerAttempt(String id, ModelRequest request) {
     attempts.put(id, request);
+    attemptSentAtNanos.put(id, time.elapsedNanos());
   }
 
   ModelRequest requestOf(String attempt) {
@@ -392,8 +401,35 @@
     return limitCheck;
   }
 
+  StatementCheck statementCheck() {
+    return statementCheck;
+  }
+
+  /** Lets a server say in all its answers that it leaves, until it ends and is replaced. */
+  void announceLeave(ModelServer server, Duration endsAfter, Duration downtime) {
+    leavingServers.add(server.name());
+    time.schedule(endsAfter, () -> crashServer(server, downtime));
+  }
+
+  boolean isLeaving(ModelServer server) {
+    return leavingServers.contains(server.name());
+  }
+
+  /** Lets a server reject all requests and ask for a pause, for {@code lasting}. */
+  void rejectWithPause(ModelServer server, Duration pause, Duration lasting) {
+    pausesByServer.put(server.name(), pause);
+    time.schedule(lasting, () -> pausesByServer.remove(server.name()));
+  }
+
+  /** Returns the pause for which a server asks as it rejects a request; empty if it takes it. */
+  Optional<Duration> pauseOf(ModelServer server) {
+    return Optional.ofNullable(pausesByServer.get(server.name()));
+  }
+
   /** Records an attempt of an instance that arrives at a server. */
-  void onSentToServer(String instance, ModelServer server, ModelRequest request) {
+  void onSentToServer(String instance, ModelServer server, ModelRequest request, String attempt) {
+    statementCheck.onArrival(
+        instance, server.name(), attemptSentAtNanos.getOrDefault(attempt, time.elapsedNanos()));
     limitCheck.onArrival(instance, server.name(), inTouch(instance));
     request.crashingPart().ifPresent(part -> crashingPartCheck.onArrival(part, inTouch(instance)));
   }
@@ -495,6 +531,9 @@
   void crashServer(ModelServer server, Duration lasting) {
     server.setDown(true);
     endLimit(server);
+    leavingServers.remove(server.name());
+    pausesByServer.remove(server.name());
+    statementCheck.onServerReplaced(server.name());
     time.schedule(LISTING_DELAY, () -> updateListings(server, false));
     time.schedule(
         lasting,
@@ -579,7 +618,11 @@
             log.reads() / instanceSeconds,
             sharedTokensRead,
             crashingPartCheck.crashes()),
-        Stream.concat(crashingPartCheck.observations().stream(), limitCheck.observations().stream())
+        Stream.of(
+                crashingPartCheck.observations(),
+                limitCheck.observations(),
+                statementCheck.observations())
+            .flatMap(List::stream)
             .toList(),
         violations);
   }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -33,6 +33,7 @@
 import org.teaseldeal.gateway.path.RequestRelay;
 import org.teaseldeal.gateway.path.ServerLimits;
 import org.teaseldeal.gateway.path.ServerLinks;
+import org.teaseldeal.gateway.path.ServerStatementHandler;
 import org.teaseldeal.gateway.path.WarmUpLimits;
 import org.teaseldeal.gateway.peer.LoadExchange;
 import org.teaseldeal.gateway.peer.NoteBroadcast;
@@ -175,6 +176,7 @@
             time,
             FLEET_LOG_READ_INTERVAL,
             List.of(quarantine, promptParts, announcedLimits, versionHistory, streamOrigins));
+    ServerLimits serverLimits = new ServerLimits(WarmUpLimits.none(time), announcedLimits, time);
     ServerLinks links =
         new ServerLinks(
             name,
@@ -191,7 +193,12 @@
                     new byte[0],
                     PROBE_TIMEOUT),
             servers,
-            new ServerLimits(WarmUpLimits.none(time), announcedLimits, time),
+            serverLimits,
+            new ServerStatementHandler(
+                name,
+                (server, status, headers) -> ModelDialect.statements(headers),
+                serverLimits,
+                this::onEvent),
             this::onEvent,
             time,
             new Random(fleet.nextSeed()));
@@ -601,8 +608,13 @@
                   String id = String.valueOf(request.headers().get(ModelDialect.ATTEMPT_ID_HEADER));
                   fleet.onAttemptStarted(id);
                   version = fleet.versionOf(server);
-                  fleet.onSentToServer(name, server, fleet.requestOf(id));
-                  serverRun = server.run(fleet.requestOf(id), partCount, this);
+                  fleet.onSentToServer(name, server, fleet.requestOf(id), id);
+                  Optional<Duration> pause = fleet.pauseOf(server);
+                  if (pause.isPresent()) {
+                    rejectWithPause(pause.get());
+                  } else {
+                    serverRun = server.run(fleet.requestOf(id), partCount, this);
+                  }
                 }
               });
     }
@@ -656,6 +668,10 @@
             fleet.limitCheck().onPassedOn(name, server.name());
             all.put(ModelDialect.RATE_LIMIT_HEADER, Double.toString(limit));
           });
+      if (fleet.isLeaving(server)) {
+        fleet.statementCheck().onLeaveTold(name, server.name());
+        all.put(ModelDialect.LEAVING_HEADER, "1");
+      }
       listener.onHead(status, all);
     }
 
@@ -687,6 +703,22 @@
           });
     }
 
+    private void rejectWithPause(Duration pause) {
+      deliver(
+          () -> {
+            fleet.statementCheck().onPauseTold(name, server.name(), pause);
+            deliverHead(
+                503,
+                Map.of(
+                    ModelDialect.NOT_RUN_HEADER,
+                    "1",
+                    ModelDialect.PAUSE_HEADER,
+                    Long.toString(pause.toMillis())));
+            ended = true;
+            listener.onEnd(AnswerEnd.LAST_CHUNK);
+          });
+    }
+
     @Override
     public void onCrash() {
       deliver(() -> fail(headSent ? HttpFailure.BROKEN_ANSWER : HttpFailure.NO_ANSWER));
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
@@ -185,7 +185,14 @@
     /** Engines name a limit of {@code factor} requests a second in their answers. */
     RATE_LIMIT,
     /** Plain servers name a limit of {@code factor} requests a second in their answers. */
-    PLAIN_RATE_LIMIT
+    PLAIN_RATE_LIMIT,
+    /**
+     * Engines say in all their answers that they leave, while the list shows them as ready. They
+     * end after the duration, and others take their places after {@code gap}.
+     */
+    LEAVE,
+    /** Engines reject all requests and ask for a pause of {@code factor} seconds. */
+    PAUSE
   }
 
   /** Where in a prompt a part stands, which is never the last. */
@@ -201,7 +208,7 @@
    * @param lasting the duration
    * @param share the share of the instances or engines that are affected
    * @param factor the factor by which the load is multiplied, the number of plans, the number of
-   *     crashing requests a second, or the limit of requests a second
+   *     crashing requests a second, the limit of requests a second, or the seconds of a pause
    * @param gap the time between consecutive stops, losses of power or published plans, or until a
    *     crashed engine is back
    * @param position where the crashing part stands
