--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/PausedServerFlowTests.java
@@ -0,0 +1,94 @@
+package org.teaseldeal.gateway.flow;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.time.Instant;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.ErrorKind;
+import org.teaseldeal.gateway.fake.FakeExchange;
+
+/** Tests of servers that reject a request and ask for a pause. */
+class PausedServerFlowTests {
+  private static final String PAUSED = "10.0.0.1:80";
+  private static final String OTHER = "10.0.0.2:80";
+  private static final Duration PAUSE = Duration.ofSeconds(3);
+  private static final Duration STEP = Duration.ofMillis(100);
+  private static final int CALLS_IN_PAUSE = 29;
+
+  private final GatewayFixture gateway = new GatewayFixture();
+
+  @BeforeEach
+  void askForAPause() {
+    gateway.list("server-1", PAUSED, Instant.EPOCH);
+    gateway.call(GatewayFixture.ONCE_PATH);
+    gateway.sent.getLast().rejectWithPause(PAUSE);
+    gateway.sent.clear();
+  }
+
+  private long sentTo(String address) {
+    return gateway.sent.stream().filter(sent -> sent.address().equals(address)).count();
+  }
+
+  private FakeExchange callAndStep() {
+    FakeExchange call = gateway.call(GatewayFixture.REPEATABLE_PATH);
+    gateway.clock.advance(STEP);
+    gateway.dispatcher.tick();
+    return call;
+  }
+
+  /** Guards against servers that shed load and are pressed on by the instances they told. */
+  @Tag("known-red")
+  @Test
+  void sendsNothingToAServerInItsPause() {
+    gateway.list("server-2", OTHER, Instant.EPOCH);
+    for (int i = 0; i < CALLS_IN_PAUSE; i++) {
+      callAndStep();
+      gateway.sent.getLast().answer();
+    }
+    assertEquals(0, sentTo(PAUSED));
+    assertEquals(CALLS_IN_PAUSE, sentTo(OTHER));
+  }
+
+  /** Guards against a paused server that is tried because all others have failed the request. */
+  @Tag("known-red")
+  @Test
+  void sendsNothingToAServerInItsPauseAfterTheOthersFailed() {
+    gateway.list("server-2", OTHER, Instant.EPOCH);
+    gateway.clock.advance(Duration.ofMillis(200));
+    for (int i = 0; i < 10; i++) {
+      gateway.call(GatewayFixture.OFTEN_REPEATABLE_PATH);
+      gateway.sent.getLast().loseAnswer();
+      gateway.clock.advance(STEP);
+      gateway.dispatcher.tick();
+    }
+    assertEquals(0, sentTo(PAUSED));
+  }
+
+  /** Guards against requests that wait, or press on, where all servers pause. */
+  @Tag("known-red")
+  @Test
+  void refusesAtOnceAsNotRunWhenAllServersPause() {
+    gateway.clock.advance(Duration.ofSeconds(1));
+    FakeExchange refused = gateway.call(GatewayFixture.REPEATABLE_PATH);
+    assertEquals(ErrorKind.OVERLOADED.status(), refused.status());
+    assertTrue(gateway.sent.isEmpty());
+  }
+
+  @Test
+  void sendsAgainAfterThePause() {
+    gateway.clock.advance(PAUSE);
+    gateway.call(GatewayFixture.REPEATABLE_PATH);
+    assertEquals(1, sentTo(PAUSED));
+  }
+
+  @Test
+  void sendsToTheNextProcessOfAServerThatPaused() {
+    gateway.list("server-1", PAUSED, Instant.EPOCH.plusSeconds(100));
+    gateway.call(GatewayFixture.REPEATABLE_PATH);
+    assertEquals(1, sentTo(PAUSED));
+  }
+}
