Take servers out of use that say in an answer that they leave

Cause: the header was passed on to callers and read by nobody; the list alone decided.

Now the process that said it is out of use at once, for good, whatever its listings say: an outdated one, or one that returns after the entry expired. Other instances are told in a datagram. Where all servers of a service leave, requests are refused at once as not run; streams that only this version continues still go there for a second.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -271,7 +271,7 @@
 
   private void reserveTokens() {
     stage = Stage.TOKENS;
-    if (endIfAllEvacuated()) {
+    if (endIfAllEvacuated() || endIfAllLeave()) {
       return;
     }
     if (customer.isPresent() && request.prompt().isPresent()) {
@@ -555,6 +555,9 @@
       giveUp(ErrorKind.STREAM_NOT_RESUMABLE, noServerOf(version.get()));
       return;
     }
+    if (endIfAllLeave()) {
+      return;
+    }
     if (dispatcher.selector().limitsRequests(service, now())) {
       // The servers would fail if they had to reject it.
       Duration turnIn = dispatcher.turnIn(this);
@@ -585,6 +588,15 @@
     return true;
   }
 
+  /** Ends the request if all servers that could run it leave. */
+  private boolean endIfAllLeave() {
+    if (!dispatcher.selector().areAllLeaving(criteria(), now())) {
+      return false;
+    }
+    giveUp(ErrorKind.NO_BACKEND_SERVER, "all servers of the service leave");
+    return true;
+  }
+
   /**
    * Sends the request to another server if the present one has sent nothing for too long.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -408,6 +408,11 @@
         .toList();
   }
 
+  /** Whether a service has servers, none of which may run a request because all of them leave. */
+  boolean areAllLeaving(Criteria criteria, Instant now) {
+    return servers.areAllLeaving(criteria.service()) && eligible(criteria, now).isEmpty();
+  }
+
   /** Whether any server of a software version may run requests of a service. */
   boolean serves(String service, String version, Instant now) {
     return !eligible(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -28,6 +28,7 @@
   private static final String SERVER_CRASH = "server-crash";
   private static final String CLEARED_PART = "cleared-part";
   private static final String SERVER_LIMIT = "server-limit";
+  private static final String SERVER_LEAVE = "server-leave";
 
   /** More streams than one instance begins within seconds. */
   private static final int MAX_STREAMS = 10_000;
@@ -122,6 +123,8 @@
                   out.writeUTF(limit.source());
                 });
       }
+      case SharedNote.ServerLeave leave ->
+          record(key(SERVER_LEAVE, leave.instance(), leave.server()), out -> {});
       case SharedNote.ServiceVersions versions ->
           record(
               key(VERSIONS, versions.instance(), versions.service()),
@@ -216,10 +219,11 @@
               in.readDouble(),
               in.readBoolean(),
               in.readUTF());
+      case SERVER_LEAVE -> new SharedNote.ServerLeave(instance, subject);
       default ->
           throw new IllegalArgumentException(
               ("kind was '%s', expected account, crash, presence, versions, streams, server-crash,"
-                      + " cleared-part or server-limit")
+                      + " cleared-part, server-limit or server-leave")
                   .formatted(kind));
     };
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -182,6 +182,18 @@
     }
   }
 
+  /**
+   * A process of a backend server that said in an answer that it leaves. It is sent in messages
+   * only.
+   *
+   * @param server names the process of the server
+   */
+  record ServerLeave(String instance, String server) implements SharedNote {
+    public ServerLeave {
+      Preconditions.requireText(server, "server");
+    }
+  }
+
   /** The address at which the other instances reach an instance. */
   record Presence(String instance, String peerAddress) implements SharedNote {}
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerStatementHandler.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerStatementHandler.java
@@ -15,19 +15,24 @@
 public final class ServerStatementHandler {
   private static final int OK = 200;
 
-  private final String instance;
+  /** A statement of a server process that can't be read. */
+  private record UnreadableStatement(ServerIncarnation server, String name) {}
+
   private final ServerStatements.Reader reader;
   private final ServerLimits limits;
+  private final LeaveAnnouncements leaves;
   private final EventSink events;
-  private final Set<ServerIncarnation> reportedLeaving = new HashSet<>();
-  private final Set<String> reportedUnreadable = new HashSet<>();
+  private final Set<UnreadableStatement> reportedUnreadable = new HashSet<>();
 
   /** Creates the handler of an instance. */
   public ServerStatementHandler(
-      String instance, ServerStatements.Reader reader, ServerLimits limits, EventSink events) {
-    this.instance = instance;
+      ServerStatements.Reader reader,
+      ServerLimits limits,
+      LeaveAnnouncements leaves,
+      EventSink events) {
     this.reader = reader;
     this.limits = limits;
+    this.leaves = leaves;
     this.events = events;
   }
 
@@ -39,38 +44,44 @@
   ServerStatements onAnswer(
       BackendServer server, int status, Map<String, String> headers, Instant sentAt) {
     ServerStatements statements = onProbeAnswer(server, status, headers);
+    boolean served = statements.authoritative() && status == OK;
     // Rejections and errors may come from a part of the server that knows of no limit.
-    boolean saysNoLimit = statements.authoritative() && status == OK;
-    if (saysNoLimit || !(statements.rate() instanceof RateAnnouncement.Absent)) {
+    if (served || !(statements.rate() instanceof RateAnnouncement.Absent)) {
       limits.announced().onAnswer(server, statements.rate(), sentAt);
     }
     return statements;
   }
 
-  /** Processes the head of an answer to a probe, which need not name the server's limits. */
+  /**
+   * Processes the head of an answer to a probe, which shows neither that the server has no limit
+   * nor that it takes requests again.
+   */
   ServerStatements onProbeAnswer(BackendServer server, int status, Map<String, String> headers) {
     ServerStatements statements = reader.read(server, status, headers);
-    String process = server.incarnation().name();
-    if (statements.leaving() && reportedLeaving.add(server.incarnation())) {
-      events.accept(new GatewayEvent.ServerLeaveAnnounced(process, instance));
+    if (statements.leaving()) {
+      leaves.onAnswer(server);
     }
     statements
         .pause()
-        .ifPresent(pause -> events.accept(new GatewayEvent.ServerPause(process, status, pause)));
-    for (ServerStatements.Unreadable unreadable : statements.unreadable()) {
-      if (reportedUnreadable.add(process + unreadable.name())) {
-        events.accept(
-            new GatewayEvent.ServerStatementUnreadable(
-                process, unreadable.name(), unreadable.value()));
-      }
-    }
+        .ifPresent(
+            pause -> {
+              events.accept(
+                  new GatewayEvent.ServerPause(server.incarnation().name(), status, pause));
+            });
+    statements.unreadable().forEach(each -> report(server, each));
     return statements;
   }
 
+  private void report(BackendServer server, ServerStatements.Unreadable statement) {
+    if (reportedUnreadable.add(new UnreadableStatement(server.incarnation(), statement.name()))) {
+      events.accept(
+          new GatewayEvent.ServerStatementUnreadable(
+              server.incarnation().name(), statement.name(), statement.value()));
+    }
+  }
+
   /** Forgets the servers that are no longer listed. */
   void retain(Set<ServerIncarnation> listed) {
-    reportedLeaving.retainAll(listed);
-    reportedUnreadable.removeIf(
-        each -> listed.stream().noneMatch(server -> each.startsWith(server.name())));
+    reportedUnreadable.removeIf(each -> !listed.contains(each.server()));
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/PeerMessageDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/PeerMessageDispatcher.java
@@ -5,6 +5,7 @@
 import org.teaseldeal.gateway.log.NoteMessage;
 import org.teaseldeal.gateway.log.SharedNote;
 import org.teaseldeal.gateway.path.AnnouncedLimits;
+import org.teaseldeal.gateway.path.LeaveAnnouncements;
 import org.teaseldeal.gateway.quarantine.PromptPartQuarantine;
 import org.teaseldeal.gateway.stream.StreamOrigins;
 
@@ -13,7 +14,8 @@
     LoadExchange loads,
     StreamOrigins streams,
     PromptPartQuarantine promptParts,
-    AnnouncedLimits limits) {
+    AnnouncedLimits limits,
+    LeaveAnnouncements leaves) {
   private static final Logger LOG = LoggerFactory.getLogger(PeerMessageDispatcher.class);
 
   /** Processes a datagram; one that can't be decoded is dropped. */
@@ -26,6 +28,7 @@
         SharedNote note = NoteMessage.decode(datagram);
         promptParts.onMessage(note);
         limits.onMessage(note);
+        leaves.onMessage(note);
       } else {
         loads.receive(datagram);
       }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerDirectory.java
@@ -27,6 +27,7 @@
   private final Map<BackendServerId, Instant> leavingSince = new HashMap<>();
 
   private final DepartedServers departed = new DepartedServers();
+  private final AnnouncedLeaves announcedLeaves = new AnnouncedLeaves();
   private Consumer<BackendServer> replacedListener = earlier -> {};
   private Runnable loadListener = () -> {};
   private Runnable changeListener = () -> {};
@@ -135,17 +136,41 @@
       return ListingChange.NONE;
     }
     departed.remove(listing.id());
-    add(listing);
+    BackendServer added = add(listing);
+    if (!listing.leaving() && announcedLeaves.contains(listing.incarnation())) {
+      added.markLeaving();
+      return ListingChange.LEAVING;
+    }
     return listing.leaving() ? ListingChange.LEAVING : ListingChange.READY;
   }
 
   private ListingChange replace(BackendServer earlier, ServerListing listing) {
     drop(earlier);
+    announcedLeaves.remove(listing.incarnation());
     add(listing);
     replacedListener.accept(earlier);
     return listing.leaving() ? ListingChange.LEAVING : ListingChange.RESTARTED;
   }
 
+  /**
+   * Takes a process that said itself that it leaves out of use, whatever listings of it say. Calls
+   * for processes that aren't listed take effect when they are.
+   *
+   * @return whether that is new, and the process isn't known to leave from the list
+   */
+  public boolean announceLeave(ServerIncarnation incarnation) {
+    boolean added = announcedLeaves.add(incarnation, now);
+    BackendServer known = servers.get(incarnation.id());
+    if (known == null || !known.incarnation().equals(incarnation)) {
+      return added;
+    }
+    if (!known.isListedAsReady()) {
+      return false;
+    }
+    leave(known);
+    return true;
+  }
+
   private ListingChange leave(BackendServer server) {
     onChange();
     server.markLeaving();
@@ -153,13 +178,14 @@
     return ListingChange.LEAVING;
   }
 
-  private void add(ServerListing listing) {
+  private BackendServer add(ServerListing listing) {
     onChange();
     BackendServer added = new BackendServer(listing, this::onLoadChange, () -> listReadAt, now);
     servers.put(listing.id(), added);
     byService
         .computeIfAbsent(listing.service(), name -> new LinkedHashMap<>())
         .put(listing.id(), added);
+    return added;
   }
 
   private void drop(BackendServer server) {
@@ -222,6 +248,7 @@
   public List<BackendServer> tick(Instant time) {
     now = time;
     departed.tick(now);
+    announcedLeaves.tick(now, this::lists);
     boolean startTimesUnchecked = !startTimesRequired && changesAtStartTimeCheck != changes;
     if (graceEnds.isEmpty() && !startTimesUnchecked) {
       return List.of();
@@ -300,6 +327,17 @@
         .toList();
   }
 
+  /** The number of processes that said in an answer that they leave. */
+  public int announcedLeaves() {
+    return announcedLeaves.size();
+  }
+
+  /** Whether servers of a service are listed, all of which leave. */
+  public boolean areAllLeaving(String service) {
+    return !byService.getOrDefault(service, Map.of()).isEmpty()
+        && listed(service).noneMatch(BackendServer::isListedAsReady);
+  }
+
   /** The listed servers of a service whose latest listing is valid and that are not evacuated. */
   private Stream<BackendServer> usable(String service) {
     return listed(service)
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerIncarnation.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/server/ServerIncarnation.java
@@ -21,6 +21,21 @@
         .orElse(id.name());
   }
 
+  /** Returns the process with a {@link #name}; empty if no process has it. */
+  public static Optional<ServerIncarnation> parse(String name) {
+    int separator = name.lastIndexOf(NAME_SEPARATOR);
+    String id = separator < 0 ? name : name.substring(0, separator);
+    try {
+      Optional<Instant> start =
+          separator < 0
+              ? Optional.empty()
+              : Optional.of(Instant.ofEpochMilli(Long.parseLong(name.substring(separator + 1))));
+      return Optional.of(new ServerIncarnation(new BackendServerId(id), start));
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+  }
+
   /**
    * Whether this incarnation started after {@code other}, which has the same id.
    *
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -34,6 +34,9 @@
   /** In an answer: the requests a second that the server takes. */
   public static final String LIMIT_HEADER = "limit";
 
+  /** In a refusal: the milliseconds after which the caller may come back. */
+  private static final String RETRY_AFTER_HEADER = "come-back-ms";
+
   /** In an answer: the server leaves. */
   public static final String LEAVING_HEADER = "leaving";
 
@@ -142,6 +145,16 @@
 
   @Override
   public HttpAnswer refuse(Problem problem) {
-    return new HttpAnswer(problem.kind().status(), Map.of(), new byte[0]);
+    Map<String, String> headers =
+        problem
+            .retryAfter()
+            .map(delay -> Map.of(RETRY_AFTER_HEADER, Long.toString(delay.toMillis())))
+            .orElse(Map.of());
+    return new HttpAnswer(problem.kind().status(), headers, new byte[0]);
+  }
+
+  /** Returns the time after which a refused caller may come back. */
+  public static Duration retryAfter(Map<String, String> headers) {
+    return Duration.ofMillis(Long.parseLong(headers.get(RETRY_AFTER_HEADER)));
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
@@ -12,6 +12,7 @@
   private final String path;
   private final byte[] body;
   private int status;
+  private Map<String, String> answerHeaders = Map.of();
   private boolean aborted;
   private byte[] answer = new byte[0];
 
@@ -36,6 +37,11 @@
     return status;
   }
 
+  /** The answer's headers; empty until the request is answered. */
+  public Map<String, String> answerHeaders() {
+    return answerHeaders;
+  }
+
   /** Whether the connection was closed without an answer. */
   public boolean aborted() {
     return aborted;
@@ -83,6 +89,7 @@
           "the request was already answered; second status: " + answerStatus);
     }
     status = answerStatus;
+    answerHeaders = Map.copyOf(headers);
     answer = answerBody.clone();
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -20,7 +20,9 @@
 import org.teaseldeal.gateway.fake.FakeDialect;
 import org.teaseldeal.gateway.fake.FakeExchange;
 import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.log.SharedNote;
 import org.teaseldeal.gateway.path.AnnouncedLimits;
+import org.teaseldeal.gateway.path.LeaveAnnouncements;
 import org.teaseldeal.gateway.path.ServerLimits;
 import org.teaseldeal.gateway.path.ServerLinks;
 import org.teaseldeal.gateway.path.ServerStatementHandler;
@@ -147,6 +149,12 @@
   final AnnouncedLimits announcedLimits =
       AnnouncedLimits.alone("instance-1", events::add, clock, new Random(1));
 
+  /** The notes that this instance sent to the others. */
+  final List<SharedNote> broadcasts = new ArrayList<>();
+
+  final LeaveAnnouncements leaves =
+      new LeaveAnnouncements("instance-1", servers, broadcasts::add, events::add);
+
   private final ServerLimits serverLimits =
       new ServerLimits(
           new WarmUpLimits(
@@ -234,9 +242,9 @@
                     servers,
                     serverLimits,
                     new ServerStatementHandler(
-                        "instance-1",
                         (server, status, headers) -> FakeDialect.statements(status, headers),
                         serverLimits,
+                        leaves,
                         events::add),
                     events::add,
                     clock,
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
@@ -30,6 +30,7 @@
             new SharedNote.ServerCrash("a", "i-1@17", 0, List.of()),
             new SharedNote.ClearedPart("a", "00ff", List.of("i-1@17", "i-2")),
             new SharedNote.ClearedPart("a", "00ff", List.of()),
+            new SharedNote.ServerLeave("a", "i-1@17"),
             new SharedNote.ServerLimit("a", "i-1@17", 3, 1.5, false, "b"),
             new SharedNote.ServerLimit("a", "i-1@17", 4, 1.5, true, "a"),
             new SharedNote.ServerLimit("a", "i-1@17", 0, 0, true, "a"),
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
@@ -55,9 +55,9 @@
           servers,
           limits,
           new ServerStatementHandler(
-              "instance-1",
               (server, status, headers) -> ServerStatements.NONE,
               limits,
+              new LeaveAnnouncements("instance-1", servers, note -> {}, event -> {}),
               event -> {}),
           event -> {},
           clock,
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -30,6 +30,7 @@
 import org.teaseldeal.gateway.flow.RetryLimits;
 import org.teaseldeal.gateway.log.FleetLog;
 import org.teaseldeal.gateway.path.AnnouncedLimits;
+import org.teaseldeal.gateway.path.LeaveAnnouncements;
 import org.teaseldeal.gateway.path.RequestRelay;
 import org.teaseldeal.gateway.path.ServerLimits;
 import org.teaseldeal.gateway.path.ServerLinks;
@@ -165,8 +166,15 @@
             this::onEvent,
             time,
             new Random(fleet.nextSeed()));
+    LeaveAnnouncements leaves =
+        new LeaveAnnouncements(
+            name,
+            servers,
+            new NoteBroadcast(this::otherMembers, this::sendDatagram),
+            this::onEvent);
     peerMessages =
-        new PeerMessageDispatcher(loadExchange, streamOrigins, promptParts, announcedLimits);
+        new PeerMessageDispatcher(
+            loadExchange, streamOrigins, promptParts, announcedLimits, leaves);
     RequestQuarantine quarantine = new RequestQuarantine(name, servers::lists, this::onEvent, time);
     fleetLog =
         new FleetLog(
@@ -195,9 +203,9 @@
             servers,
             serverLimits,
             new ServerStatementHandler(
-                name,
                 (server, status, headers) -> ModelDialect.statements(headers),
                 serverLimits,
+                leaves,
                 this::onEvent),
             this::onEvent,
             time,
