List the tests of streams joined from two versions, which fail

After a kill of all instances, a stream goes on at another software version where the time of day of a machine was set ahead, or the only note that names the version comes from one whose clock was late: the ages of notes are told by wall clocks. And for callers that name no attempt, an instance that is cut off from the list concludes that there is one version, though others have begun streams at a second one.

--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
@@ -1,8 +1,10 @@
 package org.teaseldeal.gateway.stream;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,7 +30,10 @@
   int messages;
   private final Random random = new Random(1);
   private final Map<String, Member> members = new HashMap<>();
-  private final Map<String, SharedNote> notes = new HashMap<>();
+
+  /** The newest note of each instance, in the order of the log. */
+  private final Map<String, SharedNote> notes = new LinkedHashMap<>();
+
   private Set<String> names = Set.of();
 
   /** One instance and the list of servers as it knows it. */
@@ -39,8 +44,12 @@
     boolean listIsCurrent = true;
     boolean hearsPeers = true;
 
-    private Member(String name) {
-      history = new VersionHistory(name, servers, clock, clock);
+    /** How far the machine's time of day is ahead. */
+    Duration clockAhead = Duration.ZERO;
+
+    private Member(String name, Duration clockAhead) {
+      this.clockAhead = clockAhead;
+      history = new VersionHistory(name, servers, clock, () -> clock.instant().plus(clockAhead));
       origins =
           new StreamOrigins(
               name, () -> names, this, history, () -> listIsCurrent, () -> hearsPeers, clock);
@@ -93,7 +102,16 @@
 
     private void shareNotes() {
       history.tick();
-      history.notesToWrite(clock.instant()).forEach(note -> notes.put(note.instance(), note));
+      history
+          .notesToWrite(clock.instant())
+          .forEach(
+              note -> {
+                notes.remove(note.instance());
+                notes.put(note.instance(), note);
+                members.values().stream()
+                    .filter(member -> member.listIsCurrent)
+                    .forEach(member -> member.history.onNote(note, member == this));
+              });
     }
 
     /** The version of a stream; empty if nobody knows it. */
@@ -107,9 +125,25 @@
     }
   }
 
+  /** Lets time pass in which the members of a set of instances run. */
+  void runFor(Duration time, Member... running) {
+    Duration step = Duration.ofMillis(500);
+    for (Duration passed = Duration.ZERO; passed.compareTo(time) < 0; passed = passed.plus(step)) {
+      clock.advance(step);
+      for (Member member : running) {
+        member.shareNotes();
+      }
+    }
+  }
+
   /** Starts a process of an instance, in place of an earlier one. */
   Member start(String name) {
-    Member started = new Member(name);
+    return start(name, Duration.ZERO);
+  }
+
+  /** Starts a process on a machine whose time of day is ahead. */
+  Member start(String name, Duration clockAhead) {
+    Member started = new Member(name, clockAhead);
     members.put(name, started);
     Set<String> joined = new HashSet<>(names);
     joined.add(name);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/VersionHistoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/VersionHistoryTests.java
@@ -4,6 +4,7 @@
 
 import java.time.Duration;
 import java.util.Optional;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.gateway.stream.StreamFleet.Member;
 
@@ -77,6 +78,65 @@
     assertEquals(Optional.of("v2"), onlyVersion(restarted));
   }
 
+  /**
+   * Guards against streams that are joined from two versions after all instances were killed, as
+   * the time of day was set ahead and the notes look old.
+   */
+  @Tag("known-red")
+  @Test
+  void doesNotConcludeAfterARestartWithATimeOfDayThatWasSetAhead() {
+    member.list("a", "v1");
+    member.list("b", "v2");
+    member.unlist("a");
+    fleet.clock.advance(Duration.ofSeconds(2));
+    Member restarted = fleet.start("instance-1", Duration.ofMinutes(10));
+    restarted.list("b", "v2");
+    assertEquals(Optional.empty(), onlyVersion(restarted));
+    fleet.clock.advance(Duration.ofSeconds(29));
+    assertEquals(Optional.empty(), onlyVersion(restarted));
+  }
+
+  /** The same, as the only note that names the version is of a machine whose clock was late. */
+  @Tag("known-red")
+  @Test
+  void doesNotConcludeFromNotesOfAMachineWhoseTimeOfDayWasLate() {
+    Member late = fleet.start("instance-2", Duration.ofMinutes(-10));
+    member.list("a", "v1");
+    late.list("a", "v1");
+    fleet.clock.advance(Duration.ofMinutes(1));
+    late.list("b", "v2");
+    fleet.clock.advance(Duration.ofSeconds(2));
+    Member restarted = fleet.start("instance-1");
+    restarted.list("a", "v1");
+    assertEquals(Optional.empty(), onlyVersion(restarted));
+  }
+
+  /**
+   * Guards against streams that are joined from two versions for callers that name no attempt, at
+   * an instance that is cut off from the list and from the others.
+   */
+  @Tag("known-red")
+  @Test
+  void doesNotConcludeForUnnamedStreamsWhileItCantLearnOfOtherVersions() {
+    member.list("a", "v1");
+    member.listIsCurrent = false;
+    assertEquals(Optional.of("v1"), onlyVersion(member));
+    member.hearsPeers = false;
+    assertEquals(Optional.empty(), onlyVersion(member));
+  }
+
+  /** The same, while it is cut off from the list only: the others tell it of the version. */
+  @Tag("known-red")
+  @Test
+  void learnsOfOtherVersionsFromTheOthersWhileTheListIsNotCurrent() {
+    Member other = fleet.start("instance-2");
+    member.list("a", "v1");
+    other.list("a", "v1");
+    member.listIsCurrent = false;
+    other.list("b", "v2");
+    assertEquals(Optional.empty(), onlyVersion(member));
+  }
+
   /** Other instances may know of a version that this one can't see while the list is away. */
   @Test
   void othersAreAskedFirstWhileTheListIsNotCurrent() {
