Keep a pause while the server's entry is away

Requests would have reached a server in its pause after its entry had lapsed, as it does in an outage of the list, and come back. Found by reading the change. PausedServerFlowTests.keepsThePauseWhileTheServerIsNotListed failed before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestedPauses.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestedPauses.java
@@ -40,6 +40,11 @@
     }
   }
 
+  /** Returns whether no server is in its pause or has to show that it takes requests again. */
+  public boolean isEmpty() {
+    return pauses.isEmpty();
+  }
+
   /** Returns whether a server is in its pause. */
   public boolean isPaused(BackendServer server, Instant now) {
     RequestedPause pause = find(server);
@@ -74,9 +79,12 @@
     return new Trial(pause);
   }
 
-  /** Forgets the servers that are no longer listed. */
+  /** Forgets the servers that are no longer listed and whose pause is over. */
   void retain(Set<ServerIncarnation> listed) {
-    pauses.keySet().retainAll(listed);
+    Instant now = clock.instant();
+    pauses
+        .entrySet()
+        .removeIf(each -> !listed.contains(each.getKey()) && !each.getValue().isInForce(now));
   }
 
   private @Nullable RequestedPause find(BackendServer server) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/PausedServerFlowTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/PausedServerFlowTests.java
@@ -7,6 +7,7 @@
 import java.time.Instant;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.gateway.fake.FakeDialect;
 import org.teaseldeal.gateway.fake.FakeExchange;
@@ -123,6 +124,17 @@
     assertTrue(retryAfter.compareTo(Duration.ofMillis(1_500)) <= 0, "was " + retryAfter);
   }
 
+  /** Guards against a pause that is forgotten as the server's entry lapses and comes back. */
+  @Test
+  void keepsThePauseWhileTheServerIsNotListed() {
+    gateway.servers.remove(new BackendServerId("server-1"));
+    gateway.list("server-2", OTHER, Instant.EPOCH);
+    gateway.list("server-1", PAUSED, Instant.EPOCH);
+    gateway.servers.remove(new BackendServerId("server-2"));
+    gateway.call(GatewayFixture.REPEATABLE_PATH);
+    assertEquals(0, sentTo(PAUSED));
+  }
+
   @Test
   void sendsToTheNextProcessOfAServerThatPaused() {
     gateway.list("server-1", PAUSED, Instant.EPOCH.plusSeconds(100));
