Look at pauses only where a server asked for one

Each request listed the servers of its service once more to see whether all pause, also where none ever did. Found by reading the change, not measured.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/ServerSelector.java
@@ -376,7 +376,7 @@
 
   private List<BackendServer> unpaused(List<BackendServer> all, Instant now) {
     RequestedPauses pauses = serverLimits.pauses();
-    return pauses.count() == 0
+    return pauses.isEmpty()
         ? all
         : all.stream().filter(server -> !pauses.isPaused(server, now)).toList();
   }
@@ -422,11 +422,14 @@
    * this instance for a pause; empty if one of them didn't, or there are none.
    */
   Optional<Instant> pausedUntil(Criteria criteria, Instant now) {
+    RequestedPauses pauses = serverLimits.pauses();
+    if (pauses.isEmpty()) {
+      return Optional.empty();
+    }
     List<BackendServer> untried =
         eligible(criteria, now).stream()
             .filter(server -> !criteria.tried().contains(server.incarnation()))
             .toList();
-    RequestedPauses pauses = serverLimits.pauses();
     return untried.stream().allMatch(server -> !pauses.hasRoom(server, now))
         ? untried.stream().map(server -> pauses.roomAt(server, now)).min(Comparator.naturalOrder())
         : Optional.empty();
