Keep a version that came back from being noted as gone

Callers could get a stream's rest from another version after a kill of all: an instance that had listed a version again, and then loaded an earlier note that calls it gone, wrote a note with it both present and gone, and readers took the latter. Found by reading the change. doesNotConcludeWhileAVersionThatCameBackWasNotedAsGoneBefore failed before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/VersionHistory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/VersionHistory.java
@@ -149,6 +149,13 @@
                     }));
   }
 
+  /** Records that a loaded note calls a version gone, unless it was listed here lately. */
+  private void addNotedAsRetired(String service, String version) {
+    if (!lastSeen.getOrDefault(service, Map.of()).containsKey(version)) {
+      addRetired(service, version);
+    }
+  }
+
   private boolean addRetired(String service, String version) {
     Set<String> versions = retired.computeIfAbsent(service, key -> new HashSet<>());
     return versions.size() < MAX_RETIRED && versions.add(version);
@@ -234,7 +241,7 @@
             ofService.add(seen.version());
           } else {
             ofService.remove(seen.version());
-            addRetired(versions.service(), seen.version());
+            addNotedAsRetired(versions.service(), seen.version());
           }
         }
       }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
@@ -84,6 +84,11 @@
 
     /** Lists a server, and shares the note that this causes. */
     void list(String server, String version) {
+      putListing(server, version);
+      shareNotes();
+    }
+
+    private void putListing(String server, String version) {
       servers.put(
           new ServerListing(
               new BackendServerId(server),
@@ -94,7 +99,6 @@
               8,
               false,
               Optional.of(Instant.EPOCH)));
-      shareNotes();
     }
 
     void unlist(String server) {
@@ -102,6 +106,14 @@
       shareNotes();
     }
 
+    /** Lists a server and loads the notes once more before the note of it is shared. */
+    void listAndReload(String server, String version) {
+      putListing(server, version);
+      history.tick();
+      history.onLoaded(List.copyOf(notes.values()), false);
+      shareNotes();
+    }
+
     /** Sends a note to the members that hear each other. */
     private void broadcast(SharedNote note) {
       if (hearsPeers) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/VersionHistoryTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/VersionHistoryTests.java
@@ -113,6 +113,24 @@
     assertEquals(Optional.empty(), onlyVersion(restarted));
   }
 
+  /**
+   * Guards against streams that are joined from two versions, as a version that came back is noted
+   * as gone by an instance that loads the earlier note of its leave.
+   */
+  @Test
+  void doesNotConcludeWhileAVersionThatCameBackWasNotedAsGoneBefore() {
+    member.list("a", "v1");
+    member.list("b", "v2");
+    member.unlist("a");
+    fleet.runFor(Duration.ofMinutes(1), member);
+    Member later = fleet.start("instance-2");
+    later.list("b", "v2");
+    later.listAndReload("c", "v1");
+    Member restarted = fleet.start("instance-3");
+    restarted.list("b", "v2");
+    assertEquals(Optional.empty(), onlyVersion(restarted));
+  }
+
   /**
    * Guards against streams that are joined from two versions for callers that name no attempt, at
    * an instance that is cut off from the list and from the others.
