--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -138,9 +138,8 @@
             Optional::of,
             this::sendDatagram,
             time);
-    versionHistory =
-        new VersionHistory(
-            name, servers, new NoteBroadcast(this::otherMembers, this::sendDatagram), time, time);
+    NoteBroadcast noteBroadcast = new NoteBroadcast(this::otherMembers, this::sendDatagram);
+    versionHistory = new VersionHistory(name, servers, noteBroadcast, time, time);
     streamOrigins =
         new StreamOrigins(
             name,
@@ -155,7 +154,7 @@
             name,
             fleet::memberNames,
             servers::lists,
-            new NoteBroadcast(this::otherMembers, this::sendDatagram),
+            noteBroadcast,
             this::onEvent,
             time,
             time,
@@ -165,16 +164,11 @@
             name,
             fleet::memberNames,
             Optional::of,
-            new NoteBroadcast(this::otherMembers, this::sendDatagram),
+            noteBroadcast,
             this::onEvent,
             time,
             new Random(fleet.nextSeed()));
-    LeaveAnnouncements leaves =
-        new LeaveAnnouncements(
-            name,
-            servers,
-            new NoteBroadcast(this::otherMembers, this::sendDatagram),
-            this::onEvent);
+    LeaveAnnouncements leaves = new LeaveAnnouncements(name, servers, noteBroadcast, this::onEvent);
     peerMessages =
         new PeerMessageDispatcher(
             loadExchange, streamOrigins, promptParts, announcedLimits, leaves, versionHistory);
