--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/AnnouncedLimits.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/AnnouncedLimits.java
@@ -175,7 +175,7 @@
     Instant now = clock.instant();
     LimitedServer limited = inForce(server, now);
     if (limited == null) {
-      return Uncounted.INSTANCE;
+      return SentRequest.UNCOUNTED;
     }
     limited.onSent(now);
     return new Counted(limited);
@@ -341,17 +341,6 @@
     notes.retain(servers::containsKey);
   }
 
-  /** A request to a server that names no limit. */
-  private enum Uncounted implements SentRequest {
-    INSTANCE;
-
-    @Override
-    public void onArrived() {}
-
-    @Override
-    public void onNotSent() {}
-  }
-
   /** A request that takes a part of this instance's share. */
   private static final class Counted implements SentRequest {
     private final LimitedServer server;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestedPauses.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestedPauses.java
@@ -73,7 +73,7 @@
   SentRequest onSent(BackendServer server) {
     RequestedPause pause = find(server);
     if (pause == null) {
-      return Unlimited.INSTANCE;
+      return SentRequest.UNCOUNTED;
     }
     pause.onSent(clock.instant());
     return new Trial(pause);
@@ -91,17 +91,6 @@
     return pauses.isEmpty() ? null : pauses.get(server.incarnation());
   }
 
-  /** A request to a server that asked for no pause. */
-  private enum Unlimited implements SentRequest {
-    INSTANCE;
-
-    @Override
-    public void onArrived() {}
-
-    @Override
-    public void onNotSent() {}
-  }
-
   /** A request after a pause. */
   private record Trial(RequestedPause pause) implements SentRequest {
     @Override
