--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerStatementHandler.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerStatementHandler.java
@@ -43,7 +43,7 @@
    */
   ServerStatements onAnswer(
       BackendServer server, int status, Map<String, String> headers, Instant sentAt) {
-    ServerStatements statements = onProbeAnswer(server, status, headers);
+    ServerStatements statements = applyCommonStatements(server, status, headers);
     boolean served = statements.authoritative() && status == OK;
     // Rejections and errors may come from a part of the server that knows of no limit.
     if (served || !(statements.rate() instanceof RateAnnouncement.Absent)) {
@@ -59,7 +59,13 @@
    * Processes the head of an answer to a probe, which shows neither that the server has no limit
    * nor that it takes requests again.
    */
-  ServerStatements onProbeAnswer(BackendServer server, int status, Map<String, String> headers) {
+  void onProbeAnswer(BackendServer server, int status, Map<String, String> headers) {
+    applyCommonStatements(server, status, headers);
+  }
+
+  /** Reads an answer and acts on what holds whatever was asked. */
+  private ServerStatements applyCommonStatements(
+      BackendServer server, int status, Map<String, String> headers) {
     ServerStatements statements = reader.read(server, status, headers);
     if (statements.leaving()) {
       leaves.onAnswer(server);
