--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/VersionHistory.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/VersionHistory.java
@@ -99,9 +99,9 @@
     Instant due = Instant.MAX;
     for (Map.Entry<String, Map<String, Instant>> service : lastSeen.entrySet()) {
       for (Map.Entry<String, Instant> seen : service.getValue().entrySet()) {
-        Instant retiredAt = seen.getValue().plus(LONGEST_STREAM).plusMillis(1);
-        if (!isListed(service.getKey(), seen.getKey()) && retiredAt.isBefore(due)) {
-          due = retiredAt;
+        if (!isListed(service.getKey(), seen.getKey())) {
+          Instant retiredAt = seen.getValue().plus(LONGEST_STREAM).plusMillis(1);
+          due = retiredAt.isBefore(due) ? retiredAt : due;
         }
       }
     }
