--- a/teaseldeal-model/src/test/java/org/teaseldeal/model/ServerRateLimitTests.java
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/ServerRateLimitTests.java
@@ -4,11 +4,9 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.Set;
-import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.parallel.Execution;
 import org.junit.jupiter.api.parallel.ExecutionMode;
@@ -25,17 +23,7 @@
   private static final int SEEDS = 2;
 
   static Stream<Arguments> plays() throws IOException {
-    try (Stream<Path> files = Files.list(SCENARIOS)) {
-      return files.sorted().toList().stream()
-          .map(file -> file.getFileName().toString())
-          .flatMap(
-              file ->
-                  SIZES.stream()
-                      .flatMap(
-                          size ->
-                              IntStream.rangeClosed(1, SEEDS)
-                                  .mapToObj(seed -> Arguments.of(file, size, seed))));
-    }
+    return ScenarioPlays.of(SCENARIOS, SIZES, SEEDS);
   }
 
   /**
