--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -450,12 +450,19 @@
 
   final List<Run> runs = new CopyOnWriteArrayList<>();
 
+  /**
+   * Bytes that a faulty runner sends on the connection of this thread when the next request arrives
+   * there.
+   */
+  static final ThreadLocal<byte[]> LATE_BYTES = new ThreadLocal<>();
+
   /** A runner that lists itself in the store and answers as a sound one. */
   final class Runner {
     final String id;
     final String service;
     final Work work;
     final Listener listener;
+    volatile int slots = 64;
     private final AtomicInteger sequence = new AtomicInteger();
 
     Runner(String id, String service, Work work) throws IOException {
@@ -479,34 +486,43 @@
           "keyed.servers",
           id,
           """
-          {"service":"%s","addr":"%s","zone":"hall-a","version":"v1","slots":64,"state":"ready",\
+          {"service":"%s","addr":"%s","zone":"hall-a","version":"v1","slots":%d,"state":"ready",\
           "coldLeftMs":0,"seq":%d}"""
-              .formatted(service, listener.address(), sequence.incrementAndGet()));
+              .formatted(service, listener.address(), slots, sequence.incrementAndGet()));
     }
 
     private void serve(Socket socket, InputStream in, OutputStream out) throws Exception {
       while (true) {
         Message request = readMessage(in);
+        if (LATE_BYTES.get() != null) {
+          out.write(LATE_BYTES.get());
+          out.flush();
+          LATE_BYTES.remove();
+        }
         if (request.path().equals("/health")) {
           out.write(answer(200, Map.of("Instance-Id", id), new byte[0]));
         } else if (!request.header("expect-instance").isEmpty()
             && !request.header("expect-instance").equals(id)) {
           out.write(answer(421, Map.of("Instance-Id", id), new byte[0]));
         } else {
-          runs.add(
-              new Run(
-                  seconds(),
-                  id,
-                  request.header("request-id"),
-                  request.first(),
-                  request.header("tenant"),
-                  request.body().length));
           work.run(this, request, out);
         }
         out.flush();
       }
     }
 
+    /** Records that the runner begins to work on a request. */
+    void begin(Message request) {
+      runs.add(
+          new Run(
+              seconds(),
+              id,
+              request.header("request-id"),
+              request.first(),
+              request.header("tenant"),
+              request.body().length));
+    }
+
     Map<String, String> signed(Message request) {
       Map<String, String> headers = new LinkedHashMap<>();
       headers.put("Request-Id", request.header("request-id"));
@@ -518,6 +534,7 @@
   /** Answers after some time with a body that names the request. */
   static Work plain(long workMillis) {
     return (runner, request, out) -> {
+      runner.begin(request);
       sleep(workMillis);
       byte[] body = ("answer to " + request.header("request-id")).getBytes(StandardCharsets.UTF_8);
       out.write(answer(200, runner.signed(request), body));
@@ -532,6 +549,7 @@
       headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
       head.append("Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
       sleep(firstMillis);
+      runner.begin(request);
       out.write(head.toString().getBytes(StandardCharsets.ISO_8859_1));
       String last = request.header("last-event-id");
       for (int i = last.isEmpty() ? 1 : Integer.parseInt(last) + 1; i <= events; i++) {
