--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -456,6 +456,16 @@
    */
   static final ThreadLocal<byte[]> LATE_BYTES = new ThreadLocal<>();
 
+  /** The connection that this thread serves. */
+  private static final ThreadLocal<Socket> CONNECTION = new ThreadLocal<>();
+
+  /** Resets the connection that this thread serves. */
+  static void reset() throws IOException {
+    CONNECTION.get().setSoLinger(true, 0);
+    CONNECTION.get().close();
+    throw new IOException("reset on purpose");
+  }
+
   /** A runner that lists itself in the store and answers as a sound one. */
   final class Runner {
     final String id;
@@ -492,6 +502,7 @@
     }
 
     private void serve(Socket socket, InputStream in, OutputStream out) throws Exception {
+      CONNECTION.set(socket);
       while (true) {
         Message request = readMessage(in);
         if (LATE_BYTES.get() != null) {
