Let a review script exit with 2 if a stand-in fails

An exception in a stand-in ended the Java process with 1, which a script would have passed on as a broken rule.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -3,4 +3,9 @@
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [[ -x target/platform/runtime/bin/java && -f target/review/Lab.class ]] || { echo "not built: deploy/build, review/build.sh"; exit 2; }
 java="$(bin/java-home)/bin/java" || exit 2
-exec timeout -k 5 115 "$java" -Xmx512m -cp target/review UnlimitedOutput review/1
+timeout -k 3 112 "$java" -Xmx512m -cp target/review UnlimitedOutput review/1
+case $? in
+  10) exit 0 ;;
+  11) exit 1 ;;
+  *) exit 2 ;;
+esac
--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -35,9 +35,11 @@
  */
 final class Lab implements AutoCloseable {
   static final String HOST = "desk.example";
-  static final int HELD = 0;
-  static final int BROKEN = 1;
-  static final int NOT_RUN = 2;
+  /** The exit statuses; an exception of a stand-in ends the process with another one. */
+  static final int HELD = 10;
+
+  static final int BROKEN = 11;
+  static final int NOT_RUN = 12;
 
   final Path folder;
   final Store store = new Store();
