--- a/review/build.sh
+++ b/review/build.sh
@@ -6,3 +6,4 @@
 rm -rf "$out"
 mkdir -p "$out"
 "$(bin/java-home)/bin/javac" -nowarn -d "$out" review/standin/*.java
+cp review/standin/wire.properties "$out/"
--- a/review/standin/ExtraAnswer.java
+++ b/review/standin/ExtraAnswer.java
@@ -77,7 +77,7 @@
   public static void main(String[] args) throws Exception {
     Lab lab = new Lab(Path.of(args[0]));
     lab.store.put(
-        "keyed.op",
+        Lab.wire("operator"),
         "config",
         """
         {"version":7,"routes":[{"name":"bid","host":"%s","pathPrefix":"/bid/","kind":"unsafe",\
--- a/review/standin/UnlimitedOutput.java
+++ b/review/standin/UnlimitedOutput.java
@@ -17,7 +17,7 @@
   public static void main(String[] args) throws Exception {
     Lab lab = new Lab(Path.of(args[0]));
     lab.store.put(
-        "keyed.op",
+        Lab.wire("operator"),
         "config",
         """
         {"version":7,"routes":[{"name":"query","host":"%s","pathPrefix":"/query/","kind":"stream",\
@@ -73,7 +73,7 @@
       Lab lab, Lab.Instance instance, String tokenCount, AtomicLong tokens) {
     String id = lab.newId();
     String more =
-        "Model: m\r\nToken-Count: %s\r\nPrefix-Hash: 5c1e07a2:400,%s:100\r\nContent-Length: 3\r\n\r\n"
+        ("Model: m\r\n" + Lab.wire("counts") + ": %s\r\n" + Lab.wire("parts") + ": 5c1e07a2:400,%s:100\r\nContent-Length: 3\r\n\r\n")
             .formatted(tokenCount, id.substring(8));
     String outcome;
     boolean success = false;
@@ -95,7 +95,7 @@
     } catch (Exception e) {
       outcome = e.toString();
     }
-    lab.note("sent %s to %s, Token-Count %s: %s", id, instance.name, tokenCount, outcome);
+    lab.note("sent %s to %s, token counts %s: %s", id, instance.name, tokenCount, outcome);
     return success;
   }
 }
