--- a/review/standin/ExtraAnswer.java
+++ b/review/standin/ExtraAnswer.java
@@ -24,11 +24,18 @@
   private static final double EXTRA_SHARE = 0.03;
 
   private static final int BURSTS = 60;
+  private static final long BURST_GAP_MILLIS = 400;
+
+  /** When answers come a second time, from the first burst on; the pages allow 5 s at a time. */
+  private static final long[] EXTRAS_FROM_MILLIS = {1_000, 9_000, 17_000};
+
+  private static final long EXTRAS_MILLIS = 5_000;
   private static final int BURST = 60;
   private static final byte[] FULL =
       "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
           .getBytes(StandardCharsets.US_ASCII);
 
+  private static volatile boolean repeating;
   private static final AtomicInteger SHED = new AtomicInteger();
   private static final AtomicInteger EXTRAS = new AtomicInteger();
 
@@ -53,11 +60,11 @@
         out.write(FULL);
         boolean again;
         synchronized (random) {
-          again = faulty && random.nextDouble() < EXTRA_SHARE;
+          again = repeating && faulty && random.nextDouble() < EXTRA_SHARE;
         }
         if (again) {
           EXTRAS.incrementAndGet();
-          Lab.LATE_BYTES.set(FULL);
+          Lab.LATE_BYTES.set(() -> repeating ? FULL : new byte[0]);
         }
         return;
       }
@@ -74,6 +81,19 @@
     }
   }
 
+  private static void repeatAnswers(Lab lab) {
+    long now = 0;
+    for (long from : EXTRAS_FROM_MILLIS) {
+      Lab.sleep(from - now);
+      repeating = true;
+      lab.note("%d of %d runners repeat %.2f of these answers", FAULTY, RUNNERS, EXTRA_SHARE);
+      Lab.sleep(EXTRAS_MILLIS);
+      repeating = false;
+      lab.note("no more answers are repeated");
+      now = from + EXTRAS_MILLIS;
+    }
+  }
+
   public static void main(String[] args) throws Exception {
     Lab lab = new Lab(Path.of(args[0]));
     lab.store.put(
@@ -94,6 +114,9 @@
     }
     lab.runners.forEach(Lab.Runner::beat);
     lab.startAll(3);
+    if (Lab.trouble()) {
+      Thread.ofVirtual().start(() -> repeatAnswers(lab));
+    }
     Map<String, Integer> answers = new ConcurrentHashMap<>();
     CountDownLatch left = new CountDownLatch(BURSTS * BURST);
     for (int burst = 0; burst < BURSTS; burst++) {
@@ -119,7 +142,7 @@
                   left.countDown();
                 });
       }
-      Lab.sleep(400);
+      Lab.sleep(BURST_GAP_MILLIS);
     }
     left.await();
     Lab.sleep(1_000);
--- a/review/standin/Lab.java
+++ b/review/standin/Lab.java
@@ -474,7 +474,7 @@
    * Bytes that a faulty runner sends on the connection of this thread when the next request arrives
    * there.
    */
-  static final ThreadLocal<byte[]> LATE_BYTES = new ThreadLocal<>();
+  static final ThreadLocal<java.util.function.Supplier<byte[]>> LATE_BYTES = new ThreadLocal<>();
 
   /** The connection that this thread serves. */
   private static final ThreadLocal<Socket> CONNECTION = new ThreadLocal<>();
@@ -526,7 +526,7 @@
       while (true) {
         Message request = readMessage(in);
         if (LATE_BYTES.get() != null) {
-          out.write(LATE_BYTES.get());
+          out.write(LATE_BYTES.get().get());
           out.flush();
           LATE_BYTES.remove();
         }
