Judge case 2 by its own rule alone

The script of case 2 also ended with 1 if an unsafe request ran twice, which is TWICE and not the rule that it claims. It now judges REFUSED alone; the count stays in the record.

--- a/review/standin/ExtraAnswer.java
+++ b/review/standin/ExtraAnswer.java
@@ -177,6 +177,6 @@
     if (statuses.getOrDefault(200, 0) == 0 || (Lab.trouble() && EXTRAS.get() == 0)) {
       lab.finish(Lab.NOT_RUN, summary);
     }
-    lab.finish(refusedAndRun + twice > 0 ? Lab.BROKEN : Lab.HELD, summary);
+    lab.finish(refusedAndRun > 0 ? Lab.BROKEN : Lab.HELD, summary);
   }
 }
