Keep a note that can't be read from stopping its customer for good

Cause: the codec refused numbers that an account could write. Composing a note also changed the account before it threw, which ended the task that writes the notes of all customers; and a process whose past can't be read gave out and wrote nothing as long as it ran, so each restart found the same note.

Change: an account note checks all its numbers when it is made, so what is written can be read. An account changes only once its note is complete, and a failing one doesn't keep the others from being written. What an unreadable note had taken is written off where it shows that, by its successor and by its peers; otherwise all that no other instance has, once the total is known, so that a raised total is served. Then the note is written anew.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -194,11 +194,30 @@
    * Records that the note of previous processes on this machine can't be read.
    *
    * <p>A process that started from zero would write that nothing was spent, and all other instances
-   * would rely on it. Therefore this process gives out no tokens of the customer and writes no note
-   * as long as it runs.
+   * would rely on it. Therefore all tokens that the note shows as taken are written off. If it
+   * doesn't even show that, this process gives out no tokens of the customer and writes no note
+   * until {@link #writeOffUnknownPast} is called.
    */
-  void markPastUnknown() {
-    pastUnknown = true;
+  void takeOverUnreadable(SharedNote.UnreadableAccount note) {
+    if (note.taken().isPresent()) {
+      writtenOff += note.taken().getAsLong();
+      noteDue = true;
+    } else {
+      pastUnknown = true;
+    }
+  }
+
+  /**
+   * Writes off what previous processes may have taken if their note doesn't show how much that is:
+   * all of the total that no other instance has. Tokens by which the total is raised later can be
+   * used, and the other instances know again what this one holds.
+   */
+  void writeOffUnknownPast(long total) {
+    if (pastUnknown) {
+      writtenOff += Math.max(0, total - peerAccounts.taken());
+      pastUnknown = false;
+      noteDue = true;
+    }
   }
 
   boolean pastUnknown() {
@@ -235,7 +254,15 @@
    * unknown.
    */
   private long free(long total) {
-    return peerAccounts.allKnown() && !pastUnknown ? Math.max(0, total - takenByFleet()) : 0;
+    return free(total, idle);
+  }
+
+  /** Returns the same for the case that this instance keeps {@code kept} idle tokens. */
+  private long free(long total, long kept) {
+    return peerAccounts.allKnown() && !pastUnknown
+        ? Math.max(
+            0, total - SaturatingSum.of(peerAccounts.taken(), spent, writtenOff, reserved, kept))
+        : 0;
   }
 
   /** Returns whether the total may cover a request if all idle and lost tokens count as free. */
@@ -463,9 +490,7 @@
     if (!scarce) {
       claim = Math.max(claim, Math.min(target - idle, remaining));
     }
-    idle -= surplus;
-    claimed = claim;
-    return Optional.of(compose(instance, total, reading, heartbeats, now));
+    return Optional.of(compose(instance, total, idle - surplus, claim, reading, heartbeats, now));
   }
 
   /**
@@ -479,7 +504,7 @@
     boolean recentNote = !now.isAfter(releaseLimit.pending().composedAt().plus(MAX_USED_NOTE_AGE));
     return idle == 0 || recentNote
         ? Optional.empty()
-        : Optional.of(compose(instance, total, reading, heartbeats, now));
+        : Optional.of(compose(instance, total, idle, claimed, reading, heartbeats, now));
   }
 
   private boolean holdsNone() {
@@ -543,39 +568,55 @@
     return spent + reserved;
   }
 
+  /**
+   * Returns a note after which this instance keeps {@code kept} idle tokens and claims {@code
+   * claim} more. The account changes only once the note is complete, so that it stays as its last
+   * note says if its numbers are out of range.
+   */
   private SharedNote compose(
-      String instance, long total, ClockReading reading, long heartbeats, Instant now) {
-    noteDue = false;
-    absorbDrawn();
-    inUsePublished = inUse();
-    shortfallPublished = shortfall() > 0;
+      String instance,
+      long total,
+      long kept,
+      long claim,
+      ClockReading reading,
+      long heartbeats,
+      Instant now) {
+    long absorbed = absorbableDrawn();
+    long idleNow = kept + absorbed;
+    long heldNow = reserved + idleNow;
+    long lacking = shortfall();
+    long unreserved = SaturatingSum.of(free(total, kept), idleNow, peerAccounts.idle());
     long immediateByDemand =
-        IdleTokenRelease.immediate(
-            demand.tokensPerSecond(), fleetTokensPerSecond(), unreserved(total));
-    long immediate = Math.min(idle + claimed, waitingTokens() + immediateByDemand);
-    long delayed = idle + claimed - immediate;
-    long releasedPerSecond =
-        IdleTokenRelease.releasedPerSecond(
-            idle + claimed, demand.tokensPerSecond(), demand.largest());
-    releaseLimit.recordPending(
-        new PublishedRelease(
-            now, held(), immediate, new IdleTokenRelease(delayed, releasedPerSecond)));
+        IdleTokenRelease.immediate(demand.tokensPerSecond(), fleetTokensPerSecond(), unreserved);
+    long immediate = Math.min(idleNow + claim, waitingTokens() + immediateByDemand);
+    IdleTokenRelease release =
+        new IdleTokenRelease(
+            idleNow + claim - immediate,
+            IdleTokenRelease.releasedPerSecond(
+                idleNow + claim, demand.tokensPerSecond(), demand.largest()));
     SharedNote.Account note =
         new SharedNote.Account(
             instance,
             customer,
-            spent,
+            spent - absorbed,
             writtenOff,
-            held(),
-            idle,
-            claimed,
-            shortfall(),
+            heldNow,
+            idleNow,
+            claim,
+            lacking,
             immediate,
-            releasedPerSecond,
+            release.releasedPerSecond(),
             tokensPerSecond(),
             reading.steadyNanos(),
             reading.wallMillis(),
             heartbeats);
+    noteDue = false;
+    idle = kept;
+    claimed = claim;
+    absorbDrawn();
+    inUsePublished = inUse();
+    shortfallPublished = lacking > 0;
+    releaseLimit.recordPending(new PublishedRelease(now, held(), immediate, release));
     unconfirmedNotes.add(note);
     return note;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PeerAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PeerAccounts.java
@@ -4,12 +4,11 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import org.teaseldeal.api.TokenCounts;
 import org.teaseldeal.gateway.log.SharedNote;
 
 /** The newest notes of other instances about one customer's total, and their sums. */
 final class PeerAccounts {
-  private static final long MAX_TOKENS_PER_NOTE = Long.MAX_VALUE >> 16;
-
   private final Map<String, SharedNote.Account> byInstance = new HashMap<>();
   private final Set<String> unknownInstances = new HashSet<>();
   private long taken;
@@ -29,15 +28,22 @@
   }
 
   /**
-   * Marks what an instance holds as unknown.
+   * Takes into account that an instance's newest note can't be read. The note before it, which may
+   * have raised the number of held tokens, was never read here. If the instance counted as holding
+   * nothing, or as much as before, the same tokens would be given out twice.
    *
-   * <p>The instance's newest note has been overwritten by a foreign one, and the note before it,
-   * which may have raised the number of held tokens, was never read here. If the instance counted
-   * as holding nothing, or as much as before, the same tokens would be given out twice. An instance
-   * that finds its own note overwritten writes it again immediately.
+   * <p>If the note still says what the instance had taken at most, all of that counts as lost until
+   * the instance's next note. Otherwise its holdings are unknown. An instance that finds its own
+   * note unreadable writes it again immediately.
    */
-  void markUnknown(String instance) {
-    unknownInstances.add(instance);
+  void onUnreadable(SharedNote.UnreadableAccount note) {
+    SharedNote.Account previous = byInstance.get(note.instance());
+    if (note.taken().isEmpty()) {
+      unknownInstances.add(note.instance());
+    } else {
+      long known = previous == null ? 0 : previous.taken();
+      update(note.writtenOff(Math.max(known, note.taken().getAsLong())));
+    }
   }
 
   /**
@@ -101,6 +107,6 @@
    * fleet not to overflow.
    */
   private static long clamped(long... counts) {
-    return Math.min(MAX_TOKENS_PER_NOTE, SaturatingSum.of(counts));
+    return Math.min(TokenCounts.MAX_TOTAL, SaturatingSum.of(counts));
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -4,10 +4,12 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.function.Supplier;
@@ -65,6 +67,10 @@
   private final LogAvailability logAvailability;
   private final RefusalPolicy refusalPolicy;
   private final Map<String, CustomerAccount> accounts = new TreeMap<>();
+
+  /** Customers whose notes can't be composed, each of which is logged once. */
+  private final Set<String> customersOutOfRange = new HashSet<>();
+
   private ClockReading lastReading;
   private boolean logRequired;
   private final WallClockSteps wallClockSteps = new WallClockSteps();
@@ -302,6 +308,9 @@
     Instant now = clock.instant();
     detectClockSteps(now);
     recoverAfterPowerLoss();
+    if (logAvailability.loaded()) {
+      writeOffUnknownPasts();
+    }
     if (!now.isBefore(nextRate)) {
       nextRate = now.plus(RATE_INTERVAL);
       accounts.values().forEach(account -> account.demand().update());
@@ -395,14 +404,33 @@
       case SharedNote.Account accountNote when first ->
           account(accountNote.customer()).takeOver(accountNote, clocksAtStart);
       case SharedNote.UnreadableAccount unreadable when !own ->
-          account(unreadable.customer()).peerAccounts().markUnknown(unreadable.instance());
-      case SharedNote.UnreadableAccount unreadable when first ->
-          account(unreadable.customer()).markPastUnknown();
+          account(unreadable.customer()).peerAccounts().onUnreadable(unreadable);
+      case SharedNote.UnreadableAccount unreadable when first -> takeOverUnreadable(unreadable);
       case SharedNote.UnreadableAccount unreadable -> account(unreadable.customer()).renewNote();
       default -> {}
     }
   }
 
+  private void takeOverUnreadable(SharedNote.UnreadableAccount note) {
+    LOG.warn(
+        "the account of customer {} that a previous process left can't be read; {}",
+        note.customer(),
+        note.taken().isPresent()
+            ? "writing off all %d tokens that it had taken".formatted(note.taken().getAsLong())
+            : "writing off all tokens that no other instance has");
+    account(note.customer()).takeOverUnreadable(note);
+  }
+
+  /**
+   * Replaces the unreadable notes of previous processes once the totals are known, so that a
+   * customer isn't refused for as long as this process runs.
+   */
+  private void writeOffUnknownPasts() {
+    for (CustomerAccount account : accounts.values()) {
+      prepaidTotal.apply(account.customer()).ifPresent(account::writeOffUnknownPast);
+    }
+  }
+
   @Override
   public void onNote(SharedNote note, boolean own) {
     switch (note) {
@@ -487,18 +515,42 @@
     detectClockSteps(now);
     ClockReading reading = lastReading;
     long heartbeatCount = heartbeatsForNote(now);
-    List<SharedNote> notes = new ArrayList<>();
-    for (CustomerAccount account : accounts.values()) {
-      account
-          .nextNote(instance, total(account), share(account), refill, reading, heartbeatCount, now)
-          .ifPresent(notes::add);
-    }
+    List<SharedNote> notes =
+        composeNotes(
+            account ->
+                account.nextNote(
+                    instance,
+                    total(account),
+                    share(account),
+                    refill,
+                    reading,
+                    heartbeatCount,
+                    now));
     if (notes.isEmpty()) {
       return notes;
     }
     nextRefill = now.plus(REFILL_INTERVAL);
+    notes.addAll(
+        composeNotes(
+            account -> account.renewal(instance, total(account), reading, heartbeatCount, now)));
+    return notes;
+  }
+
+  /**
+   * Composes a note for each account that has one to write. An account whose numbers are out of
+   * range stays as its last note says and doesn't keep the others from being written.
+   */
+  private List<SharedNote> composeNotes(Function<CustomerAccount, Optional<SharedNote>> composer) {
+    List<SharedNote> notes = new ArrayList<>();
     for (CustomerAccount account : accounts.values()) {
-      account.renewal(instance, total(account), reading, heartbeatCount, now).ifPresent(notes::add);
+      try {
+        composer.apply(account).ifPresent(notes::add);
+        customersOutOfRange.remove(account.customer());
+      } catch (IllegalArgumentException e) {
+        if (customersOutOfRange.add(account.customer())) {
+          LOG.error("no note can be written for customer {}", account.customer(), e);
+        }
+      }
     }
     return notes;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -6,10 +6,13 @@
 import java.io.DataOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import org.teaseldeal.api.Preconditions;
+import org.teaseldeal.api.TokenCounts;
 import org.teaseldeal.net.IpAddresses;
 
 /**
@@ -47,6 +50,9 @@
    */
   private static final int MAX_CRASHES = 1_000;
 
+  /** Length of an account note of the first layout in bytes: its number and nine others. */
+  private static final int MIN_ACCOUNT_LENGTH = 1 + 9 * Long.BYTES;
+
   private static final byte CURRENT_LAYOUT = 4;
 
   /**
@@ -181,10 +187,35 @@
   static Optional<SharedNote> placeholder(KeyedRecord record) {
     String[] key = record.key().split("\\|", KEY_PARTS);
     return key.length == KEY_PARTS && key[0].equals(ACCOUNT) && !key[1].isBlank()
-        ? Optional.of(new SharedNote.UnreadableAccount(key[1], key[2]))
+        ? Optional.of(new SharedNote.UnreadableAccount(key[1], key[2], takenTokens(record.value())))
         : Optional.empty();
   }
 
+  /**
+   * Returns what a rejected account note says that its instance had taken of the total. Earlier
+   * versions could write a rate or a claim that is out of range beside numbers that are correct. A
+   * claim that is larger than any total was never granted.
+   */
+  private static OptionalLong takenTokens(byte[] value) {
+    if (value.length < MIN_ACCOUNT_LENGTH || value[0] < FIRST_LAYOUT || value[0] > CURRENT_LAYOUT) {
+      return OptionalLong.empty();
+    }
+    ByteBuffer numbers = ByteBuffer.wrap(value, 1, value.length - 1);
+    long spent = numbers.getLong();
+    long writtenOff = numbers.getLong();
+    long held = numbers.getLong();
+    numbers.getLong(); // The idle tokens are part of those that are held.
+    long claimed = numbers.getLong();
+    if (!isTotal(spent) || !isTotal(writtenOff) || !isTotal(held)) {
+      return OptionalLong.empty();
+    }
+    return OptionalLong.of(spent + writtenOff + held + (isTotal(claimed) ? claimed : 0));
+  }
+
+  private static boolean isTotal(long tokens) {
+    return tokens >= 0 && tokens <= TokenCounts.MAX_TOTAL;
+  }
+
   private static Optional<SharedNote> decodeWithdrawn(String[] key) {
     return switch (key[0]) {
       case CRASH -> Optional.of(new SharedNote.Crash(key[1], key[2], 0));
@@ -336,41 +367,21 @@
     long tokensPerSecond = first ? 0 : in.readLong();
     long releasedPerSecond = layout > SECOND_LAYOUT ? in.readLong() : 0;
     boolean sameRule = layout > THIRD_LAYOUT;
-    return validated(
-        new SharedNote.Account(
-            instance,
-            customer,
-            spent,
-            writtenOff,
-            held,
-            idle,
-            claimed,
-            shortfall,
-            sameRule ? immediate : idle + claimed,
-            releasedPerSecond,
-            tokensPerSecond,
-            steadyNanos,
-            wallMillis,
-            heartbeats));
-  }
-
-  /** Rejects numbers that no instance writes, because no account can continue from them. */
-  private static SharedNote.Account validated(SharedNote.Account note) {
-    Preconditions.requireText(note.customer(), "customer");
-    Preconditions.requireNotNegative(note.tokensPerSecond(), "tokens per second");
-    Preconditions.require(
-        note.idle() <= note.held(),
-        "idle was %d, expected at most %d".formatted(note.idle(), note.held()));
-    try {
-      note.taken();
-    } catch (ArithmeticException e) {
-      throw new IllegalArgumentException("the sum of the numbers overflows", e);
-    }
-    Preconditions.require(
-        note.immediate() >= 0 && note.immediate() <= note.idle() + note.claimed(),
-        "tokens for immediate use were %d, expected 0 to %d"
-            .formatted(note.immediate(), note.idle() + note.claimed()));
-    return note;
+    return new SharedNote.Account(
+        instance,
+        customer,
+        spent,
+        writtenOff,
+        held,
+        idle,
+        claimed,
+        shortfall,
+        sameRule ? immediate : idle + claimed,
+        releasedPerSecond,
+        tokensPerSecond,
+        steadyNanos,
+        wallMillis,
+        heartbeats);
   }
 
   private static String key(String kind, String instance, String subject) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.gateway.log;
 
 import java.util.List;
+import java.util.OptionalLong;
 import org.teaseldeal.api.Preconditions;
 
 /**
@@ -54,7 +55,12 @@
     /** Marks an unknown count of heartbeats. */
     public static final long UNCOUNTED = -1;
 
+    /**
+     * Rejects all numbers from which no account can continue, so that a note that can be written
+     * can also be read.
+     */
     public Account {
+      Preconditions.requireText(customer, "customer");
       Preconditions.requireNotNegative(spent, "spent");
       Preconditions.requireNotNegative(held, "held");
       Preconditions.requireNotNegative(idle, "idle");
@@ -62,19 +68,46 @@
       Preconditions.requireNotNegative(claimed, "claimed tokens");
       Preconditions.requireNotNegative(shortfall, "shortfall");
       Preconditions.requireNotNegative(releasedPerSecond, "tokens released per second");
+      Preconditions.requireNotNegative(tokensPerSecond, "tokens per second");
+      Preconditions.require(idle <= held, "idle was %d, expected at most %d".formatted(idle, held));
+      requireNoOverflow(spent, writtenOff, held, claimed);
+      Preconditions.require(
+          immediate >= 0 && immediate <= idle + claimed,
+          "tokens for immediate use were %d, expected 0 to %d"
+              .formatted(immediate, idle + claimed));
+    }
+
+    private static void requireNoOverflow(long spent, long writtenOff, long held, long claimed) {
+      try {
+        Math.addExact(Math.addExact(spent, writtenOff), Math.addExact(held, claimed));
+      } catch (ArithmeticException e) {
+        throw new IllegalArgumentException("the sum of the numbers overflows", e);
+      }
     }
 
     /** Returns the tokens that can't be granted to another instance. */
     public long taken() {
-      return Math.addExact(Math.addExact(spent, writtenOff), Math.addExact(held, claimed));
+      return spent + writtenOff + held + claimed;
     }
   }
 
   /**
-   * Stands for an unreadable note about an account. It contains no information and hides the
-   * content of the note before it. It is never written.
+   * Stands for an unreadable note about an account. It hides the content of the note before it. It
+   * is never written.
+   *
+   * @param taken upper bound of the tokens that the note's instance had spent, lost or held; empty
+   *     if not even that can be read
    */
-  record UnreadableAccount(String instance, String customer) implements SharedNote {}
+  record UnreadableAccount(String instance, String customer, OptionalLong taken)
+      implements SharedNote {
+    /**
+     * Returns an account that counts {@code tokens} as written off, so that nobody uses them again.
+     */
+    public Account writtenOff(long tokens) {
+      return new Account(
+          instance, customer, 0, tokens, 0, 0, 0, 0, 0, 0, 0, 0, 0, Account.UNCOUNTED);
+    }
+  }
 
   /**
    * The number of backend servers that an instance has seen a request crash.
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ForeignNoteTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ForeignNoteTests.java
@@ -75,6 +75,72 @@
     assertEquals(1, fleet.instance(1).refusals.size());
   }
 
+  /**
+   * Guards against callers that are refused by all instances for good, or get more than the total,
+   * after a kill of all processes. An earlier version left a note with a claim that is larger than
+   * any total; what it had spent counts, and the rest of the total is served.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void servesTheRestOfTheTotalAfterAnUnreadableNoteOfAnEarlierVersion(boolean peerFirst) {
+    spendMostOfTheTotalAtInstance1();
+    fleet.stop(0);
+    fleet.stop(1);
+    fleet.overwriteNote(1, note(TOTAL * 8 / 10, 0, Long.MAX_VALUE));
+    fleet.run(SETTLE_TIME);
+    fleet.restart(peerFirst ? 0 : 1);
+    fleet.run(SETTLE_TIME);
+    fleet.restart(peerFirst ? 1 : 0);
+    fleet.run(SETTLE_TIME);
+    int granted = 0;
+    for (int i = 0; i < 10; i++) {
+      AccountFleet.Instance instance = fleet.instance(i % 2);
+      int before = instance.grantedRequests;
+      instance.request(TOTAL / 20);
+      fleet.run(SETTLE_TIME);
+      granted += instance.grantedRequests - before;
+    }
+    assertTrue(granted >= 2, granted + " requests were served");
+    assertTrue(fleet.givenTokens() <= TOTAL, fleet.givenTokens() + " tokens were given");
+  }
+
+  /**
+   * Guards against a customer that stays refused although its total is raised. All processes were
+   * killed, and a note was overwritten by bytes that say nothing.
+   */
+  @Test
+  void servesARaisedTotalAfterAnUnreadableNote() {
+    spendMostOfTheTotalAtInstance1();
+    fleet.stop(0);
+    fleet.stop(1);
+    fleet.overwriteNote(1, UNREADABLE);
+    fleet.run(SETTLE_TIME);
+    fleet.restart(0);
+    fleet.restart(1);
+    fleet.run(SETTLE_TIME);
+    fleet.total += TOTAL;
+    fleet.run(SETTLE_TIME);
+    fleet.instance(0).request(TOTAL / 2);
+    fleet.run(SETTLE_TIME);
+    assertEquals(1, fleet.instance(0).grantedRequests);
+  }
+
+  /**
+   * Guards against callers of all customers that are refused because the numbers of one customer's
+   * account are out of range.
+   */
+  @Test
+  void writesNotesOfOtherCustomersBesideAnAccountThatIsOutOfRange() {
+    AccountFleet.Instance instance = fleet.instance(0);
+    instance.accounts.addDrawn(AccountFleet.CUSTOMER, Long.MAX_VALUE);
+    instance.accounts.addDrawn(AccountFleet.CUSTOMER, Long.MAX_VALUE);
+    instance.request("ferry", TOTAL / 2);
+    fleet.run(SETTLE_TIME);
+    assertTrue(
+        instance.reserved.stream().anyMatch(granted -> granted.customer().equals("ferry")),
+        "the request of the other customer was not granted");
+  }
+
   /**
    * Guards against callers that are refused for good after a note was overwritten. Its instance
    * writes the note again immediately, and then callers are served.
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 import java.util.List;
+import java.util.OptionalLong;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -14,6 +15,7 @@
 import net.jqwik.api.Provide;
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.TokenCounts;
 
 class NoteCodecTests {
   private static final SharedNote.Account ACCOUNT =
@@ -118,12 +120,11 @@
             new KeyedRecord("account|a|trawler", new byte[0]),
             new KeyedRecord("account||trawler", account),
             new KeyedRecord("account|a|", account),
-            record(
-                new SharedNote.Account("a", "c", Long.MAX_VALUE, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0)),
-            record(new SharedNote.Account("a", "c", 0, 0, 3, 4, 0, 0, 0, 0, 0, 0, 0, 0)),
-            record(new SharedNote.Account("a", "c", 0, 0, 4, 4, 5, 0, 10, 0, 0, 0, 0, 0)),
-            record(new SharedNote.Account("a", "c", 0, 0, 4, 4, 5, 0, -1, 0, 0, 0, 0, 0)),
-            record(new SharedNote.Account("a", "c", 0, 0, 4, 4, 5, 0, 0, 0, -1, 0, 0, 0)),
+            accountRecord(Long.MAX_VALUE, 1, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0),
+            accountRecord(0, 0, 3, 4, 0, 0, 0, 0, 0, 0, 0, 0),
+            accountRecord(0, 0, 4, 4, 5, 0, 10, 0, 0, 0, 0, 0),
+            accountRecord(0, 0, 4, 4, 5, 0, -1, 0, 0, 0, 0, 0),
+            accountRecord(0, 0, 4, 4, 5, 0, 0, 0, 0, 0, -1, 0),
             record(new SharedNote.Crash("a", "00ff", -1)),
             new KeyedRecord("crash|a|00ff", new byte[] {3, 0, 0, 0, 0}),
             new KeyedRecord("crash|a|00ff", new byte[] {3, 0, 0, 0, 1, 0}),
@@ -142,6 +143,76 @@
     }
   }
 
+  /**
+   * Guards against a customer that is refused for good after a restart: its instance had written a
+   * note that no instance could read.
+   */
+  @Property(tries = 2_000, seed = "4711")
+  void everyAccountThatCanBeComposedCanBeRead(
+      @ForAll("counts") long spent,
+      @ForAll("counts") long writtenOff,
+      @ForAll("counts") long held,
+      @ForAll("counts") long idle,
+      @ForAll("counts") long claimed,
+      @ForAll("counts") long immediate,
+      @ForAll("counts") long rate) {
+    SharedNote.Account note;
+    try {
+      note =
+          new SharedNote.Account(
+              "a", "c", spent, writtenOff, held, idle, claimed, 0, immediate, rate, rate, 0, 0, 0);
+    } catch (IllegalArgumentException e) {
+      assertNotNull(e.getMessage());
+      return;
+    }
+    assertEquals(note, NoteCodec.decode(NoteCodec.encode(note)));
+  }
+
+  @Provide
+  Arbitrary<Long> counts() {
+    return Arbitraries.of(
+        0L,
+        1L,
+        2L,
+        TokenCounts.MAX_TOTAL,
+        Long.MAX_VALUE / 2,
+        Long.MAX_VALUE - 1,
+        Long.MAX_VALUE,
+        -1L,
+        Long.MIN_VALUE);
+  }
+
+  /**
+   * Guards against tokens that are given out twice, or lost for good, after an upgrade. An earlier
+   * version wrote a claim or a rate that is out of range beside numbers that are correct.
+   */
+  @Test
+  void showsWhatAnUnreadableNoteOfAnEarlierVersionHadTaken() {
+    assertEquals(
+        OptionalLong.of(33),
+        taken(accountRecord(1, 2, 30, 4, Long.MAX_VALUE, 0, 0, 0, 0, 0, 0, 0)));
+    assertEquals(OptionalLong.of(38), taken(accountRecord(1, 2, 30, 4, 5, 0, 0, 0, 0, 0, -1, 0)));
+    assertEquals(OptionalLong.empty(), taken(accountRecord(-1, 2, 30, 4, 5, 0, 0, 0, 0, 0, 0, 0)));
+    assertEquals(
+        OptionalLong.empty(),
+        taken(accountRecord(Long.MAX_VALUE, 2, 30, 4, 5, 0, 0, 0, 0, 0, 0, 0)));
+    assertEquals(
+        OptionalLong.empty(), taken(new KeyedRecord("account|a|trawler", new byte[] {4, 0, 0})));
+  }
+
+  private static OptionalLong taken(KeyedRecord record) {
+    return ((SharedNote.UnreadableAccount) NoteCodec.placeholder(record).orElseThrow()).taken();
+  }
+
+  /** Returns an account note of the newest layout with the given numbers. */
+  private static KeyedRecord accountRecord(long... numbers) {
+    ByteBuffer value = ByteBuffer.allocate(1 + 12 * Long.BYTES).put((byte) 4);
+    for (long number : numbers) {
+      value.putLong(number);
+    }
+    return new KeyedRecord("account|a|trawler", value.array());
+  }
+
   @Property(tries = 2_000, seed = "4711")
   void arbitraryBytesCauseNoOtherException(
       @ForAll("kinds") String kind, @ForAll @Size(max = 120) byte[] value) {
