Bound the token counts that requests and plans name

Cause: the sum of the two counts overflowed; a request of a negative size counted as covered, and the account changed before the reservation that throws was made (log: `drawn tokens was -`).

What the whole total doesn't cover is refused at once and is no demand. A reservation is made before the account changes. Sizes between instances have the same range.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -324,11 +324,11 @@
 
   private void give(WaitingRequest request) {
     long fromDrawn = Math.min(drawn, request.tokens());
-    long own = request.tokens() - fromDrawn;
+    Reservation reservation = new Reservation(customer, request.tokens(), fromDrawn);
     drawn -= fromDrawn;
-    useIdle(own);
-    reserved += own;
-    request.listener().onReserved(new Reservation(customer, request.tokens(), fromDrawn));
+    useIdle(reservation.ownTokens());
+    reserved += reservation.ownTokens();
+    request.listener().onReserved(reservation);
   }
 
   /**
@@ -338,8 +338,9 @@
     if (tokens > drawn) {
       return false;
     }
+    Reservation reservation = new Reservation(customer, tokens, tokens);
     drawn -= tokens;
-    listener.onReserved(new Reservation(customer, tokens, tokens));
+    listener.onReserved(reservation);
     return true;
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderPort.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderPort.java
@@ -4,6 +4,7 @@
 import java.util.function.Consumer;
 import org.teaseldeal.api.Preconditions;
 import org.teaseldeal.api.Problem;
+import org.teaseldeal.api.TokenCounts;
 
 /**
  * Requests tokens from instances that hold a part of a customer's total (holders), and returns
@@ -14,14 +15,16 @@
    * A request for the tokens of one caller's request.
    *
    * @param customer the customer whose total the tokens come from
-   * @param tokens number of tokens, greater than 0
+   * @param tokens number of tokens, greater than 0 and at most {@link TokenCounts#MAX_TOTAL}
    * @param maxWait how long the request may wait for the tokens at the holder
    * @param timeLeft how long the answer is of use to the caller
    */
   record Request(String customer, long tokens, Duration maxWait, Duration timeLeft) {
     public Request {
       Preconditions.requireText(customer, "customer");
-      Preconditions.require(tokens > 0, "tokens were %d, expected more".formatted(tokens));
+      Preconditions.require(
+          tokens > 0 && tokens <= TokenCounts.MAX_TOTAL,
+          "tokens were %d, expected 1 to %d".formatted(tokens, TokenCounts.MAX_TOTAL));
     }
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -117,6 +117,10 @@
    * Reserves {@code tokens} of a customer's total, immediately or as soon as they have been
    * granted.
    *
+   * <p>A request for more than the whole total is refused immediately and doesn't count as demand:
+   * the size of leases and the release of idle tokens would follow a number that only its sender
+   * bounds.
+   *
    * @param callerTimeout when the caller stops waiting for the answer to begin
    * @param deadline when the answer is of no use any more
    */
@@ -131,10 +135,14 @@
       listener.onReserved(Reservation.NONE);
       return;
     }
-    CustomerAccount account = account(customer);
-    account.demand().add(tokens);
     WaitingRequest request =
         new WaitingRequest(tokens, clock.instant(), callerTimeout, deadline, listener);
+    if (tokens > total.getAsLong()) {
+      listener.onRefused(RefusalPolicy.exhausted(tokens, total.getAsLong()));
+      return;
+    }
+    CustomerAccount account = account(customer);
+    account.demand().add(tokens);
     // A waiting request that needs more tokens than are available must not block requests that need
     // fewer.
     if (logAvailability.loaded() && account.take(request, total.getAsLong(), clock.instant())) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
@@ -53,10 +53,7 @@
       return Optional.of(noLease(account, request, RETRY_AFTER_EXHAUSTED));
     }
     if (!account.mayCover(request.tokens(), total)) {
-      return Optional.of(
-          Problem.of(
-              ErrorKind.BUDGET_EXHAUSTED,
-              "%d tokens are needed, less remain of %d".formatted(request.tokens(), total)));
+      return Optional.of(exhausted(request.tokens(), total));
     }
     if (!account.couldBeGranted(request.tokens(), total)) {
       return Optional.of(noLease(account, request, RETRY_AFTER_EXHAUSTED));
@@ -89,6 +86,13 @@
         .map(retryAfter -> noLease(account, request, retryAfter));
   }
 
+  /** Returns the problem of a request that needs more tokens than remain of the total. */
+  static Problem exhausted(long tokens, long total) {
+    return Problem.of(
+        ErrorKind.BUDGET_EXHAUSTED,
+        "%d tokens are needed, less remain of %d".formatted(tokens, total));
+  }
+
   private static Problem noLease(
       CustomerAccount account, WaitingRequest request, Duration retryAfter) {
     return Problem.retryable(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/WaitingRequest.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/WaitingRequest.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.gateway.account;
 
 import java.time.Instant;
+import org.teaseldeal.api.Preconditions;
 
 /**
  * A request that waits for tokens.
@@ -16,4 +17,8 @@
     Instant waitingSince,
     Instant callerTimeout,
     Instant deadline,
-    ReservationListener listener) {}
+    ReservationListener listener) {
+  WaitingRequest {
+    Preconditions.requireNotNegative(tokens, "tokens of a request");
+  }
+}
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptDescription.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/PromptDescription.java
@@ -1,7 +1,7 @@
 package org.teaseldeal.gateway.flow;
 
 import java.util.List;
-import org.teaseldeal.api.Preconditions;
+import org.teaseldeal.api.TokenCounts;
 
 /**
  * The caller's description of its prompt.
@@ -13,8 +13,8 @@
  */
 public record PromptDescription(long inputTokens, long maxOutputTokens, List<PromptPart> parts) {
   public PromptDescription {
-    Preconditions.requireNotNegative(inputTokens, "input tokens");
-    Preconditions.requireNotNegative(maxOutputTokens, "max output tokens");
+    TokenCounts.requireOfRequest(inputTokens, "input tokens");
+    TokenCounts.requireOfRequest(maxOutputTokens, "max output tokens");
     parts = List.copyOf(parts);
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/PrepaidCustomer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/PrepaidCustomer.java
@@ -4,6 +4,7 @@
 import java.util.OptionalLong;
 import java.util.Set;
 import org.teaseldeal.api.Preconditions;
+import org.teaseldeal.api.TokenCounts;
 
 /**
  * A customer, its callers' keys and its prepaid tokens.
@@ -11,13 +12,19 @@
  * @param name name of the customer
  * @param keys keys that the customer's callers present
  * @param rank priority that replaces the route's rank, if present
- * @param prepaid total number of tokens that the customer may use; empty for no limit
+ * @param prepaid total number of tokens that the customer may use, at most {@link
+ *     TokenCounts#MAX_TOTAL}; empty for no limit
  */
 public record PrepaidCustomer(
     String name, Set<String> keys, OptionalInt rank, OptionalLong prepaid) {
   public PrepaidCustomer {
     Preconditions.requireText(name, "customer name");
     keys = Set.copyOf(keys);
-    prepaid.ifPresent(total -> Preconditions.requireNotNegative(total, "prepaid of " + name));
+    prepaid.ifPresent(
+        total ->
+            Preconditions.require(
+                total >= 0 && total <= TokenCounts.MAX_TOTAL,
+                "prepaid of %s was %d, expected 0 to %d"
+                    .formatted(name, total, TokenCounts.MAX_TOTAL)));
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/PrepaidAccountsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/PrepaidAccountsTests.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.gateway.account;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -10,8 +11,11 @@
 import java.util.Random;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
+import org.teaseldeal.api.TokenCounts;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.fake.FakeSharedLog.Behaviour;
 
@@ -38,6 +42,58 @@
         "refused %d and served %d, expected at most one in ten refused".formatted(refused, served));
   }
 
+  /**
+   * Guards against callers of a customer that are refused for good, or get more than its total,
+   * after requests that no total covers: they counted as demand, and no note could be written.
+   */
+  @ParameterizedTest
+  @ValueSource(
+      longs = {0, 1, 1L << 31, TokenCounts.MAX_OF_REQUEST, Long.MAX_VALUE / 2, Long.MAX_VALUE})
+  void servesTheTotalBesideRequestsThatNoTotalCovers(long tokens) {
+    long total = 400_000;
+    AccountFleet fleet = new AccountFleet(3, total);
+    for (int i = 0; i < 20; i++) {
+      AccountFleet.Instance instance = fleet.instance(i % 3);
+      instance.request(LARGE);
+      instance.request(tokens);
+      fleet.run(Duration.ofMillis(300));
+    }
+    assertEquals(20, requestsOf(fleet, LARGE));
+    long spent = fleet.givenTokens();
+    fleet.kill(Duration.ofSeconds(1));
+    for (int i = 0; i < 40; i++) {
+      fleet.instance(i % 3).request(LARGE);
+      fleet.instance(i % 3).request(tokens);
+      fleet.run(Duration.ofMillis(300));
+    }
+    assertTrue(fleet.givenTokens() <= total, fleet.givenTokens() + " tokens were given");
+    long afterKill = fleet.givenTokens() - spent;
+    assertTrue(afterKill * 4 >= total - spent, afterKill + " tokens were given after the kill");
+  }
+
+  private static long requestsOf(AccountFleet fleet, long tokens) {
+    return fleet.instances.stream()
+        .flatMap(instance -> instance.reserved.stream())
+        .filter(reservation -> reservation.tokens() == tokens)
+        .count();
+  }
+
+  /** Guards against an account that changed before a request of a negative size was rejected. */
+  @Test
+  void rejectsRequestsOfANegativeSizeWithoutAChange() {
+    AccountFleet fleet = new AccountFleet(2, 100_000);
+    fleet.instance(0).request(LARGE);
+    fleet.run(Duration.ofSeconds(1));
+    assertThrows(
+        IllegalArgumentException.class, () -> fleet.instance(0).request(Long.MIN_VALUE + 499));
+    fleet.run(Duration.ofSeconds(2));
+    for (int i = 0; i < 20; i++) {
+      fleet.instance(i % 2).request(LARGE);
+      fleet.run(Duration.ofMillis(500));
+    }
+    assertTrue(fleet.givenTokens() <= 100_000, fleet.givenTokens() + " tokens were given");
+  }
+
   /** Sends each instance a large request every 350 ms on average; each request ends after 1.5 s. */
   private static void sendRequestsFor(AccountFleet fleet, Duration time) {
     sendRequestsFor(fleet, fleet.instances, time);
