Leave requests that no engine holds out of the estimate of memory

The mean size of requests, by which engines' memory is taken as filled, followed a request that is larger than the memory and that every engine refuses; all engines then counted as full for hundreds of requests. EngineMemoryTests.leavesOutRequestsThatAreLargerThanTheMemory shows it without the change in EngineMemory (by reading; the signature is new).

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/EngineMemory.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/EngineMemory.java
@@ -29,8 +29,16 @@
     this.usableShare = usableShare;
   }
 
-  /** Records a request whose prompt and answer have up to {@code tokens} tokens. */
-  public void onSent(long tokens) {
+  /**
+   * Records a request whose prompt and answer have up to {@code tokens} tokens. One that is larger
+   * than the memory takes no room anywhere, as every engine refuses it.
+   *
+   * @param capacity tokens in the engine's memory; 0 if unknown
+   */
+  public void onSent(long tokens, long capacity) {
+    if (capacity > 0 && tokens > capacity) {
+      return;
+    }
     meanTokens = meanTokens == 0 ? tokens : meanTokens + MEAN_STEP * (tokens - meanTokens);
   }
 
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/EngineMemoryTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/EngineMemoryTests.java
@@ -23,7 +23,7 @@
   void fillsAnEngineUpToItsUsableShareOnly() {
     long held = 0;
     int requests = 0;
-    memory.onSent(PROMPT);
+    memory.onSent(PROMPT, CAPACITY);
     while (memory.left(CAPACITY, held, 0, 0) >= PROMPT) {
       held += PROMPT;
       requests++;
@@ -34,14 +34,22 @@
 
   @Test
   void countsRequestsOfOtherInstancesAsLargeAsTheOwnOnes() {
-    memory.onSent(10_000);
+    memory.onSent(10_000, CAPACITY);
     assertEquals((long) (CAPACITY * 0.9) - 12_000 - 50_000, memory.left(CAPACITY, 12_000, 5, 0));
   }
 
+  /** Guards against engines that count as full after a request that every engine refuses. */
+  @Test
+  void leavesOutRequestsThatAreLargerThanTheMemory() {
+    memory.onSent(10_000, CAPACITY);
+    memory.onSent(Long.MAX_VALUE, CAPACITY);
+    assertEquals((long) (CAPACITY * 0.9) - 50_000, memory.left(CAPACITY, 0, 5, 0));
+  }
+
   /** Guards against prompts of other instances that are far larger than the own ones. */
   @Test
   void countsAtLeastThePromptTokensThatOthersHaveAhead() {
-    memory.onSent(1_000);
+    memory.onSent(1_000, CAPACITY);
     assertEquals((long) (CAPACITY * 0.9) - 54_600, memory.left(CAPACITY, 0, 1, 54_600));
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/EngineChoice.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/EngineChoice.java
@@ -200,7 +200,7 @@
   /** Records a prompt that was sent to an engine. */
   void onSent(PromptDescription prompt, long uncachedTokens, Duration targetTime, Instant now) {
     if (memory != null) {
-      memory.onSent(prompt.maxTokens());
+      memory.onSent(prompt.maxTokens(), memoryTokens.getAsLong());
     }
     if (options.separateLong()) {
       mix.onPrompt(
