--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerStream.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerStream.java
@@ -86,14 +86,18 @@
       origins.resolve(key(resumedAttempt()), service, found -> result.accept(resolution(found)));
       return;
     }
-    Optional<String> only = origins.onlyVersion(service);
-    result.accept(
-        only.isPresent()
-            ? known(only.get(), StreamOrigins.Source.ONLY_VERSION)
-            : refused(
-                Obstacle.ATTEMPT_NOT_NAMED,
-                "the attempt that brought the first event isn't named",
-                false));
+    origins.resolveUnnamed(service, found -> result.accept(unnamedResolution(found)));
+  }
+
+  private Resolution unnamedResolution(StreamOrigins.Resolution found) {
+    return switch (found) {
+      case StreamOrigins.Resolution.Known known -> known(known.version(), known.source());
+      case StreamOrigins.Resolution.Unknown unknown ->
+          refused(
+              Obstacle.ATTEMPT_NOT_NAMED,
+              "the attempt that brought the first event isn't named",
+              false);
+    };
   }
 
   private Resolution resolution(StreamOrigins.Resolution found) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
@@ -1,7 +1,9 @@
 package org.teaseldeal.gateway.stream;
 
+import java.time.Duration;
 import java.time.Instant;
 import java.time.InstantSource;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
 import java.util.Set;
@@ -45,16 +47,25 @@
     record Unknown(int unreachable) implements Resolution {}
   }
 
+  /** A list that was read longer ago may lack servers that serve by now. */
+  private static final Duration MAX_LIST_AGE = Duration.ofSeconds(2);
+
+  /** How long the next read of the list may take; reads begin several times a second. */
+  private static final Duration LIST_WAIT = Duration.ofSeconds(1);
+
+  private static final Duration IDLE_INTERVAL = Duration.ofMillis(100);
+
   private final String instance;
   private final Supplier<Set<String>> fleet;
   private final StreamPeers peers;
   private final InstantSource clock;
   private final VersionHistory history;
-  private final BooleanSupplier listIsCurrent;
+  private final Supplier<Instant> listReadBegunAt;
   private final BooleanSupplier hearsPeers;
   private final IsolatedStreams isolatedStreams;
   private final StreamBackupChoice choice = new StreamBackupChoice();
   private final VersionTable versions = new VersionTable();
+  private final List<Conclusion> conclusions = new ArrayList<>();
   private Set<String> announcedTo = Set.of();
 
   /**
@@ -62,7 +73,7 @@
    *
    * @param fleet the names of all instances; an unmodifiable set, which is replaced by another one
    *     at each change
-   * @param listIsCurrent whether the list of servers was read a short time ago
+   * @param listReadBegunAt when the newest completed read of the list of servers was begun
    * @param hearsPeers whether messages of other instances arrive, or there is no other instance
    */
   public StreamOrigins(
@@ -70,14 +81,14 @@
       Supplier<Set<String>> fleet,
       StreamPeers peers,
       VersionHistory history,
-      BooleanSupplier listIsCurrent,
+      Supplier<Instant> listReadBegunAt,
       BooleanSupplier hearsPeers,
       InstantSource clock) {
     this.instance = instance;
     this.fleet = fleet;
     this.peers = peers;
     this.history = history;
-    this.listIsCurrent = listIsCurrent;
+    this.listReadBegunAt = listReadBegunAt;
     this.hearsPeers = hearsPeers;
     this.isolatedStreams = new IsolatedStreams(instance, hearsPeers);
     this.clock = clock;
@@ -104,7 +115,9 @@
    * replaced since.
    */
   public void tick() {
-    isolatedStreams.tick(clock.instant());
+    Instant now = clock.instant();
+    isolatedStreams.tick(now);
+    conclude(now);
     Set<String> current = fleet.get();
     if (current == announcedTo) {
       return;
@@ -151,22 +164,30 @@
   }
 
   /**
-   * The version of a stream that can only have begun at one version, whoever began it. Empty while
-   * this instance can learn of other versions neither from the list of servers nor from the other
+   * The version of a stream that can only have begun at one version, as far as this instance knows.
+   * Empty while it can learn of other versions neither from the list of servers nor from the other
    * instances.
    */
-  public Optional<String> onlyVersion(String service) {
-    return listIsCurrent.getAsBoolean() || hearsPeers.getAsBoolean()
+  Optional<String> onlyVersion(String service) {
+    return listReadSince(clock.instant().minus(MAX_LIST_AGE)) || hearsPeers.getAsBoolean()
         ? history.onlyVersion(service)
         : Optional.empty();
   }
 
+  /** Returns whether this instance knows all servers that were listed before {@code since}. */
+  private boolean listReadSince(Instant since) {
+    return !listReadBegunAt.get().isBefore(since);
+  }
+
   /**
    * Determines the version of a stream, at once or as soon as an instance that knows it has
    * answered; {@code result} is called exactly once.
    *
-   * <p>While the list of servers can't be read, other instances may know of versions that this one
-   * doesn't, so they are asked before it concludes that there is only one.
+   * <p>Another instance may have used a server of a version that this one hasn't seen: it read the
+   * list later, or this one stood still. So the other instances are asked, and if none knows the
+   * stream, it is concluded that there is only one version from a list that was read after the
+   * request arrived, since the stream began before. If the list can't be read, the answer of an
+   * instance that hears of new versions has to do.
    */
   public void resolve(StreamKey stream, String service, Consumer<Resolution> result) {
     Optional<String> stored = find(stream);
@@ -174,42 +195,104 @@
       result.accept(new Resolution.Known(stored.get(), Source.STORED));
       return;
     }
-    Optional<String> only = onlyVersion(service);
-    if (only.isPresent() && listIsCurrent.getAsBoolean()) {
-      result.accept(new Resolution.Known(only.get(), Source.ONLY_VERSION));
+    Conclusion conclusion = new Conclusion(service, clock.instant(), result);
+    if (conclusion.endIfListWasRead()) {
       return;
     }
-    ask(
-        stream,
-        resolution ->
-            result.accept(
-                resolution instanceof Resolution.Unknown && only.isPresent()
-                    ? new Resolution.Known(only.get(), Source.ONLY_VERSION)
-                    : resolution));
-  }
-
-  private void ask(StreamKey stream, Consumer<Resolution> result) {
     List<String> asked = choice.asked(stream.hash(), instance, fleet.get());
     if (asked.isEmpty()) {
-      result.accept(new Resolution.Unknown(0));
+      concludeLater(conclusion);
       return;
     }
-    Question question = new Question(stream, asked.size(), result);
+    Question question = new Question(stream, asked.size(), conclusion);
     asked.forEach(name -> peers.ask(name, stream, question::onAnswer));
   }
 
+  /**
+   * Determines the version of a stream that its caller doesn't name, so that no instance can be
+   * asked for it; see {@link #resolve}.
+   */
+  public void resolveUnnamed(String service, Consumer<Resolution> result) {
+    Conclusion conclusion = new Conclusion(service, clock.instant(), result);
+    if (!conclusion.endIfListWasRead()) {
+      concludeLater(conclusion);
+    }
+  }
+
+  private void concludeLater(Conclusion conclusion) {
+    if (!conclusion.endIfDecided(clock.instant())) {
+      conclusions.add(conclusion);
+    }
+  }
+
+  private void conclude(Instant now) {
+    for (Conclusion conclusion : List.copyOf(conclusions)) {
+      if (conclusion.endIfDecided(now)) {
+        conclusions.remove(conclusion);
+      }
+    }
+  }
+
+  /** Returns when {@link #tick} is due again. */
+  public Instant dueAt() {
+    return conclusions.isEmpty() ? clock.instant().plus(IDLE_INTERVAL) : Instant.MIN;
+  }
+
+  /** A stream that no instance knows, until it is known whether there is only one version. */
+  private final class Conclusion {
+    private final String service;
+    private final Instant since;
+    private final Consumer<Resolution> result;
+    private int answers;
+    private int unreachable;
+
+    Conclusion(String service, Instant since, Consumer<Resolution> result) {
+      this.service = service;
+      this.since = since;
+      this.result = result;
+    }
+
+    void end(Resolution resolution) {
+      result.accept(resolution);
+    }
+
+    /** Ends if there is only one version in a list that was read since the request arrived. */
+    boolean endIfListWasRead() {
+      Optional<String> only = listReadSince(since) ? onlyVersion(service) : Optional.empty();
+      only.ifPresent(version -> end(new Resolution.Known(version, Source.ONLY_VERSION)));
+      return only.isPresent();
+    }
+
+    boolean endIfDecided(Instant now) {
+      if (endIfListWasRead()) {
+        return true;
+      }
+      Optional<String> only = onlyVersion(service);
+      boolean waits =
+          only.isPresent() && !listReadSince(since) && now.isBefore(since.plus(LIST_WAIT));
+      if (waits) {
+        return false;
+      }
+      boolean heard = answers > 0 || fleet.get().size() <= 1;
+      end(
+          only.isPresent() && heard && hearsPeers.getAsBoolean()
+              ? new Resolution.Known(only.get(), Source.ONLY_VERSION)
+              : new Resolution.Unknown(unreachable));
+      return true;
+    }
+  }
+
   /** A question to several instances, which the first one that knows the stream answers. */
   private final class Question {
     private final StreamKey stream;
-    private final Consumer<Resolution> result;
+    private final Conclusion conclusion;
     private int pending;
-    private int unreachable;
     private boolean answered;
 
-    Question(StreamKey stream, int pending, Consumer<Resolution> result) {
+    Question(StreamKey stream, int pending, Conclusion conclusion) {
       this.stream = stream;
       this.pending = pending;
-      this.result = result;
+      this.conclusion = conclusion;
     }
 
     void onAnswer(StreamPeers.Answer answer) {
@@ -219,15 +302,15 @@
           if (!answered) {
             answered = true;
             onAnnounced(stream, known.version());
-            result.accept(new Resolution.Known(known.version(), Source.PEER));
+            conclusion.end(new Resolution.Known(known.version(), Source.PEER));
           }
         }
-        case StreamPeers.Answer.Unknown unknown -> {}
-        case StreamPeers.Answer.Unreachable lost -> unreachable++;
+        case StreamPeers.Answer.Unknown unknown -> conclusion.answers++;
+        case StreamPeers.Answer.Unreachable lost -> conclusion.unreachable++;
       }
       if (pending == 0 && !answered) {
         answered = true;
-        result.accept(new Resolution.Unknown(unreachable));
+        concludeLater(conclusion);
       }
     }
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -141,7 +141,7 @@
           () -> Set.of("instance-1", "instance-2"),
           new OnePeer(),
           versionHistory,
-          () -> listIsCurrent,
+          () -> listIsCurrent ? clock.instant() : Instant.MIN,
           () -> true,
           clock);
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamFleet.java
@@ -21,6 +21,9 @@
 final class StreamFleet {
   static final String SERVICE = "models";
 
+  private static final Duration ROUND = Duration.ofMillis(100);
+  private static final int MAX_ROUNDS = 20;
+
   final ManualClock clock = new ManualClock();
   final Set<String> down = new HashSet<>();
 
@@ -42,6 +45,10 @@
     final VersionHistory history;
     final StreamOrigins origins;
     boolean listIsCurrent = true;
+
+    /** When the newest read of the list was begun while the list isn't current. */
+    Instant listReadBegunAt = Instant.MIN;
+
     boolean hearsPeers = true;
 
     /** How far the machine's time of day is ahead. */
@@ -54,7 +61,13 @@
               name, servers, this::broadcast, clock, () -> clock.instant().plus(clockAhead));
       origins =
           new StreamOrigins(
-              name, () -> names, this, history, () -> listIsCurrent, () -> hearsPeers, clock);
+              name,
+              () -> names,
+              this,
+              history,
+              () -> listIsCurrent ? clock.instant() : listReadBegunAt,
+              () -> hearsPeers,
+              clock);
       history.onLoaded(List.copyOf(notes.values()), true);
     }
 
@@ -141,6 +154,10 @@
     Optional<String> resolve(StreamKey stream) {
       StreamOrigins.Resolution[] found = new StreamOrigins.Resolution[1];
       origins.resolve(stream, SERVICE, resolution -> found[0] = resolution);
+      for (int i = 0; found[0] == null && i < MAX_ROUNDS; i++) {
+        clock.advance(ROUND);
+        origins.tick();
+      }
       return switch (found[0]) {
         case StreamOrigins.Resolution.Known known -> Optional.of(known.version());
         case StreamOrigins.Resolution.Unknown unknown -> Optional.empty();
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamOriginsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/stream/StreamOriginsTests.java
@@ -140,6 +140,61 @@
         Optional.empty(), fleet.member(StreamFleet.name(0)).resolve(StreamFleet.stream(1)));
   }
 
+  /**
+   * Guards against a stream that goes on at another version. An instance is out of step: it has
+   * read the list half a second ago and stands still or is cut off from the others while servers of
+   * a new version join. A stream begins there through another instance, breaks, and is taken up at
+   * the late one.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void concludesNothingFromAListThatWasReadBeforeTheRequest(boolean othersReachable) {
+    for (int i = 0; i < 3; i++) {
+      fleet.start(StreamFleet.name(i)).list("a", "v1");
+    }
+    Member late = fleet.member(StreamFleet.name(0));
+    Member other = fleet.member(StreamFleet.name(1));
+    fleet.runFor(VersionHistory.LONGEST_STREAM.multipliedBy(2), late, other);
+    late.listIsCurrent = false;
+    late.listReadBegunAt = fleet.clock.instant();
+    late.hearsPeers = false;
+    fleet.clock.advance(Duration.ofMillis(500));
+    other.list("b", "v2");
+    fleet.messagesPerLoss = 1;
+    other.origins.onBegun(StreamFleet.stream(1), "v2");
+    if (!othersReachable) {
+      fleet.down.add(StreamFleet.name(1));
+      fleet.down.add(StreamFleet.name(2));
+    }
+    Optional<String> version = late.resolve(StreamFleet.stream(1));
+    assertEquals(othersReachable ? Optional.of("v2") : Optional.empty(), version);
+  }
+
+  /**
+   * Guards against streams that are refused needlessly: as soon as the list has been read once
+   * more, it says that there is only one version.
+   */
+  @Test
+  void concludesFromTheNextReadOfTheList() {
+    fleet.start(StreamFleet.name(0)).list("a", "v1");
+    Member late = fleet.start(StreamFleet.name(1));
+    late.list("a", "v1");
+    fleet.runFor(VersionHistory.LONGEST_STREAM.multipliedBy(2), late);
+    late.listIsCurrent = false;
+    late.listReadBegunAt = fleet.clock.instant();
+    late.hearsPeers = false;
+    fleet.down.add(StreamFleet.name(0));
+    fleet.clock.advance(Duration.ofMillis(100));
+    List<StreamOrigins.Resolution> results = new ArrayList<>();
+    late.origins.resolve(StreamFleet.stream(1), StreamFleet.SERVICE, results::add);
+    assertEquals(List.of(), results);
+    late.listReadBegunAt = fleet.clock.instant();
+    late.origins.tick();
+    assertEquals(
+        List.of(new StreamOrigins.Resolution.Known("v1", StreamOrigins.Source.ONLY_VERSION)),
+        results);
+  }
+
   /** Answers arrive one by one; the caller must not wait for those of instances that are slow. */
   @Test
   void firstInstanceThatKnowsTheStreamDecidesAndOthersChangeNothing() {
@@ -162,7 +217,7 @@
             () -> names,
             slow,
             fleet.member(StreamFleet.name(0)).history,
-            () -> true,
+            fleet.clock::instant,
             () -> true,
             fleet.clock);
     List<StreamOrigins.Resolution> results = new ArrayList<>();
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -146,7 +146,7 @@
             fleet::memberNames,
             new RemoteStreams(),
             versionHistory,
-            () -> true,
+            time::instant,
             this::peersReachable,
             time);
     PromptPartQuarantine promptParts =
