--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -213,11 +213,9 @@
    * used, and the other instances know again what this one holds.
    */
   void writeOffUnknownPast(long total) {
-    if (pastUnknown) {
-      writtenOff += Math.max(0, total - peerAccounts.taken());
-      pastUnknown = false;
-      noteDue = true;
-    }
+    writtenOff += Math.max(0, total - peerAccounts.taken());
+    pastUnknown = false;
+    noteDue = true;
   }
 
   boolean pastUnknown() {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -421,7 +421,7 @@
 
   private void takeOverUnreadable(SharedNote.UnreadableAccount note) {
     LOG.warn(
-        "the account of customer {} that a previous process left can't be read; {}",
+        "an account that a previous process left can't be read, of customer {}; {}",
         note.customer(),
         note.taken().isPresent()
             ? "writing off all %d tokens that it had taken".formatted(note.taken().getAsLong())
@@ -435,7 +435,9 @@
    */
   private void writeOffUnknownPasts() {
     for (CustomerAccount account : accounts.values()) {
-      prepaidTotal.apply(account.customer()).ifPresent(account::writeOffUnknownPast);
+      if (account.pastUnknown()) {
+        prepaidTotal.apply(account.customer()).ifPresent(account::writeOffUnknownPast);
+      }
     }
   }
 
