--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/stream/StreamOrigins.java
@@ -115,9 +115,8 @@
    * replaced since.
    */
   public void tick() {
-    Instant now = clock.instant();
-    isolatedStreams.tick(now);
-    conclude(now);
+    isolatedStreams.tick(clock.instant());
+    conclude();
     Set<String> current = fleet.get();
     if (current == announcedTo) {
       return;
@@ -131,6 +130,11 @@
                 .forEach(name -> peers.announce(name, stream, version)));
   }
 
+  /** Returns when {@link #tick} is due again. */
+  public Instant dueAt() {
+    return conclusions.isEmpty() ? clock.instant().plus(IDLE_INTERVAL) : Instant.MIN;
+  }
+
   @Override
   public List<SharedNote> notesToWrite(Instant now) {
     return isolatedStreams.notesToWrite(now);
@@ -196,12 +200,13 @@
       return;
     }
     Conclusion conclusion = new Conclusion(service, clock.instant(), result);
-    if (conclusion.endIfListWasRead()) {
+    if (conclusion.isOnlyVersionCertain()) {
+      concludeOrWait(conclusion);
       return;
     }
     List<String> asked = choice.asked(stream.hash(), instance, fleet.get());
     if (asked.isEmpty()) {
-      concludeLater(conclusion);
+      concludeOrWait(conclusion);
       return;
     }
     Question question = new Question(stream, asked.size(), conclusion);
@@ -213,29 +218,23 @@
    * asked for it; see {@link #resolve}.
    */
   public void resolveUnnamed(String service, Consumer<Resolution> result) {
-    Conclusion conclusion = new Conclusion(service, clock.instant(), result);
-    if (!conclusion.endIfListWasRead()) {
-      concludeLater(conclusion);
-    }
+    concludeOrWait(new Conclusion(service, clock.instant(), result));
   }
 
-  private void concludeLater(Conclusion conclusion) {
-    if (!conclusion.endIfDecided(clock.instant())) {
+  /** Ends a request for a version now if it can be decided, and otherwise in a later tick. */
+  private void concludeOrWait(Conclusion conclusion) {
+    Optional<Resolution> decided = conclusion.decide(clock.instant());
+    if (decided.isPresent()) {
+      conclusion.result.accept(decided.get());
+    } else {
       conclusions.add(conclusion);
     }
   }
 
-  private void conclude(Instant now) {
-    for (Conclusion conclusion : List.copyOf(conclusions)) {
-      if (conclusion.endIfDecided(now)) {
-        conclusions.remove(conclusion);
-      }
-    }
-  }
-
-  /** Returns when {@link #tick} is due again. */
-  public Instant dueAt() {
-    return conclusions.isEmpty() ? clock.instant().plus(IDLE_INTERVAL) : Instant.MIN;
+  private void conclude() {
+    List<Conclusion> waiting = List.copyOf(conclusions);
+    conclusions.clear();
+    waiting.forEach(this::concludeOrWait);
   }
 
   /** A stream that no instance knows, until it is known whether there is only one version. */
@@ -252,33 +251,24 @@
       this.result = result;
     }
 
-    void end(Resolution resolution) {
-      result.accept(resolution);
-    }
-
-    /** Ends if there is only one version in a list that was read since the request arrived. */
-    boolean endIfListWasRead() {
-      Optional<String> only = listReadSince(since) ? onlyVersion(service) : Optional.empty();
-      only.ifPresent(version -> end(new Resolution.Known(version, Source.ONLY_VERSION)));
-      return only.isPresent();
+    /** Whether a list that was read since the request arrived has only one version. */
+    boolean isOnlyVersionCertain() {
+      return listReadSince(since) && onlyVersion(service).isPresent();
     }
 
-    boolean endIfDecided(Instant now) {
-      if (endIfListWasRead()) {
-        return true;
-      }
+    /** Returns the version, or that it is unknown; empty if the list may still tell. */
+    Optional<Resolution> decide(Instant now) {
       Optional<String> only = onlyVersion(service);
-      boolean waits =
-          only.isPresent() && !listReadSince(since) && now.isBefore(since.plus(LIST_WAIT));
-      if (waits) {
-        return false;
+      boolean listRead = listReadSince(since);
+      if (only.isPresent() && !listRead && now.isBefore(since.plus(LIST_WAIT))) {
+        return Optional.empty();
       }
       boolean heard = answers > 0 || fleet.get().size() <= 1;
-      end(
-          only.isPresent() && heard && hearsPeers.getAsBoolean()
+      boolean certain = listRead || (heard && hearsPeers.getAsBoolean());
+      return Optional.of(
+          only.isPresent() && certain
               ? new Resolution.Known(only.get(), Source.ONLY_VERSION)
               : new Resolution.Unknown(unreachable));
-      return true;
     }
   }
 
@@ -302,7 +292,7 @@
           if (!answered) {
             answered = true;
             onAnnounced(stream, known.version());
-            conclusion.end(new Resolution.Known(known.version(), Source.PEER));
+            conclusion.result.accept(new Resolution.Known(known.version(), Source.PEER));
           }
         }
         case StreamPeers.Answer.Unknown unknown -> conclusion.answers++;
@@ -310,7 +300,7 @@
       }
       if (pending == 0 && !answered) {
         answered = true;
-        concludeLater(conclusion);
+        concludeOrWait(conclusion);
       }
     }
   }
