Log how long reading a configuration and a server's silence took

PlanInForce says how long it held up the event loop, and AttemptFailed how long nothing had arrived.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -137,6 +137,7 @@
   /**
    * An attempt at a backend server ended without a complete answer.
    *
+   * @param silent how long the server had sent nothing
    * @param events the complete events that the server sent
    * @param promptParts the ids of the prompt's shared parts, separated by commas; empty unless the
    *     request may have run
@@ -148,6 +149,7 @@
       String failure,
       String detail,
       Duration after,
+      Duration silent,
       long events,
       String promptParts)
       implements GatewayEvent {}
@@ -193,8 +195,13 @@
       String fingerprint)
       implements GatewayEvent {}
 
-  /** A new plan became the current one. */
-  record PlanInForce(long version, int routes, String source) implements GatewayEvent {}
+  /**
+   * A new plan became the current one.
+   *
+   * @param took how long the event loop was blocked by reading it
+   */
+  record PlanInForce(long version, int routes, String source, Duration took)
+      implements GatewayEvent {}
 
   /** A published plan could not be read. The previous plan remains the current one. */
   record PlanUnreadable(long offset, String detail) implements GatewayEvent {}
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -767,6 +767,7 @@
                 reason.name(),
                 detail,
                 failed.age(),
+                failed.silence(),
                 failed.eventsReceived(),
                 reason == AttemptFailure.MAY_HAVE_RUN ? String.join(",", sharedPartIds()) : ""));
     if (!failed.relayed()) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/CurrentPlan.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/CurrentPlan.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.plan;
 
+import java.time.Duration;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
@@ -28,14 +29,16 @@
    * Replaces the current plan if {@code offered} is newer; returns whether it was.
    *
    * @param source the channel over which the plan arrived
+   * @param took how long the event loop was blocked by reading it
    */
-  public boolean offer(GatewayPlan offered, String source) {
+  public boolean offer(GatewayPlan offered, String source, Duration took) {
     GatewayPlan current = plan;
     if (current != null && offered.version() <= current.version()) {
       return false;
     }
     plan = offered;
-    events.accept(new GatewayEvent.PlanInForce(offered.version(), offered.routeCount(), source));
+    events.accept(
+        new GatewayEvent.PlanInForce(offered.version(), offered.routeCount(), source, took));
     return true;
   }
 }
