Keep a begun stream at its silent server unless another one can go on with it

Callers saw a stream cut off in the middle, though its server had only paused for a second and went on. The instance closed the connection to the silent server first and asked for a retry and a server with room afterwards; where one was missing, the begun stream could only be aborted.

Now a begun stream leaves its server only with a retry reserved and a server found. Where the server can't be connected to either, silence isn't the only evidence, and it is given up as before. Answers that have not begun are, too: their callers get a complete answer and may come back.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -172,6 +172,9 @@
   private int refusalsByHolders;
   private boolean mayHaveRun;
 
+  /** Whether the fleet's limit of retries already counts the next retry. */
+  private boolean retryReserved;
+
   /** Whether it is this request's turn among those that wait for room. */
   private boolean hasTurn;
 
@@ -461,11 +464,15 @@
   }
 
   private ServerSelector.Criteria criteria() {
+    return criteria(failedIncarnations);
+  }
+
+  private ServerSelector.Criteria criteria(Set<ServerIncarnation> tried) {
     return new ServerSelector.Criteria(
         service,
         request.prompt(),
         route.aim(),
-        failedIncarnations,
+        tried,
         stream.version(),
         plain ? OptionalInt.of(rank()) : OptionalInt.empty());
   }
@@ -622,20 +629,44 @@
    * Sends the request to another server if the present one has sent nothing for too long.
    *
    * <p>A server that loses power doesn't close its connections. Without this check its callers
-   * would wait until their deadlines.
+   * would wait until their deadlines. A server may also pause and go on, so an answer that has
+   * begun is not aborted because of silence alone: without another server that goes on with it, its
+   * caller waits.
    */
   private void failOverIfSilent() {
     Attempt silent = attempt;
     if (silent == null || !route.repeatable() || sendCount >= route.maxAttempts()) {
       return;
     }
-    if (!isOverdue(silent) && !hasLostItsPath(silent)) {
+    boolean overdue = isOverdue(silent);
+    boolean pathLost = hasLostItsPath(silent);
+    if (!overdue && !pathLost) {
+      return;
+    }
+    boolean serverLost = overdue && pathLost;
+    if (answer.hasBegun() && !serverLost && !reserveRetry(silent)) {
       return;
     }
     silent.cancel();
     onAttemptFailed(silent, AttemptFailure.MAY_HAVE_RUN, "silent");
   }
 
+  /** Reserves a retry at a server other than that of {@code running}; returns whether it did. */
+  private boolean reserveRetry(Attempt running) {
+    Set<ServerIncarnation> tried = new HashSet<>(failedIncarnations);
+    tried.add(running.server().incarnation());
+    Instant now = now();
+    boolean sendable =
+        dispatcher.quarantine(request, false).isEmpty()
+            && dispatcher
+                .selector()
+                .select(criteria(tried), now)
+                .filter(other -> components.links().way(other.server(), false) != Way.NONE)
+                .isPresent();
+    retryReserved = sendable && mayRetry();
+    return retryReserved;
+  }
+
   /** Returns whether the answer can't arrive because the path to its server is lost. */
   private boolean hasLostItsPath(Attempt waiting) {
     return !waiting.relayed()
@@ -873,7 +904,9 @@
   }
 
   private boolean mayRetry() {
-    return sendCount < route.maxAttempts() && dispatcher.tryRetry(service);
+    boolean reserved = retryReserved;
+    retryReserved = false;
+    return sendCount < route.maxAttempts() && (reserved || dispatcher.tryRetry(service));
   }
 
   private void resendIf(boolean allowed, ErrorKind errorKind, String detail) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.fake;
 
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +15,7 @@
   private int status;
   private Map<String, String> answerHeaders = Map.of();
   private boolean aborted;
+  private boolean finished;
   private byte[] answer = new byte[0];
 
   /** Creates a request for {@code path} without a body. */
@@ -42,11 +44,16 @@
     return answerHeaders;
   }
 
-  /** Whether the connection was closed without an answer. */
+  /** Whether the connection was closed without a complete answer. */
   public boolean aborted() {
     return aborted;
   }
 
+  /** Whether a stream was ended as complete. */
+  public boolean finished() {
+    return finished;
+  }
+
   @Override
   public String method() {
     return "POST";
@@ -95,7 +102,13 @@
 
   @Override
   public ResponseStream startStream(int answerStatus, Map<String, String> headers) {
-    throw new UnsupportedOperationException("this fake supports no streams");
+    if (status != 0) {
+      throw new IllegalStateException(
+          "the request was already answered; second status: " + answerStatus);
+    }
+    status = answerStatus;
+    answerHeaders = Map.copyOf(headers);
+    return new RecordedStream();
   }
 
   @Override
@@ -107,4 +120,30 @@
   public void onCallerDisconnect(Runnable action) {
     // Callers always wait for their answers.
   }
+
+  /** A stream whose caller reads at once. */
+  private final class RecordedStream implements ResponseStream {
+    @Override
+    public void write(byte[] part) {
+      ByteArrayOutputStream all = new ByteArrayOutputStream();
+      all.writeBytes(answer);
+      all.writeBytes(part);
+      answer = all.toByteArray();
+    }
+
+    @Override
+    public long pendingBytes() {
+      return 0;
+    }
+
+    @Override
+    public void finish() {
+      finished = true;
+    }
+
+    @Override
+    public void abort() {
+      aborted = true;
+    }
+  }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.flow;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -62,6 +63,9 @@
   /** The path prefix of a route whose requests may be sent to three servers. */
   static final String OFTEN_REPEATABLE_PATH = "/read/";
 
+  /** The path prefix of a route whose streams may be resumed at a second server. */
+  static final String STREAM_PATH = "/query/";
+
   /** A request that the gateway sent to a server's address. */
   record SentRequest(HttpCallRequest request, HttpListener listener) {
     String address() {
@@ -76,6 +80,21 @@
       answer(200);
     }
 
+    /** Begins a stream with its first event. */
+    void beginStream() {
+      listener.onHead(200, Map.of());
+      sendEvent(0);
+    }
+
+    void sendEvent(int id) {
+      listener.onBodyPart(
+          "id: %d\ndata: part %d\n\n".formatted(id, id).getBytes(StandardCharsets.UTF_8));
+    }
+
+    void endStream() {
+      listener.onEnd(AnswerEnd.LAST_CHUNK);
+    }
+
     /** Answers as a server that fails if it has to reject more than {@code maxRejections}. */
     void answerAsBrittle(int maxRejections) {
       listener.onHead(200, Map.of(FakeDialect.BRITTLE_HEADER, Integer.toString(maxRejections)));
@@ -175,13 +194,23 @@
   private static final Set<String> ONLY_INSTANCE = Set.of("instance-1");
 
   GatewayFixture() {
+    this(50);
+  }
+
+  /**
+   * Creates a gateway.
+   *
+   * @param retryReserve the retries that are allowed beyond a fifth of the requests
+   */
+  GatewayFixture(int retryReserve) {
     plan =
         new GatewayPlan(
             1,
             List.of(
                 route("bid", ONCE_PATH, RouteKind.AT_MOST_ONCE, 1),
                 route("hold", REPEATABLE_PATH, RouteKind.IDEMPOTENT, 2),
-                route("read", OFTEN_REPEATABLE_PATH, RouteKind.IDEMPOTENT, 3)),
+                route("read", OFTEN_REPEATABLE_PATH, RouteKind.IDEMPOTENT, 3),
+                route("query", STREAM_PATH, RouteKind.STREAM, 2)),
             List.of(new PlannedService(SERVICE, 100, 0)),
             List.of(),
             CallerLimits.untilPublished());
@@ -255,7 +284,7 @@
                 () -> PeerLoads.NONE,
                 new CachedPrompts(),
                 () -> 1,
-                new RetryLimits(0.2, 50, Duration.ofSeconds(10)),
+                new RetryLimits(0.2, retryReserve, Duration.ofSeconds(10)),
                 events::add,
                 clock,
                 new Random(1),
@@ -293,7 +322,7 @@
         FakeDialect.HOST,
         prefix,
         kind,
-        false,
+        kind == RouteKind.STREAM,
         true,
         Duration.ofSeconds(5),
         Duration.ofSeconds(1),
