Handle pending input before the tasks of a late round

While one input is handled, such as a large configuration, nothing else is read. The timers that were due meanwhile ran before what had arrived was read, so servers that had sent all the while counted as silent, and requests whose answers had arrived counted as overdue: streams were taken from their servers, and callers got 504.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
@@ -18,6 +18,9 @@
  * almost the same time share one wake-up of the event loop. Tasks that are due together run in the
  * order in which they were added. A task that fails doesn't prevent the others from running.
  *
+ * <p>A round that is late begins after the pending input has been handled. Otherwise tasks that
+ * judge what has not arrived would judge by the state before the event loop was blocked.
+ *
  * <p>Only the event loop may call the methods.
  */
 public final class DueTasks {
@@ -34,7 +37,8 @@
   @FunctionalInterface
   public interface Timer {
     /**
-     * Runs {@code task} on the event loop after {@code delay}.
+     * Runs {@code task} on the event loop after {@code delay}, and not before the loop has handled
+     * the input that has arrived by now.
      *
      * @return cancels it
      */
@@ -92,6 +96,10 @@
   private Instant nextRoundAt = Instant.MAX;
   private Runnable cancelTimer = () -> {};
   private boolean inRound;
+
+  /** Whether the input that had arrived when the next round was found to be late is handled. */
+  private boolean inputHandled;
+
   private boolean stopped = true;
 
   /**
@@ -146,6 +154,12 @@
     }
     Instant now = clock.instant();
     Duration late = overdue(now);
+    if (!inputHandled && late.compareTo(RESOLUTION) > 0) {
+      inputHandled = true;
+      cancelTimer = timer.schedule(Duration.ZERO, this::runRound);
+      return;
+    }
+    inputHandled = false;
     delay.onRound(late);
     inRound = true;
     isolatedTasks.run("round", () -> onRound.accept(late));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/DueTasksTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/DueTasksTests.java
@@ -57,6 +57,18 @@
       run(Duration.ZERO);
     }
 
+    /**
+     * The handling of one input takes {@code time}. Timers that are due then run before the input
+     * that has arrived meanwhile is handled.
+     */
+    void stallInInput(Duration time, Runnable pendingInput) {
+      advance(time.toNanos());
+      timerNanos = Long.MAX_VALUE;
+      timerTask.run();
+      pendingInput.run();
+      run(Duration.ZERO);
+    }
+
     private void advance(long byNanos) {
       nanos += Math.max(0, byNanos);
       now = now.plusNanos(Math.max(0, byNanos));
@@ -192,6 +204,20 @@
     assertTrue(runs.size() >= 2);
   }
 
+  /**
+   * Guards against servers that count as silent, and requests that count as overdue, because their
+   * answers lie unread while the loop itself stands still.
+   */
+  @Test
+  void handlesPendingInputBeforeTheTasksAfterAStall() {
+    List<String> order = new ArrayList<>();
+    tasks.add("recorded", () -> order.add("task"), () -> loop.now.plus(Duration.ofMillis(40)));
+    startAndClear();
+    order.clear();
+    loop.stallInInput(Duration.ofSeconds(2), () -> order.add("input"));
+    assertEquals(List.of("input", "task"), order);
+  }
+
   /** A clock that goes back by hours must not make all tasks wait for hours. */
   @Test
   void keepsRunningAfterTheClockWasSetBack() {
