Let timers of connections act after the input that arrived in a block

An instance whose event loop is blocked for a while, such as by reading a large configuration, closed kept connections as idle although a whole request had arrived: its caller got neither an answer nor a refusal. Calls failed as unanswered although their answers had arrived in time.

Both timers now let the event loop read first. BlockedEventLoopTests failed before, 2 of 2 (the connection ended without a byte; no answer within 500 ms).

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
@@ -129,7 +129,16 @@
     return written ? HttpFailure.NO_ANSWER : HttpFailure.NOT_SENT;
   }
 
+  /** The answer may have arrived already, while the event loop of the channel was blocked. */
   private synchronized void onTimeout() {
+    if (channel == null) {
+      failUnlessAnswered();
+    } else {
+      SharedEventLoops.afterPendingInput(channel.eventLoop(), this::failUnlessAnswered);
+    }
+  }
+
+  private synchronized void failUnlessAnswered() {
     if (!headReceived) {
       failByProgress("no answer within %d ms".formatted(request.timeout().toMillis()));
     }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -458,7 +458,18 @@
 
   private void setTimer(Duration delay, Runnable action) {
     cancelTimer();
-    timer = channel.eventLoop().schedule(action, delay.toNanos(), TimeUnit.NANOSECONDS);
+    timer =
+        channel
+            .eventLoop()
+            .schedule(() -> runAfterPendingInput(action), delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
+  /**
+   * Runs the action of a timer that is due, unless input that arrived while the event loop was
+   * blocked cancels it.
+   */
+  private void runAfterPendingInput(Runnable action) {
+    timer = channel.eventLoop().schedule(action, 0, TimeUnit.NANOSECONDS);
   }
 
   private void cancelTimer() {
