Apply changed limits to connections that are open

A configuration that allowed longer idle times or larger heads held only for new connections. A caller that waited for as long as it now may found its connection closed, and its request crossed the close; a head of a size that is allowed was rejected.

An idle connection is now kept for the longer time; a shorter one applies from its next answer on, as its caller may still count on the earlier one. A connection whose decoder takes only smaller heads is closed with its next answer. Two of three tests of WhenLimitsChange failed before (the connection ended; no close was announced); the third holds the order that a shorter time must not close at once.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
@@ -13,6 +13,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -90,10 +91,13 @@
   }
 
   /**
-   * Sets the limits for connections accepted from now on; the listening address does not change.
+   * Sets the limits from now on, also of open connections; the listening address does not change. A
+   * connection that doesn't accept heads of the new size is closed after its next answer.
    */
   public void setLimits(HttpServerConfig limits) {
+    Duration previousIdleTimeout = config.idleTimeout();
     config = limits;
+    connections.forEach(connection -> connection.onLimitsChanged(previousIdleTimeout));
   }
 
   /** Returns the address that the server listens on, with the port that the system chose. */
@@ -199,7 +203,7 @@
     ServerConnection connection =
         new ServerConnection(
             channel,
-            config,
+            () -> config,
             handler,
             rejectionAnswer,
             excess,
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -77,7 +77,11 @@
   }
 
   private final SocketChannel channel;
-  private final HttpServerConfig config;
+  private final Supplier<HttpServerConfig> config;
+
+  /** The largest head that the connection's decoder accepts. */
+  private final int acceptedHeaderBytes;
+
   private final HttpHandler handler;
   private final HttpRejectionAnswer rejectionAnswer;
   private final int excessConnections;
@@ -112,7 +116,7 @@
 
   ServerConnection(
       SocketChannel channel,
-      HttpServerConfig config,
+      Supplier<HttpServerConfig> config,
       HttpHandler handler,
       HttpRejectionAnswer rejectionAnswer,
       int excessConnections,
@@ -123,6 +127,7 @@
       Supplier<@Nullable HttpAnswer> closeNotice) {
     this.channel = channel;
     this.config = config;
+    this.acceptedHeaderBytes = config.get().maxHeaderBytes();
     this.handler = handler;
     this.rejectionAnswer = rejectionAnswer;
     this.excessConnections = excessConnections;
@@ -256,14 +261,14 @@
     if (!head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING).stream().allMatch(IS_CHUNKED)) {
       return HttpRejection.MALFORMED;
     }
-    return HttpUtil.getContentLength(head, 0L) > config.maxBodyBytes()
+    return HttpUtil.getContentLength(head, 0L) > config.get().maxBodyBytes()
         ? HttpRejection.BODY_TOO_LARGE
         : null;
   }
 
   private void readContent(HttpContent content) {
     ByteBuf bytes = content.content();
-    if (body.size() + bytes.readableBytes() > config.maxBodyBytes()) {
+    if (body.size() + bytes.readableBytes() > config.get().maxBodyBytes()) {
       reject(HttpRejection.BODY_TOO_LARGE);
       return;
     }
@@ -300,7 +305,10 @@
 
   /** Returns whether the connection currently would stay open after the answer to {@code head}. */
   boolean keepAlive(HttpRequest head) {
-    return HttpUtil.isKeepAlive(head) && !closingAfterAnswers.getAsBoolean() && !pipelined;
+    return HttpUtil.isKeepAlive(head)
+        && !closingAfterAnswers.getAsBoolean()
+        && !pipelined
+        && config.get().maxHeaderBytes() <= acceptedHeaderBytes;
   }
 
   /** Called on the event loop after the last byte of an answer has been written to the channel. */
@@ -349,6 +357,22 @@
     }
   }
 
+  /**
+   * Keeps an idle connection for the idle timeout from now on, if that has become longer. A shorter
+   * one applies from the next answer on: the caller may still count on the previous one.
+   */
+  void onLimitsChanged(Duration previousIdleTimeout) {
+    channel
+        .eventLoop()
+        .execute(
+            () -> {
+              if (state == State.IDLE
+                  && config.get().idleTimeout().compareTo(previousIdleTimeout) > 0) {
+                scheduleIdleClose();
+              }
+            });
+  }
+
   private void startIdle() {
     state = State.IDLE;
     scheduleIdleClose();
@@ -361,7 +385,7 @@
   private void scheduleIdleClose() {
     lastUnsentBytes = unsentBytes();
     setTimer(
-        config.idleTimeout(),
+        config.get().idleTimeout(),
         () -> {
           if (unsentBytes() == lastUnsentBytes) {
             channel.close();
@@ -382,7 +406,7 @@
 
   private void startReading() {
     state = State.READING;
-    setTimer(config.requestTimeout(), () -> reject(HttpRejection.SLOW_OR_TRUNCATED));
+    setTimer(config.get().requestTimeout(), () -> reject(HttpRejection.SLOW_OR_TRUNCATED));
   }
 
   private void onInputShutdown() {
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpServerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpServerTests.java
@@ -563,6 +563,58 @@
     }
   }
 
+  @Nested
+  class WhenLimitsChange {
+    private static final Duration SHORT = Duration.ofMillis(300);
+
+    private static HttpServerConfig limits(int maxHeaderBytes, Duration idleTimeout) {
+      return new HttpServerConfig(
+          "127.0.0.1", 0, 3, maxHeaderBytes, 64, Duration.ofMillis(400), idleTimeout);
+    }
+
+    /** Guards against callers who wait as long as they now may and find the connection closed. */
+    @Test
+    void keepsOpenConnectionsForTheNewIdleTimeout() throws Exception {
+      HttpServer server = startEchoServer();
+      server.setLimits(limits(512, SHORT));
+      try (RawConnection connection = connect(server)) {
+        connection.send(post("/a", "one")).readUntil("one");
+        server.setLimits(limits(512, Duration.ofSeconds(20)));
+        Thread.sleep(3 * SHORT.toMillis());
+        assertEquals(ok("POST /b two"), connection.send(post("/b", "two")).readUntil("two"));
+      }
+    }
+
+    /** Guards against callers who reuse a connection that was idle for less than they were told. */
+    @Test
+    void keepsIdleConnectionsIfTheIdleTimeoutBecomesShorter() throws Exception {
+      HttpServer server = startEchoServer();
+      try (RawConnection connection = connect(server)) {
+        connection.send(post("/a", "one")).readUntil("one");
+        server.setLimits(limits(512, SHORT));
+        Thread.sleep(3 * SHORT.toMillis());
+        connection.send(post("/b", "two")).readUntil("two");
+        assertEquals("", connection.readToEnd());
+      }
+    }
+
+    /** Guards against requests that are rejected for a size that is allowed now. */
+    @Test
+    void movesCallersToConnectionsThatAcceptTheNewSizeOfHeads() throws Exception {
+      HttpServer server = startEchoServer();
+      try (RawConnection connection = connect(server)) {
+        connection.send(post("/a", "one")).readUntil("one");
+        server.setLimits(limits(4_096, Duration.ofSeconds(20)));
+        connection.send(post("/b", "two"));
+        assertTrue(connection.readToEnd().contains("connection: close"));
+      }
+      try (RawConnection connection = connect(server)) {
+        String path = "/" + "p".repeat(2_000);
+        connection.send(post(path, "three")).readUntil("three");
+      }
+    }
+  }
+
   @Test
   void failsToStartOnAnAddressInUse() throws IOException {
     HttpServer first = startEchoServer();
