Refuse a request that waits for tokens before its caller leaves

A caller got neither an answer nor a refusal while its request waited for a claim that was never decided: the order of the checks let it wait until its deadline, long after the caller had left. One case is a configuration with a customer whose account's notes can't be read; any other reason for which a claim stays undecided had the same end.

Whatever it waits for, a request is refused as not run 200 ms before its caller stops waiting. refusesRequestsBeforeTheirCallersLeave failed before (0 refusals, expected 1).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
@@ -27,6 +27,9 @@
    */
   private static final Duration RETRY_AFTER_EXHAUSTED = Duration.ofSeconds(4);
 
+  /** How long before its caller stops waiting a request is refused at the latest. */
+  private static final Duration REFUSAL_TIME = Duration.ofMillis(200);
+
   private final LogAvailability log;
 
   RefusalPolicy(LogAvailability log) {
@@ -40,6 +43,9 @@
    */
   Optional<Problem> refusal(
       CustomerAccount account, WaitingRequest request, long ahead, long total, Instant now) {
+    if (!now.plus(REFUSAL_TIME).isBefore(request.callerTimeout())) {
+      return Optional.of(noLease(account, request, RETRY_AFTER));
+    }
     if (peersMayGive(account, request, now) || log.initialLoadPending(now)) {
       return Optional.empty();
     }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -27,7 +27,7 @@
 
   private static final Duration STEP = Duration.ofMillis(10);
   private static final Duration IDLE_READ_INTERVAL = Duration.ofMillis(300);
-  private static final Duration CALLER_TIMEOUT = Duration.ofMillis(3200);
+  static final Duration CALLER_TIMEOUT = Duration.ofMillis(3200);
   private static final Duration DEADLINE = Duration.ofSeconds(15);
 
   final ManualClock clock = new ManualClock();
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ForeignNoteTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ForeignNoteTests.java
@@ -104,6 +104,35 @@
     assertTrue(fleet.givenTokens() <= TOTAL, fleet.givenTokens() + " tokens were given");
   }
 
+  /**
+   * Guards against an instance that loads the log as fast as it can with notes that it can't read
+   * itself, for as long as a request waits.
+   */
+  @Test
+  void writesUnreadableNotesAtALimitedRate() {
+    AccountFleet.Instance instance = fleet.instance(1);
+    instance.port.behaviour(Behaviour.MISPLACED);
+    int before = fleet.log.appends();
+    int seconds = 10;
+    for (int i = 0; i < seconds; i++) {
+      instance.request("herring", TOTAL / 4);
+      fleet.run(Duration.ofSeconds(1));
+    }
+    int appends = fleet.log.appends() - before;
+    assertTrue(appends > 0, "nothing was written");
+    assertTrue(appends <= 4 * seconds, appends + " appends in " + seconds + " seconds");
+  }
+
+  /** Guards against callers who get neither an answer nor a refusal while a claim is undecided. */
+  @Test
+  void refusesRequestsBeforeTheirCallersLeave() {
+    AccountFleet.Instance instance = fleet.instance(1);
+    instance.port.behaviour(Behaviour.MISPLACED);
+    instance.request("herring", TOTAL / 4);
+    fleet.run(AccountFleet.CALLER_TIMEOUT.minusMillis(100));
+    assertEquals(1, instance.refusals.size());
+  }
+
   /**
    * Guards against a customer that stays refused although its total is raised. All processes were
    * killed, and a note was overwritten by bytes that say nothing.
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeSharedLog.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeSharedLog.java
@@ -29,7 +29,9 @@
     /** Appends are applied some rounds later, just before their answers, so reads overtake them. */
     SLOW_APPENDS,
     /** Appends are reported as failed but are applied some time later. */
-    APPLIED_LATE
+    APPLIED_LATE,
+    /** Appends are carried out, but under another key, where nobody can read the values. */
+    MISPLACED
   }
 
   private static final class Writer {
@@ -126,6 +128,8 @@
       AppendOutcome unknown = new AppendOutcome.Unknown(behaviour.name());
       switch (behaviour) {
         case NORMAL -> appendNormally(append, outcome);
+        case MISPLACED ->
+            appendNormally(() -> appendNow(producer, epoch, sequence, misplaced(batch)), outcome);
         case UNREACHABLE -> answers.add(() -> outcome.accept(unknown));
         case ANSWERS_LOST -> {
           AppendOutcome lost = append.get();
@@ -140,6 +144,12 @@
       }
     }
 
+    private static List<KeyedRecord> misplaced(List<KeyedRecord> batch) {
+      return batch.stream()
+          .map(each -> new KeyedRecord(each.key().replaceAll("[^|]*$", "other"), new byte[] {9}))
+          .toList();
+    }
+
     private void appendNormally(Supplier<AppendOutcome> append, Consumer<AppendOutcome> outcome) {
       Runnable apply =
           () -> {
@@ -174,7 +184,9 @@
     }
 
     private boolean readable() {
-      return behaviour == Behaviour.NORMAL || behaviour == Behaviour.SLOW_APPENDS;
+      return behaviour == Behaviour.NORMAL
+          || behaviour == Behaviour.MISPLACED
+          || behaviour == Behaviour.SLOW_APPENDS;
     }
 
     private static ReadOutcome failed() {
