Give notes about long names keys of their own

A configuration with a customer of 263 characters stopped that customer everywhere and damaged another one: the key of its account's note had more than 255 bytes, the log took its length modulo 256, and the note replaced that of the customer with the cut name. Nobody could read it; the long-named customer's requests waited in vain. The same holds for the names of services and backend servers in other notes.

A name that doesn't fit is replaced by its hash in the key, and the value begins with the name; a record whose value names another subject is rejected. A key of more than 255 bytes can't be made any more, and a note that can't be encoded doesn't keep the others from being written. Notes with short names are written as before.

Two tests of NoteCodecTests failed before (a key of 300 bytes; no exception).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
@@ -308,7 +308,7 @@
     List<KeyedRecord> records = new ArrayList<>();
     for (LogParticipant participant : participants) {
       for (SharedNote note : participant.notesToWrite(now)) {
-        records.add(NoteCodec.encode(note));
+        encode(note).ifPresent(records::add);
       }
     }
     return List.copyOf(records);
@@ -322,6 +322,16 @@
         if (anyParticipant(LogParticipant::awaitsOwnNote)) {
           requiredPosition = appended.offset() + batch.size();
         }
+  /** Encodes a note. One that can't be encoded must not keep the others from being written. */
+  private static Optional<KeyedRecord> encode(SharedNote note) {
+    try {
+      return Optional.of(NoteCodec.encode(note));
+    } catch (IllegalArgumentException e) {
+      LOG.error("a note can't be written: {}", e.getMessage());
+      return Optional.empty();
+    }
+  }
+
         batch = List.of();
         sequence++;
         participants.forEach(LogParticipant::onWritten);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -5,6 +5,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.UTFDataFormatException;
 import java.io.UncheckedIOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
@@ -42,8 +43,6 @@
   /** More names than an instance writes in one note about crashes. */
   private static final int MAX_NAMES = 10_000;
 
-  private static final int KEY_PARTS = 3;
-
   /**
    * Upper limit of the number of crashes in a note: far more than one instance sees before all
    * instances refuse the request.
@@ -55,6 +54,12 @@
 
   private static final byte CURRENT_LAYOUT = 4;
 
+  /** Set beside the layout if the value begins with the subject, as its hash is in the key. */
+  private static final int SUBJECT_FLAG = 0x40;
+
+  /** Set beside the layout if the note is withdrawn. */
+  private static final int WITHDRAWN_FLAG = 0x20;
+
   /**
    * The layout with the same numbers as the current one, whose writers used idle tokens sooner
    * after the note.
@@ -78,7 +83,7 @@
     return switch (note) {
       case SharedNote.Account account ->
           record(
-              key(ACCOUNT, account.instance(), account.customer()),
+              new NoteKey(ACCOUNT, account.instance(), account.customer()),
               out -> {
                 out.writeLong(account.spent());
                 out.writeLong(account.writtenOff());
@@ -95,12 +100,12 @@
               });
       case SharedNote.Crash crash ->
           crash.count() == 0
-              ? emptyRecord(key(CRASH, crash.instance(), crash.fingerprint()))
+              ? emptyRecord(new NoteKey(CRASH, crash.instance(), crash.fingerprint()))
               : record(
-                  key(CRASH, crash.instance(), crash.fingerprint()),
+                  new NoteKey(CRASH, crash.instance(), crash.fingerprint()),
                   out -> out.writeInt(crash.count()));
       case SharedNote.ServerCrash crash -> {
-        String key = key(SERVER_CRASH, crash.instance(), crash.server());
+        NoteKey key = new NoteKey(SERVER_CRASH, crash.instance(), crash.server());
         yield crash.parts().isEmpty()
             ? emptyRecord(key)
             : record(
@@ -111,13 +116,13 @@
                 });
       }
       case SharedNote.ClearedPart cleared -> {
-        String key = key(CLEARED_PART, cleared.instance(), cleared.part());
+        NoteKey key = new NoteKey(CLEARED_PART, cleared.instance(), cleared.part());
         yield cleared.crashes().isEmpty()
             ? emptyRecord(key)
             : record(key, out -> writeNames(cleared.crashes(), out));
       }
       case SharedNote.ServerLimit limit -> {
-        String key = key(SERVER_LIMIT, limit.instance(), limit.server());
+        NoteKey key = new NoteKey(SERVER_LIMIT, limit.instance(), limit.server());
         yield limit.sequence() == 0
             ? emptyRecord(key)
             : record(
@@ -130,18 +135,19 @@
                 });
       }
       case SharedNote.ServerLeave leave ->
-          record(key(SERVER_LEAVE, leave.instance(), leave.server()), out -> {});
+          record(new NoteKey(SERVER_LEAVE, leave.instance(), leave.server()), out -> {});
       case SharedNote.ServiceVersions versions ->
           record(
-              key(VERSIONS, versions.instance(), versions.service()),
+              new NoteKey(VERSIONS, versions.instance(), versions.service()),
               out -> writeVersions(versions, out));
       case SharedNote.StreamVersions streams ->
-          record(key(STREAMS, streams.instance(), ""), out -> writeStreams(streams, out));
+          record(new NoteKey(STREAMS, streams.instance(), ""), out -> writeStreams(streams, out));
       case SharedNote.UnreadableAccount unreadable ->
           throw new IllegalArgumentException("an unreadable account note can't be encoded");
       case SharedNote.Presence presence ->
           record(
-              key(PRESENCE, presence.instance(), ""), out -> out.writeUTF(presence.peerAddress()));
+              new NoteKey(PRESENCE, presence.instance(), ""),
+              out -> out.writeUTF(presence.peerAddress()));
     };
   }
 
@@ -152,11 +158,7 @@
    *     invalid values
    */
   static SharedNote decode(KeyedRecord record) {
-    String[] key = record.key().split("\\|", KEY_PARTS);
-    if (key.length != KEY_PARTS || key[1].isBlank()) {
-      throw new IllegalArgumentException(
-          "key was '%s', expected kind|instance|subject".formatted(record.key()));
-    }
+    NoteKey key = NoteKey.parse(record.key());
     if (record.value().length == 0) {
       Optional<SharedNote> withdrawn = decodeWithdrawn(key);
       if (withdrawn.isPresent()) {
@@ -164,13 +166,26 @@
       }
     }
     try (DataInputStream in = new DataInputStream(new ByteArrayInputStream(record.value()))) {
-      byte layout = in.readByte();
+      byte first = in.readByte();
+      byte layout = (byte) (first & ~(SUBJECT_FLAG | WITHDRAWN_FLAG));
       if (layout < FIRST_LAYOUT || layout > CURRENT_LAYOUT) {
         throw new IllegalArgumentException(
             "layout of %s was %d, expected %d to %d"
                 .formatted(record.key(), layout, FIRST_LAYOUT, CURRENT_LAYOUT));
       }
-      SharedNote note = decode(layout, key, in);
+      NoteKey fullKey = (first & SUBJECT_FLAG) == 0 ? key : key.withSubject(in.readUTF());
+      if (!fullKey.toRecordKey().equals(record.key())) {
+        throw new IllegalArgumentException(
+            "value of %s is about '%s'".formatted(record.key(), fullKey.subject()));
+      }
+      SharedNote note =
+          (first & WITHDRAWN_FLAG) == 0
+              ? decode(layout, fullKey, in)
+              : decodeWithdrawn(fullKey)
+                  .orElseThrow(
+                      () ->
+                          new IllegalArgumentException(
+                              "notes like %s are never withdrawn".formatted(record.key())));
       if (in.available() > 0) {
         throw new IllegalArgumentException("value of %s is too long".formatted(record.key()));
       }
@@ -185,9 +200,16 @@
    * if it is not about an account.
    */
   static Optional<SharedNote> placeholder(KeyedRecord record) {
-    String[] key = record.key().split("\\|", KEY_PARTS);
-    return key.length == KEY_PARTS && key[0].equals(ACCOUNT) && !key[1].isBlank()
-        ? Optional.of(new SharedNote.UnreadableAccount(key[1], key[2], takenTokens(record.value())))
+    NoteKey key;
+    try {
+      key = NoteKey.parse(record.key());
+    } catch (IllegalArgumentException e) {
+      return Optional.empty();
+    }
+    return key.kind().equals(ACCOUNT)
+        ? Optional.of(
+            new SharedNote.UnreadableAccount(
+                key.instance(), key.subject(), takenTokens(record.value())))
         : Optional.empty();
   }
 
@@ -216,22 +238,24 @@
     return tokens >= 0 && tokens <= TokenCounts.MAX_TOTAL;
   }
 
-  private static Optional<SharedNote> decodeWithdrawn(String[] key) {
-    return switch (key[0]) {
-      case CRASH -> Optional.of(new SharedNote.Crash(key[1], key[2], 0));
-      case SERVER_CRASH -> Optional.of(new SharedNote.ServerCrash(key[1], key[2], 0, List.of()));
-      case CLEARED_PART -> Optional.of(new SharedNote.ClearedPart(key[1], key[2], List.of()));
+  private static Optional<SharedNote> decodeWithdrawn(NoteKey key) {
+    String instance = key.instance();
+    String subject = key.subject();
+    return switch (key.kind()) {
+      case CRASH -> Optional.of(new SharedNote.Crash(instance, subject, 0));
+      case SERVER_CRASH -> Optional.of(new SharedNote.ServerCrash(instance, subject, 0, List.of()));
+      case CLEARED_PART -> Optional.of(new SharedNote.ClearedPart(instance, subject, List.of()));
       case SERVER_LIMIT ->
-          Optional.of(new SharedNote.ServerLimit(key[1], key[2], 0, 0, true, key[1]));
+          Optional.of(new SharedNote.ServerLimit(instance, subject, 0, 0, true, instance));
       default -> Optional.empty();
     };
   }
 
-  private static SharedNote decode(byte layout, String[] key, DataInputStream in)
+  private static SharedNote decode(byte layout, NoteKey key, DataInputStream in)
       throws IOException {
-    String kind = key[0];
-    String instance = key[1];
-    String subject = key[2];
+    String kind = key.kind();
+    String instance = key.instance();
+    String subject = key.subject();
     return switch (kind) {
       case ACCOUNT -> decodeAccount(layout, instance, subject, in);
       case CRASH -> new SharedNote.Crash(instance, subject, limitedCrashes(in.readInt()));
@@ -384,26 +408,35 @@
         heartbeats);
   }
 
-  private static String key(String kind, String instance, String subject) {
-    return kind + "|" + instance + "|" + subject;
-  }
-
   /**
    * Returns a record without a value, which makes the log drop the key, so that a withdrawn note
-   * takes no space.
+   * takes no space. Only the value can name a subject that is hashed in the key.
    */
-  private static KeyedRecord emptyRecord(String key) {
-    return new KeyedRecord(key, new byte[0]);
+  private static KeyedRecord emptyRecord(NoteKey key) {
+    return key.isSubjectHashed()
+        ? record(key, CURRENT_LAYOUT | WITHDRAWN_FLAG, out -> {})
+        : new KeyedRecord(key.toRecordKey(), new byte[0]);
   }
 
-  private static KeyedRecord record(String key, BodyWriter body) {
+  private static KeyedRecord record(NoteKey key, BodyWriter body) {
+    return record(key, CURRENT_LAYOUT, body);
+  }
+
+  private static KeyedRecord record(NoteKey key, int layout, BodyWriter body) {
     ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     try (DataOutputStream out = new DataOutputStream(bytes)) {
-      out.writeByte(CURRENT_LAYOUT);
+      if (key.isSubjectHashed()) {
+        out.writeByte(layout | SUBJECT_FLAG);
+        out.writeUTF(key.subject());
+      } else {
+        out.writeByte(layout);
+      }
       body.write(out);
+    } catch (UTFDataFormatException e) {
+      throw new IllegalArgumentException("a name in the note is too long", e);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
-    return new KeyedRecord(key, bytes.toByteArray());
+    return new KeyedRecord(key.toRecordKey(), bytes.toByteArray());
   }
 }
--- /dev/null
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteKey.java
@@ -0,0 +1,67 @@
+package org.teaseldeal.gateway.log;
+
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+
+/**
+ * The key of a note: its kind, the instance that wrote it, and what it is about.
+ *
+ * <p>Customers, services and backend servers may have names that are too long for a key. Such a
+ * name is replaced by its hash in the key, and the note's value begins with the name.
+ *
+ * @param kind the kind of note, without the separator
+ * @param instance the instance that wrote the note, without the separator
+ * @param subject what the note is about; may be empty
+ */
+record NoteKey(String kind, String instance, String subject) {
+  private static final String SEPARATOR = "|";
+  private static final int PARTS = 3;
+
+  /** Introduces a hash in place of a name. A name that begins so is replaced, too. */
+  private static final String HASH_PREFIX = "sha256:";
+
+  /**
+   * Splits the key of a record. The subject is the one in the key, which may be a hash.
+   *
+   * @throws IllegalArgumentException if the key is not that of a note
+   */
+  static NoteKey parse(String key) {
+    String[] parts = key.split("\\|", PARTS);
+    if (parts.length != PARTS || parts[1].isBlank()) {
+      throw new IllegalArgumentException(
+          "key was '%s', expected kind|instance|subject".formatted(key));
+    }
+    return new NoteKey(parts[0], parts[1], parts[2]);
+  }
+
+  /** Returns this key with the subject that the note's value names. */
+  NoteKey withSubject(String named) {
+    return new NoteKey(kind, instance, named);
+  }
+
+  /** Returns whether the key of the record holds a hash in place of the subject. */
+  boolean isSubjectHashed() {
+    return subject.startsWith(HASH_PREFIX)
+        || joined(subject).getBytes(StandardCharsets.UTF_8).length > KeyedRecord.MAX_KEY_BYTES;
+  }
+
+  /** Returns the key of the record. */
+  String toRecordKey() {
+    return isSubjectHashed() ? joined(HASH_PREFIX + hash(subject)) : joined(subject);
+  }
+
+  private String joined(String lastPart) {
+    return kind + SEPARATOR + instance + SEPARATOR + lastPart;
+  }
+
+  private static String hash(String text) {
+    try {
+      MessageDigest digest = MessageDigest.getInstance("SHA-256");
+      return HexFormat.of().formatHex(digest.digest(text.getBytes(StandardCharsets.UTF_8)));
+    } catch (NoSuchAlgorithmException e) {
+      throw new IllegalStateException("every Java runtime has SHA-256", e);
+    }
+  }
+}
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
@@ -3,11 +3,15 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.OptionalLong;
+import java.util.Set;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.ForAll;
@@ -42,6 +46,51 @@
     }
   }
 
+  /**
+   * Guards against a note under the key of another one. The platform's store takes keys of 255
+   * bytes; a longer one used to be cut at the writer, and its note replaced another.
+   */
+  @Test
+  void encodesNotesAboutLongNamesUnderKeysOfTheirOwn() {
+    Set<String> keys = new HashSet<>();
+    for (String name :
+        List.of(
+            "trawler",
+            "trawler".repeat(40),
+            "trawler" + "x".repeat(256),
+            "trawler" + "y".repeat(256),
+            "\u0432".repeat(130),
+            "sha256:00",
+            "x".repeat(4_096))) {
+      List<SharedNote> notes =
+          List.of(
+              account(name),
+              new SharedNote.ServiceVersions(
+                  "a@10.0.0.1", name, 1, List.of(new SharedNote.VersionSeen("v1", 2))));
+      for (SharedNote note : notes) {
+        KeyedRecord record = NoteCodec.encode(note);
+        assertTrue(record.key().getBytes(StandardCharsets.UTF_8).length <= 255, () -> record.key());
+        assertTrue(keys.add(record.key()), () -> "used twice: " + record.key());
+        assertEquals(note, NoteCodec.decode(record));
+        assertEquals(note, NoteMessage.decode(NoteMessage.encode(note)));
+      }
+    }
+  }
+
+  private static SharedNote.Account account(String customer) {
+    return new SharedNote.Account("a@10.0.0.1", customer, 1, 2, 30, 4, 5, 6, 7, 8, 9, -9, 10, 11);
+  }
+
+  /** Guards against a note that counts for a customer that its key doesn't name. */
+  @Test
+  void rejectsNotesWhoseNameIsNotThatOfTheirKey() {
+    KeyedRecord one = NoteCodec.encode(account("x".repeat(300)));
+    KeyedRecord other = NoteCodec.encode(account("y".repeat(300)));
+    assertThrows(
+        IllegalArgumentException.class,
+        () -> NoteCodec.decode(new KeyedRecord(one.key(), other.value())));
+  }
+
   /**
    * Guards against tokens that are not counted during a rolling upgrade. An instance of the
    * previous version has written a note without the count of heartbeats and the release rate; an
