--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
@@ -91,6 +91,14 @@
   private Instant backoffUntil = Instant.MIN;
   private Duration backoff = INITIAL_BACKOFF;
   private Instant nextRead = Instant.MIN;
+
+  /**
+   * When notes may be written again after one under this instance's name could not be read. It is
+   * written again, and would be without a pause if the fault is this instance's own.
+   */
+  private Instant rewriteAt = Instant.MIN;
+
+  private Duration rewriteBackoff = INITIAL_BACKOFF;
   private boolean reloadDue;
   private boolean readingPaused;
   private @Nullable String failureDetail;
@@ -247,7 +255,7 @@
       reloadAfterPendingAppend(now);
       return;
     }
-    if (!appending && requiredPosition <= position) {
+    if (!appending && requiredPosition <= position && !now.isBefore(rewriteAt)) {
       appendDueNotes(now);
     }
     if (!reading && (position < requiredPosition || !now.isBefore(nextRead))) {
@@ -314,14 +322,6 @@
     return List.copyOf(records);
   }
 
-  private void onAppendOutcome(SharedLog.AppendOutcome outcome) {
-    appending = false;
-    switch (outcome) {
-      case SharedLog.AppendOutcome.Appended appended -> {
-        recordSuccess();
-        if (anyParticipant(LogParticipant::awaitsOwnNote)) {
-          requiredPosition = appended.offset() + batch.size();
-        }
   /** Encodes a note. One that can't be encoded must not keep the others from being written. */
   private static Optional<KeyedRecord> encode(SharedNote note) {
     try {
@@ -332,6 +332,14 @@
     }
   }
 
+  private void onAppendOutcome(SharedLog.AppendOutcome outcome) {
+    appending = false;
+    switch (outcome) {
+      case SharedLog.AppendOutcome.Appended appended -> {
+        recordSuccess();
+        if (anyParticipant(LogParticipant::awaitsOwnNote)) {
+          requiredPosition = appended.offset() + batch.size();
+        }
         batch = List.of();
         sequence++;
         participants.forEach(LogParticipant::onWritten);
@@ -394,8 +402,15 @@
     try {
       SharedNote note = NoteCodec.decode(record.record());
       unreadableKeys.remove(record.record().key());
+      if (note.instance().equals(instance)) {
+        rewriteBackoff = INITIAL_BACKOFF;
+      }
       return Optional.of(note);
     } catch (IllegalArgumentException e) {
+      if (record.record().key().contains("|" + instance + "|")) {
+        rewriteAt = clock.instant().plus(rewriteBackoff);
+        rewriteBackoff = doubled(rewriteBackoff);
+      }
       if (unreadableKeys.size() < MAX_UNREADABLE_KEYS
           && unreadableKeys.add(record.record().key())) {
         LOG.warn("record at offset {} can't be decoded: {}", record.offset(), e.getMessage());
@@ -410,10 +425,11 @@
     }
     failureDetail = detail;
     backoffUntil = clock.instant().plus(backoff);
-    backoff =
-        Durations.times(backoff, 2).compareTo(MAX_BACKOFF) > 0
-            ? MAX_BACKOFF
-            : backoff.plus(backoff);
+    backoff = doubled(backoff);
+  }
+
+  private static Duration doubled(Duration backoff) {
+    return Durations.shorter(Durations.times(backoff, 2), MAX_BACKOFF);
   }
 
   private void recordSuccess() {
