--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
@@ -3,6 +3,7 @@
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Optional;
+import org.teaseldeal.api.Durations;
 import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.decisions.DrawOrder;
@@ -27,8 +28,14 @@
    */
   private static final Duration RETRY_AFTER_EXHAUSTED = Duration.ofSeconds(4);
 
-  /** How long before its caller stops waiting a request is refused at the latest. */
-  private static final Duration REFUSAL_TIME = Duration.ofMillis(200);
+  /**
+   * How long before its caller stops waiting a request is refused at the latest; less for callers
+   * that wait for a short time.
+   */
+  private static final Duration MAX_REFUSAL_LEAD_TIME = Duration.ofMillis(200);
+
+  /** The part of a caller's waiting time that the lead time takes at most, as a divisor. */
+  private static final int LEAD_TIME_DIVISOR = 4;
 
   private final LogAvailability log;
 
@@ -37,15 +44,28 @@
   }
 
   /**
-   * Returns why a request is refused now; empty if it continues to wait.
+   * Returns why a request is refused now; empty if it continues to wait. Whatever it waits for, it
+   * is refused before its caller stops waiting.
    *
    * @param ahead number of tokens needed by the requests that wait before this one
    */
   Optional<Problem> refusal(
       CustomerAccount account, WaitingRequest request, long ahead, long total, Instant now) {
-    if (!now.plus(REFUSAL_TIME).isBefore(request.callerTimeout())) {
-      return Optional.of(noLease(account, request, RETRY_AFTER));
-    }
+    Optional<Problem> refusal = refusalWhileCallerWaits(account, request, ahead, total, now);
+    return refusal.isPresent() || now.isBefore(latestRefusal(request))
+        ? refusal
+        : Optional.of(noLease(account, request, RETRY_AFTER));
+  }
+
+  private static Instant latestRefusal(WaitingRequest request) {
+    Duration patience = Duration.between(request.waitingSince(), request.callerTimeout());
+    Duration leadTime =
+        Durations.shorter(MAX_REFUSAL_LEAD_TIME, patience.dividedBy(LEAD_TIME_DIVISOR));
+    return request.callerTimeout().minus(leadTime);
+  }
+
+  private Optional<Problem> refusalWhileCallerWaits(
+      CustomerAccount account, WaitingRequest request, long ahead, long total, Instant now) {
     if (peersMayGive(account, request, now) || log.initialLoadPending(now)) {
       return Optional.empty();
     }
