Know the customer of an unreadable note about a long name, and back off by note

An unreadable note whose key holds a hash was counted for a customer of that name, so the tokens of the true customer could be given out twice. And any unreadable record under an instance's name postponed all its notes anew, so a foreign writer could keep it from writing at all.

Accounts are now found by what stands for the customer in a key, which depends on the name alone, and a pause isn't extended while it lasts. Both tests pass; they were not run against the code before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/CustomerAccount.java
@@ -61,7 +61,7 @@
    */
   record Share(boolean held, int holders) {}
 
-  private final String customer;
+  private String customer;
   private final PeerAccounts peerAccounts = new PeerAccounts();
   private final Demand demand = new Demand();
   private final List<WaitingRequest> waiting = new ArrayList<>();
@@ -106,6 +106,11 @@
     this.customer = customer;
   }
 
+  /** Sets the customer's name, of which only a hash may have been known. */
+  void rename(String name) {
+    customer = name;
+  }
+
   String customer() {
     return customer;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -66,6 +66,8 @@
   private final ClockReading clocksAtStart;
   private final LogAvailability logAvailability;
   private final RefusalPolicy refusalPolicy;
+
+  /** The accounts by what stands for their customers in the keys of notes. */
   private final Map<String, CustomerAccount> accounts = new TreeMap<>();
 
   /** Customers whose notes can't be composed, each of which is logged once. */
@@ -412,9 +414,10 @@
       case SharedNote.Account accountNote when first ->
           account(accountNote.customer()).takeOver(accountNote, clocksAtStart);
       case SharedNote.UnreadableAccount unreadable when !own ->
-          account(unreadable.customer()).peerAccounts().onUnreadable(unreadable);
+          accountInKey(unreadable.customer()).peerAccounts().onUnreadable(unreadable);
       case SharedNote.UnreadableAccount unreadable when first -> takeOverUnreadable(unreadable);
-      case SharedNote.UnreadableAccount unreadable -> account(unreadable.customer()).renewNote();
+      case SharedNote.UnreadableAccount unreadable ->
+          accountInKey(unreadable.customer()).renewNote();
       default -> {}
     }
   }
@@ -426,7 +429,7 @@
         note.taken().isPresent()
             ? "writing off all %d tokens that it had taken".formatted(note.taken().getAsLong())
             : "writing off all tokens that no other instance has");
-    account(note.customer()).takeOverUnreadable(note);
+    accountInKey(note.customer()).takeOverUnreadable(note);
   }
 
   /**
@@ -450,7 +453,7 @@
           account(accountNote.customer()).peerAccounts().update(accountNote);
       // No note of another instance was missed: the content of its previous note is still valid.
       case SharedNote.UnreadableAccount unreadable when own ->
-          account(unreadable.customer()).renewNote();
+          accountInKey(unreadable.customer()).renewNote();
       default -> {}
     }
   }
@@ -592,6 +595,15 @@
   }
 
   private CustomerAccount account(String customer) {
-    return accounts.computeIfAbsent(customer, CustomerAccount::new);
+    CustomerAccount account =
+        accounts.computeIfAbsent(
+            SharedNote.customerInKey(customer), inKey -> new CustomerAccount(customer));
+    account.rename(customer);
+    return account;
+  }
+
+  /** Returns the account that an unreadable note is about; the note may not tell its name. */
+  private CustomerAccount accountInKey(String customerInKey) {
+    return accounts.computeIfAbsent(customerInKey, CustomerAccount::new);
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/FleetLog.java
@@ -5,8 +5,10 @@
 import java.time.InstantSource;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
@@ -98,7 +100,9 @@
    */
   private Instant rewriteAt = Instant.MIN;
 
-  private Duration rewriteBackoff = INITIAL_BACKOFF;
+  /** The next pause by the key of the note that can't be read. */
+  private final Map<String, Duration> rewriteBackoffs = new HashMap<>();
+
   private boolean reloadDue;
   private boolean readingPaused;
   private @Nullable String failureDetail;
@@ -402,14 +406,11 @@
     try {
       SharedNote note = NoteCodec.decode(record.record());
       unreadableKeys.remove(record.record().key());
-      if (note.instance().equals(instance)) {
-        rewriteBackoff = INITIAL_BACKOFF;
-      }
+      rewriteBackoffs.remove(record.record().key());
       return Optional.of(note);
     } catch (IllegalArgumentException e) {
-      if (record.record().key().contains("|" + instance + "|")) {
-        rewriteAt = clock.instant().plus(rewriteBackoff);
-        rewriteBackoff = doubled(rewriteBackoff);
+      if (isOwnNote(record.record(), instance)) {
+        postponeRewriting(record.record().key());
       }
       if (unreadableKeys.size() < MAX_UNREADABLE_KEYS
           && unreadableKeys.add(record.record().key())) {
@@ -419,6 +420,29 @@
     }
   }
 
+  private static boolean isOwnNote(KeyedRecord record, String instance) {
+    try {
+      return NoteKey.parse(record.key()).instance().equals(instance);
+    } catch (IllegalArgumentException e) {
+      return false;
+    }
+  }
+
+  /**
+   * Pauses before the next notes, unless a pause is under way: foreign writers must not extend it.
+   */
+  private void postponeRewriting(String key) {
+    Instant now = clock.instant();
+    if (now.isBefore(rewriteAt)) {
+      return;
+    }
+    Duration pause = rewriteBackoffs.getOrDefault(key, INITIAL_BACKOFF);
+    rewriteAt = now.plus(pause);
+    if (rewriteBackoffs.size() < MAX_UNREADABLE_KEYS) {
+      rewriteBackoffs.put(key, doubled(pause));
+    }
+  }
+
   private void recordFailure(String detail) {
     if (failureDetail == null) {
       LOG.warn("shared log unavailable; retrying with back-off: {}", detail);
@@ -428,8 +452,8 @@
     backoff = doubled(backoff);
   }
 
-  private static Duration doubled(Duration backoff) {
-    return Durations.shorter(Durations.times(backoff, 2), MAX_BACKOFF);
+  private static Duration doubled(Duration pause) {
+    return Durations.shorter(Durations.times(pause, 2), MAX_BACKOFF);
   }
 
   private void recordSuccess() {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -173,8 +173,9 @@
             "layout of %s was %d, expected %d to %d"
                 .formatted(record.key(), layout, FIRST_LAYOUT, CURRENT_LAYOUT));
       }
-      NoteKey fullKey = (first & SUBJECT_FLAG) == 0 ? key : key.withSubject(in.readUTF());
-      if (!fullKey.toRecordKey().equals(record.key())) {
+      boolean named = (first & SUBJECT_FLAG) != 0;
+      NoteKey fullKey = named ? key.withSubject(in.readUTF()) : key;
+      if (named && !fullKey.toRecordKey().equals(record.key())) {
         throw new IllegalArgumentException(
             "value of %s is about '%s'".formatted(record.key(), fullKey.subject()));
       }
@@ -219,10 +220,14 @@
    * claim that is larger than any total was never granted.
    */
   private static OptionalLong takenTokens(byte[] value) {
-    if (value.length < MIN_ACCOUNT_LENGTH || value[0] < FIRST_LAYOUT || value[0] > CURRENT_LAYOUT) {
+    int layout = value.length == 0 ? 0 : value[0] & ~SUBJECT_FLAG;
+    int start = value.length == 0 ? 0 : 1 + subjectLength(value);
+    if (value.length - start < MIN_ACCOUNT_LENGTH - 1
+        || layout < FIRST_LAYOUT
+        || layout > CURRENT_LAYOUT) {
       return OptionalLong.empty();
     }
-    ByteBuffer numbers = ByteBuffer.wrap(value, 1, value.length - 1);
+    ByteBuffer numbers = ByteBuffer.wrap(value, start, value.length - start);
     long spent = numbers.getLong();
     long writtenOff = numbers.getLong();
     long held = numbers.getLong();
@@ -234,6 +239,13 @@
     return OptionalLong.of(spent + writtenOff + held + (isTotal(claimed) ? claimed : 0));
   }
 
+  /** Returns the length in bytes of the subject that a value begins with; 0 if there is none. */
+  private static int subjectLength(byte[] value) {
+    return (value[0] & SUBJECT_FLAG) == 0 || value.length < 1 + Short.BYTES
+        ? 0
+        : Short.BYTES + Short.toUnsignedInt(ByteBuffer.wrap(value).getShort(1));
+  }
+
   private static boolean isTotal(long tokens) {
     return tokens >= 0 && tokens <= TokenCounts.MAX_TOTAL;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteKey.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteKey.java
@@ -19,6 +19,9 @@
   private static final String SEPARATOR = "|";
   private static final int PARTS = 3;
 
+  /** The longest name in a key, which leaves room for the kind and the instance. */
+  private static final int MAX_SUBJECT_BYTES = 128;
+
   /** Introduces a hash in place of a name. A name that begins so is replaced, too. */
   private static final String HASH_PREFIX = "sha256:";
 
@@ -43,13 +46,23 @@
 
   /** Returns whether the key of the record holds a hash in place of the subject. */
   boolean isSubjectHashed() {
-    return subject.startsWith(HASH_PREFIX)
-        || joined(subject).getBytes(StandardCharsets.UTF_8).length > KeyedRecord.MAX_KEY_BYTES;
+    return !subjectInKey(subject).equals(subject);
   }
 
   /** Returns the key of the record. */
   String toRecordKey() {
-    return isSubjectHashed() ? joined(HASH_PREFIX + hash(subject)) : joined(subject);
+    return joined(subjectInKey(subject));
+  }
+
+  /**
+   * Returns the part of a record's key that stands for a subject: its name or the hash of it. It
+   * depends on nothing else, so all instances know a subject by the same one.
+   */
+  static String subjectInKey(String name) {
+    boolean fits =
+        name.getBytes(StandardCharsets.UTF_8).length <= MAX_SUBJECT_BYTES
+            && !name.startsWith(HASH_PREFIX);
+    return fits ? name : HASH_PREFIX + hash(name);
   }
 
   private String joined(String lastPart) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedNote.java
@@ -91,10 +91,19 @@
     }
   }
 
+  /**
+   * Returns what stands for a customer in the keys of its notes: its name, or a hash of a name that
+   * is too long.
+   */
+  static String customerInKey(String customer) {
+    return NoteKey.subjectInKey(customer);
+  }
+
   /**
    * Stands for an unreadable note about an account. It hides the content of the note before it. It
    * is never written.
    *
+   * @param customer the customer as it stands in the note's key; see {@link #customerInKey}
    * @param taken upper bound of the tokens that the note's instance had spent, lost or held; empty
    *     if not even that can be read
    */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -100,8 +100,13 @@
 
   /** Writes {@code value} under the key of an instance's note, as a foreign writer. */
   void overwriteNote(int index, byte[] value) {
+    overwriteNote(index, CUSTOMER, value);
+  }
+
+  /** Writes {@code value} under the key of an instance's note about a customer. */
+  void overwriteNote(int index, String customerInKey, byte[] value) {
     KeyedRecord record =
-        new KeyedRecord("account|%s|%s".formatted(instance(index).name, CUSTOMER), value);
+        new KeyedRecord("account|%s|%s".formatted(instance(index).name, customerInKey), value);
     log.port("stranger").append(0, foreignSequence++, List.of(record), outcome -> {});
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ForeignNoteTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/ForeignNoteTests.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.teaseldeal.gateway.fake.FakeSharedLog.Behaviour;
+import org.teaseldeal.gateway.log.SharedNote;
 
 /**
  * Checks that a customer never gets more than its total, whatever foreign writers write under the
@@ -123,6 +124,50 @@
     assertTrue(appends <= 4 * seconds, appends + " appends in " + seconds + " seconds");
   }
 
+  /**
+   * Guards against tokens that are given out twice after the note about a customer with a long name
+   * became unreadable. All processes end, and the note names neither the customer nor a number.
+   */
+  @Test
+  void givesNoTokensOfALongNamedCustomerWhileItsNoteIsUnreadable() {
+    String customer = "trawler".repeat(40);
+    fleet.instance(1).request(customer, TOTAL * 8 / 10);
+    fleet.run(SETTLE_TIME);
+    assertEquals(1, fleet.instance(1).grantedRequests);
+    fleet.stop(0);
+    fleet.stop(1);
+    fleet.overwriteNote(1, SharedNote.customerInKey(customer), UNREADABLE);
+    fleet.run(SETTLE_TIME);
+    fleet.restart(0);
+    fleet.run(SETTLE_TIME);
+    fleet.instance(0).request(customer, TOTAL / 2);
+    fleet.run(SETTLE_TIME);
+    assertEquals(0, fleet.instance(0).grantedRequests);
+    fleet.restart(1);
+    fleet.run(SETTLE_TIME);
+    fleet.instance(1).request(customer, TOTAL / 2);
+    fleet.run(SETTLE_TIME);
+    assertTrue(fleet.givenTokens() <= TOTAL, fleet.givenTokens() + " tokens were given");
+  }
+
+  /**
+   * Guards against callers that wait for tokens in vain because a foreign writer's records keep
+   * this instance from writing its notes.
+   */
+  @Test
+  void goesOnWritingNotesBesideUnreadableRecordsOfAForeignWriter() {
+    AccountFleet.Instance instance = fleet.instance(1);
+    for (int i = 0; i < 40; i++) {
+      fleet.overwriteNote(1, "foreign-" + i % 3, UNREADABLE);
+      if (i % 10 == 0) {
+        instance.request("herring-" + i, TOTAL / 4);
+      }
+      fleet.run(Duration.ofMillis(100));
+    }
+    fleet.run(SETTLE_TIME);
+    assertEquals(4, instance.grantedRequests);
+  }
+
   /** Guards against callers who get neither an answer nor a refusal while a claim is undecided. */
   @Test
   void refusesRequestsBeforeTheirCallersLeave() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
@@ -81,6 +81,21 @@
     return new SharedNote.Account("a@10.0.0.1", customer, 1, 2, 30, 4, 5, 6, 7, 8, 9, -9, 10, 11);
   }
 
+  /**
+   * Guards against tokens given out twice because nobody knows whom an unreadable note is about.
+   */
+  @Test
+  void knowsTheCustomerOfAnUnreadableNoteAboutALongName() {
+    String name = "x".repeat(300);
+    KeyedRecord record = NoteCodec.encode(account(name));
+    byte[] cut = Arrays.copyOf(record.value(), record.value().length - 1);
+    SharedNote.UnreadableAccount placeholder =
+        (SharedNote.UnreadableAccount)
+            NoteCodec.placeholder(new KeyedRecord(record.key(), cut)).orElseThrow();
+    assertEquals(SharedNote.customerInKey(name), placeholder.customer());
+    assertEquals(OptionalLong.of(1 + 2 + 30 + 5), placeholder.taken());
+  }
+
   /** Guards against a note that counts for a customer that its key doesn't name. */
   @Test
   void rejectsNotesWhoseNameIsNotThatOfTheirKey() {
