Ask for everything that may keep a silent stream from going on elsewhere

A begun stream whose prompt has a suspected part left its server, was held, and could then only be aborted. A round is deferred again if handling the pending input blocked the event loop anew, three times at most.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/DueTasks.java
@@ -33,6 +33,9 @@
   /** How long a task that has failed pauses. */
   private static final Duration PAUSE_AFTER_FAILURE = RESOLUTION;
 
+  /** How often a round is deferred at most, so that a busy event loop doesn't hold it up. */
+  private static final int MAX_DEFERRALS = 3;
+
   /** The timer of an event loop. */
   @FunctionalInterface
   public interface Timer {
@@ -97,8 +100,10 @@
   private Runnable cancelTimer = () -> {};
   private boolean inRound;
 
-  /** Whether the input that had arrived when the next round was found to be late is handled. */
-  private boolean inputHandled;
+  /** How often the round that is due was deferred so that pending input is handled before it. */
+  private int deferrals;
+
+  private Instant deferredAt = Instant.MIN;
 
   private boolean stopped = true;
 
@@ -154,12 +159,13 @@
     }
     Instant now = clock.instant();
     Duration late = overdue(now);
-    if (!inputHandled && late.compareTo(RESOLUTION) > 0) {
-      inputHandled = true;
+    if (defersRound(now, late)) {
+      deferrals++;
+      deferredAt = now;
       cancelTimer = timer.schedule(Duration.ZERO, this::runRound);
       return;
     }
-    inputHandled = false;
+    deferrals = 0;
     delay.onRound(late);
     inRound = true;
     isolatedTasks.run("round", () -> onRound.accept(late));
@@ -171,6 +177,15 @@
     reschedule(clock.instant());
   }
 
+  /**
+   * Returns whether pending input is handled before the round: once if the round is late, and again
+   * if handling it has blocked the event loop anew.
+   */
+  private boolean defersRound(Instant now, Duration late) {
+    Duration blocked = deferrals == 0 ? late : Duration.between(deferredAt, now);
+    return deferrals < MAX_DEFERRALS && blocked.compareTo(RESOLUTION) > 0;
+  }
+
   /** Sets the timer to the first task that is due, unless it is set to an earlier round. */
   private void reschedule(Instant now) {
     if (inRound || stopped) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -631,7 +631,7 @@
    * <p>A server that loses power doesn't close its connections. Without this check its callers
    * would wait until their deadlines. A server may also pause and go on, so an answer that has
    * begun is not aborted because of silence alone: without another server that goes on with it, its
-   * caller waits.
+   * caller waits. Only a server that is silent and can't be connected to either counts as lost.
    */
   private void failOverIfSilent() {
     Attempt silent = attempt;
@@ -651,19 +651,25 @@
     onAttemptFailed(silent, AttemptFailure.MAY_HAVE_RUN, "silent");
   }
 
-  /** Reserves a retry at a server other than that of {@code running}; returns whether it did. */
+  /**
+   * Reserves a retry if a server other than that of {@code running} can take the request now;
+   * returns whether it did.
+   */
   private boolean reserveRetry(Attempt running) {
     Set<ServerIncarnation> tried = new HashSet<>(failedIncarnations);
     tried.add(running.server().incarnation());
     Instant now = now();
+    PromptPartQuarantine promptParts = components.promptParts();
     boolean sendable =
         dispatcher.quarantine(request, false).isEmpty()
+            && !promptParts.isSuspected(sharedPartIds())
+            && !promptParts.isRepeatedlyImplicated(sharedPartIds())
             && dispatcher
                 .selector()
                 .select(criteria(tried), now)
                 .filter(other -> components.links().way(other.server(), false) != Way.NONE)
                 .isPresent();
-    retryReserved = sendable && mayRetry();
+    retryReserved = sendable && takeRetry();
     return retryReserved;
   }
 
@@ -734,7 +740,7 @@
       abortStream("a resumed stream was answered with status " + status);
       return;
     }
-    if (status >= FIRST_SERVER_ERROR_STATUS && route.repeatable() && mayRetry()) {
+    if (status >= FIRST_SERVER_ERROR_STATUS && route.repeatable() && takeRetry()) {
       Attempt failed = attempt;
       if (failed != null) {
         onAttemptFailed(failed, AttemptFailure.SERVER_ERROR, "status " + status);
@@ -827,12 +833,12 @@
       }
       case OTHER_SERVER -> {
         server.excludeUntil(now().plus(ADDRESS_REUSED_EXCLUSION));
-        resendIf(mayRetry(), ErrorKind.NO_BACKEND_SERVER, detail);
+        resendIf(takeRetry(), ErrorKind.NO_BACKEND_SERVER, detail);
       }
       case NOT_RUN -> {
         server.excludeUntil(now().plus(FULL_EXCLUSION));
         dispatcher.selector().onRejected(server, now());
-        resendIf(mayRetry(), ErrorKind.OVERLOADED, detail);
+        resendIf(takeRetry(), ErrorKind.OVERLOADED, detail);
       }
       case SERVER_ERROR -> resendIf(true, ErrorKind.BACKEND_FAILED, detail);
       case MAY_HAVE_RUN -> onMayHaveRun(failed, detail);
@@ -888,7 +894,7 @@
       dispatcher.wake();
       heldRepeat = new HeldRepeat(now().plus(MAX_REPEAT_HOLD), detail);
     } else {
-      resendIf(route.repeatable() && mayRetry(), ErrorKind.BACKEND_FAILED, detail);
+      resendIf(route.repeatable() && takeRetry(), ErrorKind.BACKEND_FAILED, detail);
     }
   }
 
@@ -900,10 +906,11 @@
     }
     heldRepeat = null;
     boolean allowed = !promptParts.isRepeatedlyImplicated(sharedPartIds());
-    resendIf(allowed && mayRetry(), ErrorKind.BACKEND_FAILED, held.detail());
+    resendIf(allowed && takeRetry(), ErrorKind.BACKEND_FAILED, held.detail());
   }
 
-  private boolean mayRetry() {
+  /** Takes the retry that was reserved, or else one out of the fleet's limit, if there is one. */
+  private boolean takeRetry() {
     boolean reserved = retryReserved;
     retryReserved = false;
     return sendCount < route.maxAttempts() && (reserved || dispatcher.tryRetry(service));
