Answer requests whose handler fails, and finish what limits and blocks left

A request whose handler threw was closed without an answer; its caller now gets 500. A body is bounded by the limit that held at its head. Connections that were opened, and answers that were fetched whole, while the event loop was blocked count as in time: their timers let it read first.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.net;
 
+import io.netty.channel.EventLoop;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.util.Map;
@@ -27,14 +28,15 @@
    * soon as the future completes in any way.
    */
   void cancelOnCompletion(HttpCall call, Duration timeout) {
+    EventLoop loop = SharedEventLoops.eventLoopGroup().next();
+    Runnable failure = () -> fail(HttpFailure.BROKEN_ANSWER, "the answer is not whole in time");
     var timer =
-        SharedEventLoops.eventLoopGroup()
-            .schedule(
-                () -> fail(HttpFailure.BROKEN_ANSWER, "the answer is not whole in time"),
-                timeout.toNanos() + TimeUnit.MILLISECONDS.toNanos(50),
-                TimeUnit.NANOSECONDS);
+        loop.schedule(
+            () -> SharedEventLoops.afterPendingInput(loop, failure),
+            timeout.toNanos() + TimeUnit.MILLISECONDS.toNanos(50),
+            TimeUnit.NANOSECONDS);
     answer.whenComplete(
-        (completed, failure) -> {
+        (completed, cause) -> {
           timer.cancel(false);
           call.cancel();
         });
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
 import io.netty.channel.group.ChannelGroup;
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
@@ -16,6 +17,7 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * An HTTP/1.1 client with a pool of persistent connections.
@@ -28,6 +30,8 @@
    * Limits of a single read from a connection. Without them a server that sends without end would
    * keep the event loop from the other connections for tens of milliseconds.
    */
+  private static final int NO_CONNECT_TIMEOUT = 0;
+
   private static final int MIN_READ_BYTES = 64;
 
   private static final int INITIAL_READ_BYTES = 2048;
@@ -122,7 +126,7 @@
                 ChannelOption.RECVBUF_ALLOCATOR,
                 new AdaptiveRecvByteBufAllocator(MIN_READ_BYTES, INITIAL_READ_BYTES, MAX_READ_BYTES)
                     .maxMessagesPerRead(MAX_READS_IN_A_ROW))
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) connectMillis)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, NO_CONNECT_TIMEOUT)
             // An orderly close by the server is then an event of its own. Otherwise the channel is
             // closed in the same way as after a failure.
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
@@ -139,6 +143,26 @@
     channel.closeFuture().addListener(closed -> pool.release(address));
     call.setConnectingChannel(channel);
     connecting.addListener((ChannelFutureListener) done -> onConnected(done, call));
+    limitConnectTime(connecting, connectMillis, call);
+  }
+
+  /** Unlike the timeout of the channel itself, counts a connection that was opened meanwhile. */
+  private static void limitConnectTime(
+      ChannelFuture connecting, long connectMillis, ClientCall call) {
+    EventLoop loop = connecting.channel().eventLoop();
+    Runnable failure =
+        () -> {
+          if (!connecting.isDone()) {
+            call.fail(HttpFailure.NOT_SENT, "no connection within %d ms".formatted(connectMillis));
+            connecting.channel().close();
+          }
+        };
+    var timer =
+        loop.schedule(
+            () -> SharedEventLoops.afterPendingInput(loop, failure),
+            connectMillis,
+            TimeUnit.MILLISECONDS);
+    connecting.addListener(done -> timer.cancel(false));
   }
 
   private void initChannelPipeline(SocketChannel channel, InetSocketAddress address) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpServer.java
@@ -13,7 +13,6 @@
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.time.Duration;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -95,9 +94,8 @@
    * connection that doesn't accept heads of the new size is closed after its next answer.
    */
   public void setLimits(HttpServerConfig limits) {
-    Duration previousIdleTimeout = config.idleTimeout();
     config = limits;
-    connections.forEach(connection -> connection.onLimitsChanged(previousIdleTimeout));
+    connections.forEach(ServerConnection::onLimitsChanged);
   }
 
   /** Returns the address that the server listens on, with the port that the system chose. */
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -1,5 +1,7 @@
 package org.teaseldeal.net;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
+
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
@@ -26,6 +28,7 @@
 import io.netty.util.concurrent.Future;
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BooleanSupplier;
@@ -34,6 +37,7 @@
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.teaseldeal.api.Durations;
 
 /**
  * One caller's connection: collects requests within the limits and passes them to the handler one
@@ -69,6 +73,10 @@
    */
   private static final int MAX_REJECTED_CONNECTIONS = 256;
 
+  /** Promises nothing: the handler may have begun to carry out the request. */
+  private static final HttpAnswer HANDLER_FAILED =
+      new HttpAnswer(500, Map.of(), "the request could not be handled".getBytes(UTF_8));
+
   private enum State {
     IDLE,
     READING,
@@ -114,6 +122,15 @@
 
   private long idleSinceNanos = System.nanoTime();
 
+  /** The idle timeout that the caller could know of when its last answer began. */
+  private Duration promisedIdleTimeout;
+
+  /** When the connection is closed unless a request arrives. */
+  private long idleCloseNanos = System.nanoTime();
+
+  /** The largest body of the request that is being received, as allowed when its head arrived. */
+  private int maxBodyBytes;
+
   ServerConnection(
       SocketChannel channel,
       Supplier<HttpServerConfig> config,
@@ -128,6 +145,7 @@
     this.channel = channel;
     this.config = config;
     this.acceptedHeaderBytes = config.get().maxHeaderBytes();
+    this.promisedIdleTimeout = config.get().idleTimeout();
     this.handler = handler;
     this.rejectionAnswer = rejectionAnswer;
     this.excessConnections = excessConnections;
@@ -242,6 +260,7 @@
     }
     request = head;
     headReceivedNanos = System.nanoTime();
+    maxBodyBytes = config.get().maxBodyBytes();
     body = new ByteArrayOutputStream(0);
     if (HttpUtil.is100ContinueExpected(head)) {
       channel.writeAndFlush(
@@ -268,7 +287,7 @@
 
   private void readContent(HttpContent content) {
     ByteBuf bytes = content.content();
-    if (body.size() + bytes.readableBytes() > config.get().maxBodyBytes()) {
+    if (body.size() + bytes.readableBytes() > maxBodyBytes) {
       reject(HttpRejection.BODY_TOO_LARGE);
       return;
     }
@@ -298,13 +317,14 @@
     try {
       handler.handle(current);
     } catch (RuntimeException e) {
-      LOG.error("request handler threw an exception; closing the connection", e);
-      channel.close();
+      LOG.error("request handler threw an exception", e);
+      current.respondIfUnanswered(HANDLER_FAILED);
     }
   }
 
   /** Returns whether the connection currently would stay open after the answer to {@code head}. */
   boolean keepAlive(HttpRequest head) {
+    promisedIdleTimeout = config.get().idleTimeout();
     return HttpUtil.isKeepAlive(head)
         && !closingAfterAnswers.getAsBoolean()
         && !pipelined
@@ -358,16 +378,17 @@
   }
 
   /**
-   * Keeps an idle connection for the idle timeout from now on, if that has become longer. A shorter
-   * one applies from the next answer on: the caller may still count on the previous one.
+   * Keeps an idle connection for the present idle timeout from now on, if that is later than it
+   * would be closed. A shorter one applies from the next answer on: the caller may still count on
+   * the earlier one.
    */
-  void onLimitsChanged(Duration previousIdleTimeout) {
+  void onLimitsChanged() {
     channel
         .eventLoop()
         .execute(
             () -> {
-              if (state == State.IDLE
-                  && config.get().idleTimeout().compareTo(previousIdleTimeout) > 0) {
+              long closeNanos = System.nanoTime() + config.get().idleTimeout().toNanos();
+              if (state == State.IDLE && closeNanos - idleCloseNanos > 0) {
                 scheduleIdleClose();
               }
             });
@@ -384,8 +405,10 @@
    */
   private void scheduleIdleClose() {
     lastUnsentBytes = unsentBytes();
+    Duration timeout = Durations.longer(promisedIdleTimeout, config.get().idleTimeout());
+    idleCloseNanos = System.nanoTime() + timeout.toNanos();
     setTimer(
-        config.get().idleTimeout(),
+        timeout,
         () -> {
           if (unsentBytes() == lastUnsentBytes) {
             channel.close();
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
@@ -165,6 +165,15 @@
     return response;
   }
 
+  /** Sends an answer, or closes the connection if another one has begun. */
+  void respondIfUnanswered(HttpAnswer answer) {
+    if (answerStarted.compareAndSet(false, true)) {
+      channel.eventLoop().execute(() -> sendAnswer(answer));
+    } else {
+      channel.eventLoop().execute(channel::close);
+    }
+  }
+
   private void claimAnswer() {
     if (!answerStarted.compareAndSet(false, true)) {
       throw new IllegalStateException("the request was answered already, expected one answer");
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpServerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpServerTests.java
@@ -79,6 +79,19 @@
       }
     }
 
+    /** Guards against callers who get no answer because a handler can't cope with their request. */
+    @Test
+    void answersRequestsWhoseHandlerFails() throws IOException {
+      HttpServer server =
+          start(
+              exchange -> {
+                throw new IllegalStateException("expected by the test");
+              });
+      try (RawConnection connection = connect(server)) {
+        assertTrue(connection.send(get("/a")).readUntil("\r\n").startsWith("HTTP/1.1 500"));
+      }
+    }
+
     @Test
     void sendsNoBodyInAnswerToHead() throws IOException {
       try (RawConnection connection = connect(startEchoServer())) {
@@ -598,6 +611,22 @@
       }
     }
 
+    /**
+     * Guards against the same after several changes, the last of which is longer than the one
+     * before.
+     */
+    @Test
+    void keepsIdleConnectionsForTheLongestTimeThatTheirCallersWereTold() throws Exception {
+      HttpServer server = startEchoServer();
+      try (RawConnection connection = connect(server)) {
+        connection.send(post("/a", "one")).readUntil("one");
+        server.setLimits(limits(512, SHORT.dividedBy(2)));
+        server.setLimits(limits(512, SHORT));
+        Thread.sleep(3 * SHORT.toMillis());
+        connection.send(post("/b", "two")).readUntil("two");
+      }
+    }
+
     /** Guards against requests that are rejected for a size that is allowed now. */
     @Test
     void movesCallersToConnectionsThatAcceptTheNewSizeOfHeads() throws Exception {
