Fail calls whose request can't be encoded

A request with a header or a method that can't be encoded, such as one for a customer whose name holds a line feed, was neither sent nor given up: the encoder's exception was lost on the event loop, the connection stayed taken, and the caller waited for its whole timeout.

The request is now encoded before the call counts as sent; if that fails, the connection goes back to the pool and the call fails at once as not sent.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -93,6 +93,14 @@
       return;
     }
     cancelIdleTimer();
+    FullHttpRequest encoded;
+    try {
+      encoded = encode(newCall.request());
+    } catch (IllegalArgumentException e) {
+      returnToPool();
+      newCall.fail(HttpFailure.NOT_SENT, "the request can't be encoded: " + e.getMessage());
+      return;
+    }
     if (!newCall.startWriting(channel)) {
       returnToPool();
       return;
@@ -102,7 +110,7 @@
     keepAlive = false;
     skippedAnswers = 0;
     skippedBytes = 0;
-    requestWrite = channel.writeAndFlush(encode(newCall.request()));
+    requestWrite = channel.writeAndFlush(encoded);
   }
 
   /** Closes a connection that has been taken from the pool and has no call. */
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
@@ -11,6 +11,7 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.Instant;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -20,6 +21,8 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 @Timeout(30)
 class HttpClientTests {
@@ -84,6 +87,30 @@
 
   @Nested
   class Failures {
+    /** Guards against a request that can't be encoded and is neither sent nor given up. */
+    @ParameterizedTest
+    @CsvSource({"GET, /, 'a\nb'", "GET, /, 'a\0b'", "'G T', /, a"})
+    void toEncodeAreReportedAsNotSent(String method, String path, String headerValue)
+        throws Exception {
+      try (HttpServer server = startEchoServer()) {
+        HttpCallRequest unsendable =
+            new HttpCallRequest(
+                address(server.address()),
+                method,
+                path,
+                Map.of("name", headerValue),
+                new byte[0],
+                Duration.ofSeconds(5));
+        Instant begun = Instant.now();
+        assertFetchFails(HttpFailure.NOT_SENT, unsendable);
+        assertFetchFails(HttpFailure.NOT_SENT, unsendable);
+        assertFetchFails(HttpFailure.NOT_SENT, unsendable);
+        assertTrue(Duration.between(begun, Instant.now()).compareTo(Duration.ofSeconds(5)) < 0);
+        assertEquals(
+            "hello", client.fetch(request(server.address(), "POST", "hello")).get().text());
+      }
+    }
+
     @Test
     void toConnectAreReportedAsNotSent() throws Exception {
       InetSocketAddress closed;
