Send other notes than one that is too long for a datagram

A service or a software version with a name of 100,000 characters made the task that tells the other instances of new versions throw, and what stood behind it in the same round was told to nobody.

A note that can't be encoded, or that is longer than a datagram, is logged and left out.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/NoteBroadcast.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/NoteBroadcast.java
@@ -4,6 +4,8 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.teaseldeal.gateway.log.NoteMessage;
 import org.teaseldeal.gateway.log.SharedNote;
 
@@ -17,6 +19,11 @@
   /** The names that fit into a datagram that isn't fragmented, even if they are long. */
   private static final int MAX_NAMES = 16;
 
+  /** The longest content of a UDP datagram over IPv4. */
+  private static final int MAX_DATAGRAM_BYTES = 65_507;
+
+  private static final Logger LOG = LoggerFactory.getLogger(NoteBroadcast.class);
+
   @Override
   public void accept(SharedNote note) {
     switch (note) {
@@ -36,8 +43,19 @@
     }
   }
 
+  /** Sends a note. One that is too long must not keep the others from being sent. */
   private void send(SharedNote note) {
-    byte[] message = NoteMessage.encode(note);
+    byte[] message;
+    try {
+      message = NoteMessage.encode(note);
+    } catch (IllegalArgumentException e) {
+      LOG.warn("a note can't be sent to other instances: {}", e.getMessage());
+      return;
+    }
+    if (message.length > MAX_DATAGRAM_BYTES) {
+      LOG.warn("a note of {} bytes is too long for a datagram", message.length);
+      return;
+    }
     addresses.get().forEach(address -> transport.send(address, message));
   }
 
