Draw services by weights whose sum exceeds an int

A route with weights whose sum overflows gave all its requests to the first service: the sum was negative, which counted as no weights at all.

The sum is a long now; smaller sums draw the same services from the same seeds as before. drawsAllServicesWithLargeWeights failed before (one of two services in 100 draws).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/Route.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/plan/Route.java
@@ -102,13 +102,17 @@
     return longest.compareTo(answerTimeout) < 0 ? longest : answerTimeout;
   }
 
+  private static long drawBelow(long bound, RandomGenerator random) {
+    return bound <= Integer.MAX_VALUE ? random.nextInt((int) bound) : random.nextLong(bound);
+  }
+
   /** Chooses a service at random in proportion to the weights. */
   public String drawService(RandomGenerator random) {
     if (services.size() == 1) {
       return services.getFirst().service();
     }
-    int total = services.stream().mapToInt(WeightedService::weight).sum();
-    int drawn = total <= 0 ? 0 : random.nextInt(total);
+    long total = services.stream().mapToLong(WeightedService::weight).sum();
+    long drawn = total <= 0 ? 0 : drawBelow(total, random);
     for (WeightedService candidate : services) {
       drawn -= candidate.weight();
       if (drawn < 0) {
