Serve requests that don't fit into a handover

A late instance hands requests over to another one. If a header or the target had more than 65,535 bytes in the message's encoding, which a configuration with a larger limit for heads allows (characters beyond ASCII take two bytes), the encoder threw after the request counted as handed over, and its caller got no answer.

The message is encoded first, and a request that doesn't fit is served by the instance itself. servesTheRequestItselfIfItDoesNotFitIntoAMessage failed before (the exception left the handler).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
@@ -5,6 +5,7 @@
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
 import java.io.IOException;
+import java.io.UTFDataFormatException;
 import java.io.UncheckedIOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -12,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.teaseldeal.api.Preconditions;
 
 /**
  * A caller's request on its way from the instance that received it to the one that decides about
@@ -53,13 +55,22 @@
   static final String RESULT = "teaseldeal-handover";
 
   private static final int LAYOUT = 1;
+  private static final int MAX_HEADERS = 0xffff;
   private static final int FIXED_BYTES = 512;
 
   /** Headers of a single connection, which the instances' own client and server set. */
   private static final Set<String> CONNECTION_HEADERS =
       Set.of("connection", "content-length", "keep-alive", "transfer-encoding", RESULT);
 
+  /**
+   * Encodes the request.
+   *
+   * @throws IllegalArgumentException if a part of it is too long for a message
+   */
   byte[] encode() {
+    Preconditions.require(
+        headers.size() <= MAX_HEADERS,
+        "headers were %d, expected at most %d".formatted(headers.size(), MAX_HEADERS));
     ByteArrayOutputStream bytes = new ByteArrayOutputStream(FIXED_BYTES + body.length);
     try (DataOutputStream out = new DataOutputStream(bytes)) {
       out.writeByte(LAYOUT);
@@ -78,6 +89,8 @@
       }
       out.writeInt(body.length);
       out.write(body);
+    } catch (UTFDataFormatException e) {
+      throw new IllegalArgumentException("a header or the target is too long for a message", e);
     } catch (IOException e) {
       throw new UncheckedIOException(e);
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -247,15 +247,24 @@
               .plus(DEADLINE_TOLERANCE);
     }
 
-    /** Offers the request to the next instance; serves it here if there is none. */
+    /**
+     * Offers the request to the next instance; serves it here if there is none, or if the request
+     * doesn't fit into a message.
+     */
     void offerOrServe() {
       Instant now = clock.instant();
       Optional<String> next =
           now.isBefore(overdueAt) ? policy.choose(tried, now) : Optional.empty();
       if (next.isEmpty()) {
-        ended = true;
-        remove();
-        dispatcher.handle(exchange);
+        serve();
+        return;
+      }
+      maxAttempts = policy.attemptsHandedOver(route.repeatable(), route.maxAttempts());
+      HttpCallRequest request;
+      try {
+        request = request(next.get(), now);
+      } catch (IllegalArgumentException e) {
+        serve();
         return;
       }
       if (open.add(this)) {
@@ -265,17 +274,22 @@
       sibling = next.get();
       tried.add(sibling);
       result = null;
-      maxAttempts = policy.attemptsHandedOver(route.repeatable(), route.maxAttempts());
       policy.onSent(sibling);
       events.accept(new GatewayEvent.HandedOver(dispatcher.requestId(exchange), sibling, late));
       String address = sibling;
-      HttpCall sent = siblings.send(request(address, now), this);
+      HttpCall sent = siblings.send(request, this);
       // The call may have failed at once and been replaced by the next one.
       if (!ended && address.equals(sibling)) {
         call = sent;
       }
     }
 
+    private void serve() {
+      ended = true;
+      remove();
+      dispatcher.handle(exchange);
+    }
+
     private HttpCallRequest request(String address, Instant now) {
       HandoverMessage message =
           new HandoverMessage(
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -124,6 +124,16 @@
     assertEquals(504, caller.status());
   }
 
+  /** Guards against a request that can't be handed over and gets no answer at all. */
+  @Test
+  void servesTheRequestItselfIfItDoesNotFitIntoAMessage() {
+    Caller caller = call(GatewayFixture.ONCE_PATH + "x".repeat(70_000));
+    assertEquals(List.of(), calls);
+    first.sent.getFirst().answer();
+    assertEquals(200, caller.status());
+    assertEquals(0, handover.openRequests());
+  }
+
   /** The other instance's process ended before a byte of the request was sent. */
   @Test
   void servesTheRequestItselfIfTheOtherInstanceCannotBeReached() {
