--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
@@ -89,7 +89,13 @@
   class Failures {
     /** Guards against a request that can't be encoded and is neither sent nor given up. */
     @ParameterizedTest
-    @CsvSource({"GET, /, 'a\nb'", "GET, /, 'a\0b'", "'G T', /, a"})
+    @CsvSource({
+      "GET, /, 'a\nb'",
+      "GET, /, 'a\0b'",
+      "'G T', /, a",
+      "GET, '/a\nb', a",
+      "GET, /a b, a"
+    })
     void toEncodeAreReportedAsNotSent(String method, String path, String headerValue)
         throws Exception {
       try (HttpServer server = startEchoServer()) {
