Refuse for a while what waits for tokens of a total that was removed

What callers saw: a request waited for tokens while a new configuration came without its customer, or without the customer's total. It got a 402, "less remain of 0", which says that coming back is of no use. If it had asked a holder at another instance, it was passed on without any reservation, so its tokens were counted nowhere and the customer could use more than its total once that was back.

Cause: PrepaidAccounts took a total that isn't known for 0, and the answer of a holder for one to a customer without a limit.

Evidence: three tests fail before and pass now: PrepaidAccountsTests.refusesForAWhileIfTheTotalIsRemovedWhileARequestWaits (BUDGET_EXHAUSTED instead of NO_LEASE) and TokenRequestsTests.countsTheTokensOfAHolderIfTheTotalIsRemovedMeanwhile and refusesForAWhileIfTheTotalIsRemovedWhileHoldersAreAsked (a reservation of 0 tokens).

A request now uses the tokens that a holder gave for it, whatever became of the total, and else is refused with a time to come back; by then the new configuration decides about it.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -153,16 +153,13 @@
     waitingListener.run();
   }
 
-  /**
-   * Reserves {@code tokens} from those that other instances have given, or none if the customer has
-   * no limit. Returns whether it did.
-   */
+  /** Returns whether the customer has no total, or isn't known. */
+  boolean isUnlimited(String customer) {
+    return prepaidTotal.apply(customer).isEmpty();
+  }
+
+  /** Reserves {@code tokens} from those that other instances have given; returns whether it did. */
   boolean reserveDrawn(String customer, long tokens, ReservationListener listener) {
-    OptionalLong total = prepaidTotal.apply(customer);
-    if (total.isEmpty()) {
-      listener.onReserved(Reservation.NONE);
-      return true;
-    }
     return account(customer).takeDrawn(tokens, listener);
   }
 
@@ -324,8 +321,12 @@
       accounts.values().forEach(account -> account.demand().update());
     }
     for (CustomerAccount account : accounts.values()) {
-      account.serveWaiting(total(account), now);
-      refuseUnservable(account, total(account));
+      if (isUnlimited(account.customer())) {
+        refuseAll(account);
+      } else {
+        account.serveWaiting(total(account), now);
+        refuseUnservable(account, total(account));
+      }
     }
     if (logAvailability.loaded() && !now.isBefore(nextReport)) {
       nextReport = now.plus(REPORT_INTERVAL);
@@ -587,6 +588,14 @@
     }
   }
 
+  /** Refuses the requests that wait for tokens of a total that has been removed. */
+  private static void refuseAll(CustomerAccount account) {
+    List<WaitingRequest> refused = List.copyOf(account.waiting());
+    account.waiting().removeAll(refused);
+    refused.forEach(
+        request -> request.listener().onRefused(RefusalPolicy.totalRemoved(account.customer())));
+  }
+
   private long total(CustomerAccount account) {
     return prepaidTotal.apply(account.customer()).orElse(0);
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
@@ -92,6 +92,15 @@
         .map(retryAfter -> noLease(account, request, retryAfter));
   }
 
+  /**
+   * Returns the problem of a request that waits for tokens of a total that has been removed. The
+   * new configuration may allow it without tokens, or no longer at all, so the caller asks again.
+   */
+  static Problem totalRemoved(String customer) {
+    return Problem.retryable(
+        ErrorKind.NO_LEASE, "the total of %s was removed".formatted(customer), RETRY_AFTER);
+  }
+
   /** Returns the problem of a request that needs more tokens than remain of the total. */
   static Problem exhausted(long tokens, long total) {
     return Problem.of(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -85,7 +85,9 @@
       Instant callerTimeout,
       Instant deadline,
       ReservationListener listener) {
-    if (holders.holds(customer)) {
+    if (accounts.isUnlimited(customer)) {
+      listener.onReserved(Reservation.NONE);
+    } else if (holders.holds(customer)) {
       accounts.reserve(customer, tokens, callerTimeout, deadline, listener);
     } else if (!accounts.reserveDrawn(customer, tokens, listener)) {
       PendingRequest request =
@@ -194,6 +196,15 @@
         requestFrom(remainingHolders.next());
       } else {
         pending.remove(this);
+        reserveHere();
+      }
+    }
+
+    /** Reserves tokens of this instance's account, unless the total was removed meanwhile. */
+    private void reserveHere() {
+      if (accounts.isUnlimited(customer)) {
+        listener.onRefused(RefusalPolicy.totalRemoved(customer));
+      } else {
         accounts.reserve(customer, tokens, callerTimeout, deadline, listener);
       }
     }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/AccountFleet.java
@@ -34,6 +34,10 @@
   final FakeSharedLog log = new FakeSharedLog();
   final List<Instance> instances = new ArrayList<>();
   long total;
+
+  /** Whether the configuration has the customer and its total. */
+  boolean totalKnown = true;
+
   private final Set<String> names;
   private long steadyClockOffsetNanos;
   private long wallClockOffsetMillis;
@@ -213,7 +217,7 @@
       this.accounts =
           new PrepaidAccounts(
               name,
-              customer -> OptionalLong.of(total),
+              customer -> totalKnown ? OptionalLong.of(total) : OptionalLong.empty(),
               holders,
               AccountFleet.this::onEvent,
               clock,
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/PrepaidAccountsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/PrepaidAccountsTests.java
@@ -448,6 +448,24 @@
     assertTrue(fleet.instance(0).refusals.getFirst().retryAfter().isPresent());
   }
 
+  /**
+   * Guards against a caller that is told that its customer's total is used up, although a new
+   * configuration came without the total while its request waited.
+   */
+  @Test
+  void refusesForAWhileIfTheTotalIsRemovedWhileARequestWaits() {
+    AccountFleet fleet = new AccountFleet(2, 1_000_000);
+    AccountFleet.Instance instance = fleet.instance(0);
+    instance.request(600_000);
+    assertEquals(List.of(), instance.refusals);
+    assertEquals(0, instance.grantedRequests);
+    fleet.totalKnown = false;
+    fleet.run(Duration.ofSeconds(1));
+    assertEquals(0, instance.grantedRequests);
+    assertEquals(ErrorKind.NO_LEASE, instance.refusals.getFirst().kind());
+    assertTrue(instance.refusals.getFirst().retryAfter().isPresent());
+  }
+
   /**
    * Guards against a caller that is refused right after an outage. Near the end of an outage a
    * request arrives that no lease covers, so it waits; when the log is back, its tokens have to be
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
@@ -39,6 +39,7 @@
   private record Returned(String holder, long tokens) {}
 
   private boolean hasRecentPeerMessages = true;
+  private OptionalLong total = OptionalLong.of(1_000_000);
   private final ManualClock clock = new ManualClock();
   private final List<SentRequest> sentRequests = new ArrayList<>();
   private final List<Returned> returned = new ArrayList<>();
@@ -48,7 +49,7 @@
   private final PrepaidAccounts accounts =
       new PrepaidAccounts(
           REQUESTER,
-          customer -> OptionalLong.of(1_000_000),
+          customer -> total,
           holders,
           event -> {},
           clock,
@@ -158,6 +159,31 @@
     assertEquals(TOKENS - 2_000, lastSentRequest().request().tokens());
   }
 
+  /**
+   * Guards against a request that runs without its tokens, and uses more than the total, because a
+   * new configuration came without the total while a holder was asked.
+   */
+  @Test
+  void countsTheTokensOfAHolderIfTheTotalIsRemovedMeanwhile() {
+    request();
+    total = OptionalLong.empty();
+    answer(new HolderPort.Answer.Granted());
+    assertEquals(List.of(new Reservation(CUSTOMER, TOKENS, TOKENS)), reserved);
+  }
+
+  /** Guards against the same if no holder answers. */
+  @Test
+  void refusesForAWhileIfTheTotalIsRemovedWhileHoldersAreAsked() {
+    request();
+    total = OptionalLong.empty();
+    for (int i = 0; i < 3; i++) {
+      answer(new HolderPort.Answer.Unreachable("down"));
+    }
+    assertEquals(List.of(), reserved);
+    assertEquals(ErrorKind.NO_LEASE, refused.getFirst().kind());
+    assertTrue(refused.getFirst().retryAfter().isPresent());
+  }
+
   private void request() {
     Instant callerTimeout = clock.instant().plus(Duration.ofSeconds(3));
     requests.reserve(CUSTOMER, TOKENS, callerTimeout, callerTimeout, listener);
