Answer a handed-over request by its caller's own timeout

What callers saw: an instance that had taken a request from another one lost power, or its link was gone without a close. The caller got nothing until the timeout of its route, often long after it had left.

Cause: RequestHandover bounded the wait by the route's timeout alone, while a request that isn't handed over ends by the lesser of that and the time that its caller waits.

Evidence: RequestHandoverTests. answersByTheCallersOwnTimeoutIfTheOtherInstanceIsSilent, a caller that waits for 1 s on a route of 5 s: no answer after 1.25 s before, a 502 now.

The instance that has the caller reads the caller's timeout alone, by a new method of the dialect, since it is late and should not parse the rest.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
@@ -1,6 +1,8 @@
 package org.teaseldeal.gateway.flow;
 
+import java.time.Duration;
 import java.util.Map;
+import java.util.Optional;
 import org.teaseldeal.api.Problem;
 import org.teaseldeal.api.Result;
 import org.teaseldeal.net.HttpAnswer;
@@ -18,6 +20,9 @@
   /** The caller's identifier of the attempt, for the log; empty if it gave none. */
   String requestId(HttpExchange exchange);
 
+  /** How long the caller waits for its answer; empty if it didn't say so in a readable form. */
+  Optional<Duration> callerTimeout(HttpExchange exchange);
+
   /** Creates the request that is sent to a backend server. */
   HttpCallRequest forward(CallerRequest request, ForwardingTerms terms);
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -531,8 +531,13 @@
    * timeout.
    */
   static Duration maxDuration(CallerRequest request, Route route) {
-    Duration callerTimeout = request.callerTimeout().orElse(route.timeout());
-    return callerTimeout.compareTo(route.timeout()) < 0 ? callerTimeout : route.timeout();
+    return Durations.shorter(request.callerTimeout().orElse(route.timeout()), route.timeout());
+  }
+
+  /** The same for a request that has not been read. */
+  public Duration maxDuration(HttpExchange exchange, Route route) {
+    Duration callerTimeout = components.dialect().callerTimeout(exchange).orElse(route.timeout());
+    return Durations.shorter(callerTimeout, route.timeout());
   }
 
   /** Whether requests that have not been sent to any server are refused. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -243,7 +243,7 @@
           clock
               .instant()
               .minus(exchange.timeSinceHead())
-              .plus(route.timeout())
+              .plus(dispatcher.maxDuration(exchange, route))
               .plus(DEADLINE_TOLERANCE);
     }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -34,6 +34,9 @@
   /** In an answer: the requests a second that the server takes. */
   public static final String LIMIT_HEADER = "limit";
 
+  /** In a request: the milliseconds for which its caller waits for the answer. */
+  public static final String CALLER_TIMEOUT_HEADER = "caller-timeout-ms";
+
   /** In a refusal: the milliseconds after which the caller may come back. */
   private static final String RETRY_AFTER_HEADER = "come-back-ms";
 
@@ -64,7 +67,7 @@
             exchange.path(),
             List.of(),
             exchange.body(),
-            Optional.empty(),
+            callerTimeout(exchange),
             Optional.empty(),
             prompt(exchange.path()),
             Optional.empty()));
@@ -89,6 +92,13 @@
     return "r-1";
   }
 
+  @Override
+  public Optional<Duration> callerTimeout(HttpExchange exchange) {
+    return exchange
+        .header(CALLER_TIMEOUT_HEADER)
+        .map(millis -> Duration.ofMillis(Long.parseLong(millis)));
+  }
+
   @Override
   public HttpCallRequest forward(CallerRequest request, ForwardingTerms terms) {
     return new HttpCallRequest(
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeExchange.java
@@ -2,6 +2,7 @@
 
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -12,6 +13,8 @@
 public class FakeExchange implements HttpExchange {
   private final String path;
   private final byte[] body;
+  private final Map<String, String> requestHeaders = new HashMap<>();
+  private Duration timeSinceHead = Duration.ZERO;
   private int status;
   private Map<String, String> answerHeaders = Map.of();
   private boolean aborted;
@@ -29,6 +32,18 @@
     this.body = body.clone();
   }
 
+  /** Has the caller wait for its answer for {@code timeout} only. */
+  public FakeExchange withCallerTimeout(Duration timeout) {
+    requestHeaders.put(FakeDialect.CALLER_TIMEOUT_HEADER, Long.toString(timeout.toMillis()));
+    return this;
+  }
+
+  /** Has the request wait for {@code time} before it is handled. */
+  public FakeExchange withTimeSinceHead(Duration time) {
+    timeSinceHead = time;
+    return this;
+  }
+
   /** The answer's body; empty until the request is answered. */
   public byte[] answer() {
     return answer.clone();
@@ -66,7 +81,7 @@
 
   @Override
   public Optional<String> header(String name) {
-    return Optional.empty();
+    return Optional.ofNullable(requestHeaders.get(name));
   }
 
   @Override
@@ -81,7 +96,7 @@
 
   @Override
   public Duration timeSinceHead() {
-    return Duration.ZERO;
+    return timeSinceHead;
   }
 
   @Override
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -311,6 +311,24 @@
     assertEquals(2, receiver.openRequests());
   }
 
+  /**
+   * Guards against callers that get no answer in their time from an instance that lost power after
+   * it had taken their request, on a route whose timeout is longer.
+   */
+  @Test
+  void answersByTheCallersOwnTimeoutIfTheOtherInstanceIsSilent() {
+    Caller caller = new Caller(GatewayFixture.ONCE_PATH);
+    caller.withCallerTimeout(Duration.ofSeconds(1));
+    handover.handle(caller);
+    first.clock.advance(Duration.ofMillis(900));
+    handover.tick();
+    assertEquals(0, caller.status());
+    first.clock.advance(Duration.ofMillis(350));
+    handover.tick();
+    assertEquals(502, caller.status());
+    assertEquals(0, handover.openRequests());
+  }
+
   @Test
   void learnsOfInstancesByAsking() {
     HandoverPolicy unused = new HandoverPolicy(new Random(3));
@@ -322,7 +340,6 @@
 
   /** A caller's request to the first instance. */
   private static final class Caller extends FakeExchange {
-    private final Duration waited;
     private @Nullable Runnable onDisconnect;
     private int streamedBytes;
     private boolean streamFinished;
@@ -338,7 +355,7 @@
 
     Caller(String path, Duration waited, byte[] body) {
       super(path, body);
-      this.waited = waited;
+      withTimeSinceHead(waited);
     }
 
     void leave() {
@@ -347,14 +364,9 @@
       }
     }
 
-    @Override
-    public Duration timeSinceHead() {
-      return waited;
-    }
-
     @Override
     public Optional<String> header(String name) {
-      return name.equals("host") ? Optional.of(FakeDialect.HOST) : Optional.empty();
+      return name.equals("host") ? Optional.of(FakeDialect.HOST) : super.header(name);
     }
 
     @Override
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -71,6 +71,11 @@
             call.resumption()));
   }
 
+  @Override
+  public Optional<Duration> callerTimeout(HttpExchange exchange) {
+    return Optional.of(((ModelExchange) exchange).timeLeft());
+  }
+
   static String path(Scenario.Kind kind) {
     return "/" + kind.name() + "/";
   }
