Send no request to a server after its deadline

Cause: the deadline was checked by the timer of a request only. One that was handled after its deadline (another instance took until then to refuse it, or it waited for the first configuration, or in an event loop that stood still) was sent to a server at once, before the first tick.

The deadline is checked where a request starts and before each send.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -233,6 +233,9 @@
 
   void start() {
     exchange.onCallerDisconnect(this::onCallerDisconnected);
+    if (endIfDeadlinePassed()) {
+      return;
+    }
     if (route.kind().streamed() && request.resumption().isPresent()) {
       stream.resolve(this::onStreamResolved);
     } else {
@@ -355,9 +358,10 @@
       return;
     }
     checkedAt = now();
-    if (!checkedAt.isBefore(deadline)) {
-      onDeadlinePassed();
-    } else if (heldRepeat != null) {
+    if (endIfDeadlinePassed()) {
+      return;
+    }
+    if (heldRepeat != null) {
       repeatUnlessSuspected(heldRepeat);
     } else if (stage == Stage.SERVER) {
       if (!dispatcher.waitingRequests().contains(this)) {
@@ -410,6 +414,9 @@
   }
 
   private void send() {
+    if (endIfDeadlinePassed()) {
+      return;
+    }
     if (dispatcher.refusingAll() && !mayHaveRun) {
       refuse(dispatcher.drainingProblem());
       return;
@@ -936,6 +943,14 @@
     }
   }
 
+  private boolean endIfDeadlinePassed() {
+    if (now().isBefore(deadline)) {
+      return false;
+    }
+    onDeadlinePassed();
+    return true;
+  }
+
   private void onDeadlinePassed() {
     if (attempt != null) {
       cancelAttempt(attempt);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EarlyRequestTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EarlyRequestTests.java
@@ -71,6 +71,18 @@
     assertEquals(0, gateway.dispatcher.openRequests());
   }
 
+  /** Guards against requests that are sent to a server after their deadline. */
+  @Test
+  void sendsNoRequestWhoseDeadlineHasPassed() {
+    gateway.configured = true;
+    FakeExchange late =
+        new FakeExchange(GatewayFixture.ONCE_PATH).withTimeSinceHead(Duration.ofSeconds(6));
+    gateway.dispatcher.handle(late);
+    assertEquals(0, gateway.sent.size());
+    assertEquals(504, late.status());
+    assertEquals(0, gateway.dispatcher.openRequests());
+  }
+
   /** The process is stopped while it starts. The caller is refused at once. */
   @Test
   void refusesARequestWhenTheInstanceStops() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -43,6 +43,7 @@
   private boolean secondTakesRequests = true;
   private @Nullable GatewayPlan secondPlan = second.plan;
   private boolean linkDown;
+  private boolean receiverDown;
   private final HandoverReceiver receiver =
       new HandoverReceiver(
           second.dispatcher,
@@ -81,7 +82,9 @@
     }
     PeerCall call = new PeerCall(request, listener);
     calls.add(call);
-    receiver.handle(call);
+    if (!receiverDown) {
+      receiver.handle(call);
+    }
     return call::disconnect;
   }
 
@@ -329,6 +332,21 @@
     assertEquals(0, handover.openRequests());
   }
 
+  /**
+   * Guards against requests that are sent to a server after their deadline, as the refusal of
+   * another instance took until then.
+   */
+  @Test
+  void sendsNoRequestWhoseDeadlinePassedAtAnotherInstance() {
+    receiverDown = true;
+    Caller caller = call(GatewayFixture.ONCE_PATH);
+    first.clock.advance(Duration.ofSeconds(6));
+    caller.withTimeSinceHead(Duration.ofSeconds(6));
+    calls.getFirst().fail(HttpFailure.NOT_SENT);
+    assertEquals(List.of(), first.sent);
+    assertEquals(504, caller.status());
+  }
+
   @Test
   void learnsOfInstancesByAsking() {
     HandoverPolicy unused = new HandoverPolicy(new Random(3));
