Refuse a request that waits for the first configuration in time

What callers saw: a caller that waits for less than 0.8 s for its answer got none from an instance that had not read its first configuration yet, and left.

Cause: such a request was held for 0.8 s, whatever its caller's timeout.

Evidence: EarlyRequestTests.refusesARequestBeforeItsCallerLeaves, a caller that waits for 400 ms: no answer after 250 ms before, a 503 with a time to come back now.

The request is refused 0.2 s before its caller leaves, or at half of the caller's time if that is later.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -48,6 +48,9 @@
    */
   private static final Duration MAX_WAIT_FOR_PLAN = Duration.ofMillis(800);
 
+  /** How long before its caller stops waiting an early request is refused at the latest. */
+  private static final Duration REFUSAL_TIME = Duration.ofMillis(200);
+
   /**
    * A server counts as silent if it sends nothing for this many times its route's latency target.
    * Answers under load take up to twice the target; of the answers that are still missing after
@@ -110,8 +113,12 @@
     }
   }
 
-  /** A request that arrived before the first configuration was known. */
-  private record EarlyRequest(HttpExchange exchange, Instant arrived) {}
+  /**
+   * A request that arrived before the first configuration was known.
+   *
+   * @param refusedAt when it is refused if no configuration is known by then
+   */
+  private record EarlyRequest(HttpExchange exchange, Instant arrived, Instant refusedAt) {}
 
   private final GatewayComponents components;
   private final ServerSelector selector;
@@ -234,7 +241,8 @@
   public void handle(HttpExchange exchange) {
     Instant arrived = arrivedAt(exchange);
     if (components.plan().get() == null && !refusingAll) {
-      EarlyRequest request = new EarlyRequest(exchange, arrived);
+      Instant refusedAt = arrived.plus(maxWaitForPlan(exchange));
+      EarlyRequest request = new EarlyRequest(exchange, arrived, refusedAt);
       earlyRequests.add(request);
       wake();
       exchange.onCallerDisconnect(() -> earlyRequests.remove(request));
@@ -314,7 +322,9 @@
         earlyRequests.stream()
             .filter(
                 each ->
-                    components.plan().get() != null || refusingAll || hasWaitedTooLong(each, now))
+                    components.plan().get() != null
+                        || refusingAll
+                        || !now.isBefore(each.refusedAt()))
             .toList();
     earlyRequests.removeAll(due);
     for (EarlyRequest each : due) {
@@ -334,8 +344,14 @@
     }
   }
 
-  private static boolean hasWaitedTooLong(EarlyRequest request, Instant now) {
-    return !now.isBefore(request.arrived().plus(MAX_WAIT_FOR_PLAN));
+  /** Returns how long a request may wait so that its refusal arrives before its caller leaves. */
+  private Duration maxWaitForPlan(HttpExchange exchange) {
+    return components
+        .dialect()
+        .callerTimeout(exchange)
+        .map(timeout -> Durations.longer(timeout.minus(REFUSAL_TIME), timeout.dividedBy(2)))
+        .map(longest -> Durations.shorter(MAX_WAIT_FOR_PLAN, longest))
+        .orElse(MAX_WAIT_FOR_PLAN);
   }
 
   /** Sets what runs whenever a request begins to wait for something that {@link #tick} does. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EarlyRequestTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/EarlyRequestTests.java
@@ -71,6 +71,20 @@
     assertEquals(0, gateway.dispatcher.openRequests());
   }
 
+  /** Guards against callers that leave without an answer before the configuration is read. */
+  @Test
+  void refusesARequestBeforeItsCallerLeaves() {
+    FakeExchange early =
+        new FakeExchange(GatewayFixture.ONCE_PATH).withCallerTimeout(Duration.ofMillis(400));
+    gateway.dispatcher.handle(early);
+    gateway.clock.advance(Duration.ofMillis(150));
+    gateway.dispatcher.tick();
+    assertEquals(0, early.status());
+    gateway.clock.advance(Duration.ofMillis(100));
+    gateway.dispatcher.tick();
+    assertEquals(503, early.status());
+  }
+
   /** Guards against requests that are sent to a server after their deadline. */
   @Test
   void sendsNoRequestWhoseDeadlineHasPassed() {
