--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -43,6 +43,7 @@
   private boolean secondTakesRequests = true;
   private @Nullable GatewayPlan secondPlan = second.plan;
   private boolean linkDown;
+  private boolean receiverDown;
   private final HandoverReceiver receiver =
       new HandoverReceiver(
           second.dispatcher,
@@ -81,7 +82,9 @@
     }
     PeerCall call = new PeerCall(request, listener);
     calls.add(call);
-    receiver.handle(call);
+    if (!receiverDown) {
+      receiver.handle(call);
+    }
     return call::disconnect;
   }
 
@@ -321,6 +324,39 @@
     assertEquals(2, receiver.openRequests());
   }
 
+  /**
+   * Guards against callers that get no answer in their time from an instance that lost power after
+   * it had taken their request, on a route whose timeout is longer.
+   */
+  @Test
+  void answersByTheCallersOwnTimeoutIfTheOtherInstanceIsSilent() {
+    Caller caller = new Caller(GatewayFixture.ONCE_PATH);
+    caller.withCallerTimeout(Duration.ofSeconds(1));
+    handover.handle(caller);
+    first.clock.advance(Duration.ofMillis(900));
+    handover.tick();
+    assertEquals(0, caller.status());
+    first.clock.advance(Duration.ofMillis(350));
+    handover.tick();
+    assertEquals(502, caller.status());
+    assertEquals(0, handover.openRequests());
+  }
+
+  /**
+   * Guards against requests that are sent to a server after their deadline, as the refusal of
+   * another instance took until then.
+   */
+  @Test
+  void sendsNoRequestWhoseDeadlinePassedAtAnotherInstance() {
+    receiverDown = true;
+    Caller caller = call(GatewayFixture.ONCE_PATH);
+    first.clock.advance(Duration.ofSeconds(6));
+    caller.withTimeSinceHead(Duration.ofSeconds(6));
+    calls.getFirst().fail(HttpFailure.NOT_SENT);
+    assertEquals(List.of(), first.sent);
+    assertEquals(504, caller.status());
+  }
+
   @Test
   void learnsOfInstancesByAsking() {
     HandoverPolicy unused = new HandoverPolicy(new Random(3));
@@ -332,7 +368,6 @@
 
   /** A caller's request to the first instance. */
   private static final class Caller extends FakeExchange {
-    private final Duration waited;
     private @Nullable Runnable onDisconnect;
     private int streamedBytes;
     private boolean streamFinished;
@@ -348,7 +383,7 @@
 
     Caller(String path, Duration waited, byte[] body) {
       super(path, body);
-      this.waited = waited;
+      withTimeSinceHead(waited);
     }
 
     void leave() {
@@ -357,14 +392,9 @@
       }
     }
 
-    @Override
-    public Duration timeSinceHead() {
-      return waited;
-    }
-
     @Override
     public Optional<String> header(String name) {
-      return name.equals("host") ? Optional.of(FakeDialect.HOST) : Optional.empty();
+      return name.equals("host") ? Optional.of(FakeDialect.HOST) : super.header(name);
     }
 
     @Override
