Make no account of a record that names no customer

A record under an account's key without a customer made an account with an empty name, about which no note can be written; a value that names another customer than its key isn't used either.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteCodec.java
@@ -198,7 +198,7 @@
 
   /**
    * Returns a placeholder for the account that a record rejected by {@link #decode} is about; empty
-   * if it is not about an account.
+   * if it is not about a customer's account.
    */
   static Optional<SharedNote> placeholder(KeyedRecord record) {
     NoteKey key;
@@ -207,10 +207,14 @@
     } catch (IllegalArgumentException e) {
       return Optional.empty();
     }
-    return key.kind().equals(ACCOUNT)
+    return key.kind().equals(ACCOUNT) && !key.subject().isBlank()
         ? Optional.of(
             new SharedNote.UnreadableAccount(
-                key.instance(), key.subject(), takenTokens(record.value())))
+                key.instance(),
+                key.subject(),
+                namesAnother(key, record.value())
+                    ? OptionalLong.empty()
+                    : takenTokens(record.value())))
         : Optional.empty();
   }
 
@@ -239,6 +243,19 @@
     return OptionalLong.of(spent + writtenOff + held + (isTotal(claimed) ? claimed : 0));
   }
 
+  /** Returns whether a value names another subject than the one whose hash is in the key. */
+  private static boolean namesAnother(NoteKey key, byte[] value) {
+    if (value.length == 0 || (value[0] & SUBJECT_FLAG) == 0) {
+      return false;
+    }
+    try (DataInputStream in =
+        new DataInputStream(new ByteArrayInputStream(value, 1, value.length - 1))) {
+      return !NoteKey.subjectInKey(in.readUTF()).equals(key.subject());
+    } catch (IOException e) {
+      return true;
+    }
+  }
+
   /** Returns the length in bytes of the subject that a value begins with; 0 if there is none. */
   private static int subjectLength(byte[] value) {
     return (value[0] & SUBJECT_FLAG) == 0 || value.length < 1 + Short.BYTES
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/log/NoteCodecTests.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import net.jqwik.api.Arbitraries;
@@ -94,6 +95,18 @@
             NoteCodec.placeholder(new KeyedRecord(record.key(), cut)).orElseThrow();
     assertEquals(SharedNote.customerInKey(name), placeholder.customer());
     assertEquals(OptionalLong.of(1 + 2 + 30 + 5), placeholder.taken());
+    String otherKey = NoteCodec.encode(account("y".repeat(300))).key();
+    SharedNote.UnreadableAccount ofAnother =
+        (SharedNote.UnreadableAccount)
+            NoteCodec.placeholder(new KeyedRecord(otherKey, cut)).orElseThrow();
+    assertEquals(OptionalLong.empty(), ofAnother.taken());
+  }
+
+  /** Guards against an account without a name, whose note can't be written. */
+  @Test
+  void makesNoPlaceholderForARecordThatNamesNoCustomer() {
+    assertEquals(
+        Optional.empty(), NoteCodec.placeholder(new KeyedRecord("account|a|", new byte[] {4, 0})));
   }
 
   /** Guards against a note that counts for a customer that its key doesn't name. */
