--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/HandoverLinkTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/HandoverLinkTests.java
@@ -8,7 +8,6 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -19,13 +18,18 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.teaseldeal.decisions.HandoverPolicy;
+import org.teaseldeal.gateway.fake.CuttingProxy;
+import org.teaseldeal.gateway.fake.CuttingProxy.Cut;
 import org.teaseldeal.gateway.fake.FakeDialect;
 import org.teaseldeal.gateway.handover.RequestHandover;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpClient;
 import org.teaseldeal.net.HttpClientConfig;
+import org.teaseldeal.net.HttpExchange;
 import org.teaseldeal.net.HttpFailureException;
 import org.teaseldeal.net.HttpHandler;
 import org.teaseldeal.net.HttpServer;
@@ -39,14 +43,41 @@
     System.setProperty(SharedEventLoops.THREADS_PROPERTY, "1");
   }
 
+  private static final Map<String, String> NOT_TAKEN = Map.of("teaseldeal-handover", "NOT_TAKEN");
+  private static final HttpAnswer BROKEN = new HttpAnswer(0, Map.of(), new byte[0]);
+
+  /** How the instance that took a request answers it. */
+  private enum Taken implements HttpHandler {
+    COMPLETE {
+      @Override
+      public void handle(HttpExchange exchange) {
+        exchange.respond(
+            200,
+            Map.of("teaseldeal-handover", "COMPLETE"),
+            "whole".getBytes(StandardCharsets.UTF_8));
+      }
+    },
+    STREAM {
+      @Override
+      public void handle(HttpExchange exchange) {
+        ResponseStream stream = exchange.startStream(200, Map.of("teaseldeal-handover", "STREAM"));
+        stream.write("one ".getBytes(StandardCharsets.UTF_8));
+        stream.write("two".getBytes(StandardCharsets.UTF_8));
+        stream.finish();
+      }
+    }
+  }
+
   private static final Duration TIMEOUT = Duration.ofSeconds(10);
   private static final Map<String, String> STREAM = Map.of("teaseldeal-handover", "STREAM");
 
+  private final HandoverPolicy policy = new HandoverPolicy(new Random(1));
   private final GatewayFixture gateway = new GatewayFixture();
   private final HttpClient callers = new HttpClient(HttpClientConfig.defaults());
   private final HttpClient links = new HttpClient(HttpClientConfig.defaults());
   private volatile HttpHandler siblingHandler = exchange -> exchange.abort();
   private HttpServer sibling;
+  private CuttingProxy siblingLink;
   private HttpServer instance;
 
   @BeforeEach
@@ -54,15 +85,14 @@
     sibling =
         HttpServer.start(
             HttpServerConfig.defaults("127.0.0.1", 0), exchange -> siblingHandler.handle(exchange));
-    HandoverPolicy policy = new HandoverPolicy(new Random(1));
-    Instant now = gateway.clock.instant();
-    policy.onWilling(address(sibling), now);
+    siblingLink = new CuttingProxy(sibling.address());
+    policy.onWilling(siblingLink.address(), gateway.clock.instant());
     RequestHandover handover =
         new RequestHandover(
             "instance-1",
             gateway.dispatcher,
             links::send,
-            () -> List.of(address(sibling)),
+            () -> List.of(siblingLink.address()),
             () -> true,
             () -> Duration.ofSeconds(1),
             () -> gateway.plan,
@@ -73,8 +103,9 @@
   }
 
   @AfterEach
-  void stop() {
+  void stop() throws IOException {
     instance.close();
+    siblingLink.close();
     sibling.close();
     callers.close();
     links.close();
@@ -144,6 +175,50 @@
     assertEquals(List.of(), gateway.sent);
   }
 
+  /**
+   * Guards against an answer of the instance that took a request reaching the caller as complete,
+   * or as proof that the request was not taken, although its connection ends at any byte.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void doesNotCompleteAnAnswerThatIsCut(Taken taken) throws Exception {
+    siblingHandler = taken;
+    assertEquals(200, callWith(Cut.NONE).get().status());
+    long bytes = siblingLink.answerBytes();
+    for (long cutAt = 0; cutAt < bytes; cutAt++) {
+      for (boolean reset : new boolean[] {false, true}) {
+        HttpAnswer answer = callWith(new Cut(cutAt, reset)).exceptionally(failure -> BROKEN).get();
+        assertTrue(answer.status() == 502 || answer == BROKEN, answer.text() + " at " + cutAt);
+      }
+    }
+    assertEquals(List.of(), gateway.sent);
+  }
+
+  /**
+   * Guards against a request being run here that may run at the other instance, whose refusal is
+   * cut inside its head.
+   */
+  @Test
+  void doesNotServeARequestWhoseRefusalIsCutInItsHead() throws Exception {
+    siblingHandler = exchange -> exchange.respond(503, NOT_TAKEN, new byte[0]);
+    String address = siblingLink.address();
+    callers.fetch(new HttpCallRequest(address, "GET", "/", Map.of(), new byte[0], TIMEOUT)).get();
+    long headBytes = siblingLink.answerBytes();
+    for (long cutAt = 0; cutAt < headBytes; cutAt++) {
+      assertEquals(502, callWith(new Cut(cutAt, false)).get().status(), "at " + cutAt);
+    }
+    assertEquals(List.of(), gateway.sent);
+  }
+
+  /** Sends a request that is handed over on a new connection. */
+  private CompletableFuture<HttpAnswer> callWith(Cut cut) {
+    links.closeIdle(siblingLink.address());
+    siblingLink.setCut(cut);
+    // An instance whose answer was lost is left out for some time.
+    policy.onWilling(siblingLink.address(), gateway.clock.instant());
+    return call();
+  }
+
   @Test
   void closesTheCallOfACallerThatLeaves() throws Exception {
     CountDownLatch arrived = new CountDownLatch(1);
