Keep a plain request at its silent server unless another one is certain

What callers saw: a repeatable request failed with a 502 although its only server paused for little more than a second and would have answered well within the timeout.

Cause: a server counts as silent after three times the latency target. The attempt was cancelled then, before a retry and another server were certain. That was mended for begun streams only; a 502 is a complete answer, but not the one that the server was about to give.

Evidence: SilentServerFlowTests.waitsForTheOnlyServerThatMayAnswer, a 502 before, the server's 200 now.

A stream that has not begun is still given up: its caller leaves soon, and a 502 lets it come back. So is an attempt whose server can't be connected to and is silent for as long.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -636,9 +636,9 @@
    * Sends the request to another server if the present one has sent nothing for too long.
    *
    * <p>A server that loses power doesn't close its connections. Without this check its callers
-   * would wait until their deadlines. A server may also pause and go on, so an answer that has
-   * begun is not aborted because of silence alone: without another server that goes on with it, its
-   * caller waits.
+   * would wait until their deadlines. A server may also pause and go on, so an answer is not given
+   * up because of silence alone: without another server, its caller waits. Only the caller of a
+   * stream that has not begun is told, since it would leave soon.
    */
   private void failOverIfSilent() {
     Attempt silent = attempt;
@@ -651,7 +651,8 @@
       return;
     }
     boolean serverLost = overdue && pathLost;
-    if (answer.hasBegun() && !serverLost && !reserveRetry(silent)) {
+    boolean callerWaits = answer.hasBegun() || !route.kind().streamed();
+    if (callerWaits && !serverLost && !reserveRetry(silent)) {
       return;
     }
     silent.cancel();
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
@@ -64,6 +64,21 @@
     assertTrue(caller.finished());
   }
 
+  /**
+   * Guards against a repeatable request that fails because its only server pauses for longer than
+   * usual and answers well within the timeout.
+   */
+  @Test
+  void waitsForTheOnlyServerThatMayAnswer() {
+    GatewayFixture gateway = new GatewayFixture();
+    gateway.list("server-1", FIRST, Instant.EPOCH);
+    FakeExchange caller = gateway.call(GatewayFixture.REPEATABLE_PATH);
+    waitInSilence(gateway);
+    assertEquals(0, caller.status());
+    lastSent(gateway).answer();
+    assertEquals(200, caller.status());
+  }
+
   /** Guards against a begun stream whose caller waits although another server can go on with it. */
   @Test
   void resumesABegunStreamAtAnotherServer() {
