--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
@@ -118,6 +118,16 @@
         randomSubset(engineNames(), fault.share())
             .forEach(name -> fleet.rejectWithPause(fleet.server(name), pause, fault.lasting()));
       }
+      case SILENCE -> {
+        List<String> chosen = randomSubset(engineNames(), fault.share());
+        for (int i = 0; i < chosen.size(); i++) {
+          ModelServer engine = fleet.server(chosen.get(i));
+          fleet
+              .time()
+              .schedule(
+                  fault.gap().multipliedBy(i), () -> fleet.silenceEngine(engine, fault.lasting()));
+        }
+      }
       case HOLDER_LOST -> {
         List<String> holders =
             TokenHolderChoice.holders(load.customers().getFirst(), fleet.memberNames()).stream()
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelEngine.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelEngine.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.model;
 
+import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -51,6 +52,9 @@
   private boolean down;
   private long incarnation;
 
+  /** Until this time since the start of the simulation, the engine ends no step. */
+  private long silentUntilNanos;
+
   /**
    * Creates an engine.
    *
@@ -104,6 +108,7 @@
   public void setDown(boolean newDown) {
     down = newDown;
     incarnation++;
+    silentUntilNanos = 0;
     cache.clear();
     cachedTokens = 0;
     List<ActiveRequest> lost = new ArrayList<>(running);
@@ -115,6 +120,11 @@
     lost.forEach(entry -> entry.listener.onCrash());
   }
 
+  /** Has the engine send nothing for a time; then it goes on where it was. */
+  void fallSilent(Duration lasting) {
+    silentUntilNanos = Math.max(silentUntilNanos, time.elapsedNanos() + lasting.toNanos());
+  }
+
   private void startStep() {
     if (stepping || down) {
       return;
@@ -144,11 +154,20 @@
             + (double) settings.stepPerRequest().toNanos() * running.size()
             + read / settings.promptTokensPerMilli() * 1e6;
     nanos /= speed;
-    long incarnationAtStart = incarnation;
+    scheduleEndOfStep(Math.round(nanos), incarnation);
+  }
+
+  private void scheduleEndOfStep(long nanos, long incarnationAtStart) {
     time.scheduleNanos(
-        Math.round(nanos),
+        nanos,
         () -> {
-          if (incarnationAtStart == incarnation) {
+          long silentNanos = silentUntilNanos - time.elapsedNanos();
+          if (incarnationAtStart != incarnation) {
+            return;
+          }
+          if (silentNanos > 0) {
+            scheduleEndOfStep(silentNanos, incarnationAtStart);
+          } else {
             endStep();
           }
         });
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -376,6 +376,13 @@
     crashServer(engine, part.downtime());
   }
 
+  /** Has an engine send nothing for a time, after which it goes on. */
+  void silenceEngine(ModelServer server, Duration lasting) {
+    if (server instanceof ModelEngine engine) {
+      engine.fallSilent(lasting);
+    }
+  }
+
   /** Sets the requests in a second that a server takes. */
   void limitServer(ModelServer server, double requestsPerSecond) {
     serverLimits.put(server.name(), requestsPerSecond);
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
@@ -192,7 +192,12 @@
      */
     LEAVE,
     /** Engines reject all requests and ask for a pause of {@code factor} seconds. */
-    PAUSE
+    PAUSE,
+    /**
+     * Sound engines send nothing for the duration and go on then, one after the other with a {@code
+     * gap}.
+     */
+    SILENCE
   }
 
   /** Where in a prompt a part stands, which is never the last. */
--- a/teaseldeal-model/src/test/java/org/teaseldeal/model/ModelEngineTests.java
+++ b/teaseldeal-model/src/test/java/org/teaseldeal/model/ModelEngineTests.java
@@ -42,6 +42,19 @@
     assertEquals(2 * (300 + 400), meter.tokensOf("customer"));
   }
 
+  /** Guards against a silent engine that loses its requests or sends while it is silent. */
+  @Test
+  void goesOnAfterASilence() {
+    ModelEngine engine = engine(1);
+    run(engine, 1, 100, 10);
+    engine.fallSilent(Duration.ofMillis(1_200));
+    time.runUntil(Duration.ofMillis(1_199));
+    assertEquals(List.of(), finished);
+    time.runUntil(END);
+    assertEquals(List.of(1L), finished);
+    assertEquals(100 + 10, meter.tokensOf("customer"));
+  }
+
   private long timeToFinish(double speed) {
     VirtualTime start = new VirtualTime();
     List<Long> ends = new ArrayList<>();
