Leave room in a key for long names of instances and kinds

A note of the longest kind, by an instance and about a name of 128 bytes each, had a key of 270 bytes, which can't be made: it was logged and never written. Names of more than 100 bytes are hashed now.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteKey.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/NoteKey.java
@@ -20,7 +20,7 @@
   private static final int PARTS = 3;
 
   /** The longest name in a key, which leaves room for the kind and the instance. */
-  private static final int MAX_SUBJECT_BYTES = 128;
+  private static final int MAX_SUBJECT_BYTES = 100;
 
   /** Introduces a hash in place of a name. A name that begins so is replaced, too. */
   private static final String HASH_PREFIX = "sha256:";
