Let one method set a timer that acts after pending input, and name what begins an answer

Two timers repeated the same two steps. ServerConnection.keepAlive had come to note the idle time that the caller was told, so its name hid what it does. Behaviour is as it was; the tests of net and those of requests and handovers in gateway passed, with the linter.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -49,7 +49,7 @@
   private static final Duration MAX_WAIT_FOR_PLAN = Duration.ofMillis(800);
 
   /** How long before its caller stops waiting an early request is refused at the latest. */
-  private static final Duration REFUSAL_TIME = Duration.ofMillis(200);
+  private static final Duration REFUSAL_LEAD_TIME = Duration.ofMillis(200);
 
   /**
    * A server counts as silent if it sends nothing for this many times its route's latency target.
@@ -349,7 +349,7 @@
     return components
         .dialect()
         .callerTimeout(exchange)
-        .map(timeout -> Durations.longer(timeout.minus(REFUSAL_TIME), timeout.dividedBy(2)))
+        .map(timeout -> Durations.longer(timeout.minus(REFUSAL_LEAD_TIME), timeout.dividedBy(2)))
         .map(longest -> Durations.shorter(MAX_WAIT_FOR_PLAN, longest))
         .orElse(MAX_WAIT_FOR_PLAN);
   }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
@@ -5,7 +5,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.Future;
 
 /** Collects a complete answer up to a maximum size. */
 final class AnswerCollector implements HttpListener {
@@ -29,14 +29,13 @@
    */
   void cancelOnCompletion(HttpCall call, Duration timeout) {
     EventLoop loop = SharedEventLoops.eventLoopGroup().next();
-    Runnable failure = () -> fail(HttpFailure.BROKEN_ANSWER, "the answer is not whole in time");
-    var timer =
-        loop.schedule(
-            () -> SharedEventLoops.afterPendingInput(loop, failure),
-            timeout.toNanos() + TimeUnit.MILLISECONDS.toNanos(50),
-            TimeUnit.NANOSECONDS);
+    Future<?> timer =
+        SharedEventLoops.scheduleAfterPendingInput(
+            loop,
+            timeout.plusMillis(50),
+            () -> fail(HttpFailure.BROKEN_ANSWER, "the answer is not whole in time"));
     answer.whenComplete(
-        (completed, cause) -> {
+        (completed, failure) -> {
           timer.cancel(false);
           call.cancel();
         });
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -16,8 +16,9 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.Future;
 
 /**
  * An HTTP/1.1 client with a pool of persistent connections.
@@ -157,11 +158,8 @@
             connecting.channel().close();
           }
         };
-    var timer =
-        loop.schedule(
-            () -> SharedEventLoops.afterPendingInput(loop, failure),
-            connectMillis,
-            TimeUnit.MILLISECONDS);
+    Future<?> timer =
+        SharedEventLoops.scheduleAfterPendingInput(loop, Duration.ofMillis(connectMillis), failure);
     connecting.addListener(done -> timer.cancel(false));
   }
 
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -322,8 +322,11 @@
     }
   }
 
-  /** Returns whether the connection currently would stay open after the answer to {@code head}. */
-  boolean keepAlive(HttpRequest head) {
+  /**
+   * Called when the answer to {@code head} begins; returns whether the connection stays open after
+   * it.
+   */
+  boolean beginAnswer(HttpRequest head) {
     promisedIdleTimeout = config.get().idleTimeout();
     return HttpUtil.isKeepAlive(head)
         && !closingAfterAnswers.getAsBoolean()
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerExchange.java
@@ -184,7 +184,7 @@
     if (disconnected) {
       return;
     }
-    boolean keepAlive = connection.keepAlive(head);
+    boolean keepAlive = connection.beginAnswer(head);
     FullHttpResponse response = toFullResponse(answer, keepAlive);
     if (head.method().equals(HttpMethod.HEAD) || !mayHaveBody(answer.status())) {
       response.content().clear();
@@ -279,7 +279,7 @@
         // answer is complete, any close, also that of a killed process, has to be a reset.
         channel.config().setSoLinger(RESET_ON_CLOSE);
       }
-      keepAlive = chunked && connection.keepAlive(head);
+      keepAlive = chunked && connection.beginAnswer(head);
       HttpResponse response =
           new DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status));
       setHeaders(response, headers, keepAlive);
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/SharedEventLoops.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/SharedEventLoops.java
@@ -5,6 +5,8 @@
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
+import java.time.Duration;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -43,6 +45,17 @@
     loop.execute(() -> loop.schedule(task, 0, TimeUnit.NANOSECONDS));
   }
 
+  /**
+   * Runs {@code task} on {@code loop} after {@code delay}, once the loop has handled all input that
+   * has arrived by then: what the task would miss may have arrived while the loop was blocked.
+   *
+   * @return cancels the task, unless the delay is over
+   */
+  static Future<?> scheduleAfterPendingInput(EventLoop loop, Duration delay, Runnable task) {
+    return loop.schedule(
+        () -> afterPendingInput(loop, task), delay.toNanos(), TimeUnit.NANOSECONDS);
+  }
+
   /**
    * Returns the only event loop, for programs whose parts rely on running on one thread. With
    * several, two of them could start the same request, and its caller would receive two mixed
