--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
@@ -4,11 +4,15 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.Map;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.gateway.fake.FakeExchange;
+import org.teaseldeal.net.HttpFailure;
 
 /** Tests of servers that stop sending in the middle of an answer. */
 class SilentServerFlowTests {
@@ -21,14 +25,31 @@
   private static final Duration STEP = Duration.ofMillis(50);
 
   private static void waitInSilence(GatewayFixture gateway) {
+    waitInSilence(gateway, SILENCE);
+  }
+
+  private static void waitInSilence(GatewayFixture gateway, Duration silence) {
     for (Duration passed = Duration.ZERO;
-        passed.compareTo(SILENCE) < 0;
+        passed.compareTo(silence) < 0;
         passed = passed.plus(STEP)) {
       gateway.clock.advance(STEP);
       gateway.dispatcher.tick();
     }
   }
 
+  /** Lets time pass while each probe that is sent fails. */
+  private static void failProbesInSilence(GatewayFixture gateway, HttpFailure failure) {
+    int failed = 0;
+    for (Duration passed = Duration.ZERO;
+        passed.compareTo(SILENCE) < 0;
+        passed = passed.plus(STEP)) {
+      waitInSilence(gateway, STEP);
+      while (failed < gateway.probes.size()) {
+        gateway.probes.get(failed++).listener().onFailure(failure, "no answer");
+      }
+    }
+  }
+
   private static GatewayFixture.SentRequest lastSent(GatewayFixture gateway) {
     return gateway.sent.getLast();
   }
@@ -94,4 +115,128 @@
     lastSent(gateway).endStream();
     assertTrue(caller.finished());
   }
+
+  /**
+   * Guards against an answer that is given up because its server is silent, before another server
+   * has delivered a part of it.
+   */
+  @Nested
+  @Tag("known-red")
+  class BeforeAnotherServerDelivers {
+    private final GatewayFixture gateway = new GatewayFixture();
+
+    private GatewayFixture.SentRequest begunStreamAtFirst(FakeExchange[] caller) {
+      gateway.list("server-1", FIRST, Instant.EPOCH);
+      caller[0] = gateway.call(GatewayFixture.STREAM_PATH);
+      GatewayFixture.SentRequest request = lastSent(gateway);
+      request.beginStream();
+      return request;
+    }
+
+    private void endsWhole(FakeExchange caller, GatewayFixture.SentRequest request) {
+      assertFalse(caller.aborted());
+      request.sendEvent(1);
+      request.endStream();
+      assertTrue(caller.finished());
+      assertEquals(
+          "id: 0\ndata: part 0\n\nid: 1\ndata: part 1\n\n",
+          new String(caller.answer(), StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void keepsAStreamWhileNoConnectionToItsServerCanBeOpened() {
+      FakeExchange[] caller = new FakeExchange[1];
+      GatewayFixture.SentRequest request = begunStreamAtFirst(caller);
+      gateway.call(GatewayFixture.ONCE_PATH);
+      lastSent(gateway).listener().onFailure(HttpFailure.NOT_SENT, "no connection");
+      waitInSilence(gateway);
+      endsWhole(caller[0], request);
+    }
+
+    @Test
+    void keepsAStreamWhoseServersProbeFailsIfNoRetryIsLeft() {
+      GatewayFixture withoutRetries = new GatewayFixture(0);
+      withoutRetries.list("server-1", FIRST, Instant.EPOCH);
+      withoutRetries.list("server-2", SECOND, Instant.EPOCH);
+      FakeExchange caller = withoutRetries.call(GatewayFixture.STREAM_PATH);
+      GatewayFixture.SentRequest request = lastSent(withoutRetries);
+      request.beginStream();
+      failProbesInSilence(withoutRetries, HttpFailure.NOT_SENT);
+      endsWhole(caller, request);
+    }
+
+    @Test
+    void keepsAStreamWhileProbesOfAllServersStayUnanswered() {
+      GatewayFixture withoutRetries = new GatewayFixture(0);
+      withoutRetries.list("server-1", FIRST, Instant.EPOCH);
+      withoutRetries.list("server-2", SECOND, Instant.EPOCH);
+      withoutRetries.list("server-3", "10.0.0.3:80", Instant.EPOCH);
+      FakeExchange caller = withoutRetries.call(GatewayFixture.STREAM_PATH);
+      GatewayFixture.SentRequest request = lastSent(withoutRetries);
+      request.beginStream();
+      failProbesInSilence(withoutRetries, HttpFailure.NO_ANSWER);
+      endsWhole(caller, request);
+    }
+
+    @Test
+    void keepsAStreamIfTheOtherServerCantBeConnectedTo() {
+      FakeExchange[] caller = new FakeExchange[1];
+      GatewayFixture.SentRequest request = begunStreamAtFirst(caller);
+      gateway.list("server-2", SECOND, Instant.EPOCH);
+      waitInSilence(gateway);
+      assertEquals(SECOND, lastSent(gateway).address());
+      lastSent(gateway).listener().onFailure(HttpFailure.NOT_SENT, "no connection");
+      waitInSilence(gateway, Duration.ofMillis(500));
+      endsWhole(caller[0], request);
+    }
+
+    @Test
+    void keepsAStreamIfTheOtherServerHasNoRoom() {
+      FakeExchange[] caller = new FakeExchange[1];
+      GatewayFixture.SentRequest request = begunStreamAtFirst(caller);
+      gateway.list("server-2", SECOND, Instant.EPOCH);
+      waitInSilence(gateway);
+      assertEquals(SECOND, lastSent(gateway).address());
+      lastSent(gateway).rejectNotRun();
+      waitInSilence(gateway, Duration.ofMillis(500));
+      endsWhole(caller[0], request);
+    }
+
+    @Test
+    void keepsAStreamIfTheOtherServerIsSilentToo() {
+      FakeExchange[] caller = new FakeExchange[1];
+      GatewayFixture.SentRequest request = begunStreamAtFirst(caller);
+      gateway.list("server-2", SECOND, Instant.EPOCH);
+      waitInSilence(gateway);
+      assertEquals(SECOND, lastSent(gateway).address());
+      waitInSilence(gateway, Duration.ofMillis(1_500));
+      endsWhole(caller[0], request);
+    }
+
+    @Test
+    void keepsAStreamThatHasNotBegunIfNoRetryIsLeft() {
+      GatewayFixture withoutRetries = new GatewayFixture(0);
+      withoutRetries.list("server-1", FIRST, Instant.EPOCH);
+      FakeExchange caller = withoutRetries.call(GatewayFixture.STREAM_PATH);
+      waitInSilence(withoutRetries);
+      assertEquals(0, caller.status());
+      lastSent(withoutRetries).beginStream();
+      lastSent(withoutRetries).endStream();
+      assertTrue(caller.finished());
+    }
+
+    @Test
+    void keepsAPlainRequestIfTheOtherServerFails() {
+      gateway.list("server-1", FIRST, Instant.EPOCH);
+      FakeExchange caller = gateway.call(GatewayFixture.REPEATABLE_PATH);
+      GatewayFixture.SentRequest request = lastSent(gateway);
+      gateway.list("server-2", SECOND, Instant.EPOCH);
+      waitInSilence(gateway);
+      assertEquals(SECOND, lastSent(gateway).address());
+      lastSent(gateway).answer(500);
+      assertEquals(0, caller.status());
+      request.answer();
+      assertEquals(200, caller.status());
+    }
+  }
 }
