Fail the largest collected answer if all together are too large

A caller got 502 for a sound answer while answers without end filled the memory for answers that are collected before they are sent: the answer that received the next part was failed, however small it was. The largest one is failed in its place now.

CollectedAnswerTests failed 2 of 2 before and passes.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -223,13 +223,23 @@
     if (limits.onBodyBytes(part.length)) {
       lastProgressAt = lastReceivedAt;
     }
-    if (limits.isBodyTooLarge() || !flow.tryBuffer(part.length)) {
-      failAndClose("the answer is too large, %d bytes so far".formatted(body.size()));
+    if (limits.isBodyTooLarge() || !flow.tryBuffer(this, part.length)) {
+      failAsTooLarge();
       return;
     }
     body.writeBytes(part);
   }
 
+  /** The bytes of the answer that have been collected. */
+  int collectedBytes() {
+    return body.size();
+  }
+
+  /** Ends the attempt because its answer takes more memory than there is. */
+  void failAsTooLarge() {
+    failAndClose("the answer is too large, %d bytes so far".formatted(body.size()));
+  }
+
   private void onStreamPart(byte[] part) {
     for (EventSplitter.Event event : eventSplitter.add(part)) {
       boolean progressed = limits.onEvent(event);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -623,15 +623,32 @@
     return RetryAfterJitter.addJitter(retryAfter, components.random());
   }
 
-  /** Reserves memory for a part of an answer; returns false and reserves nothing if it is full. */
-  boolean tryBuffer(int bytes) {
-    if (bufferedBytes + bytes > MAX_BUFFERED_BYTES) {
-      return false;
+  /**
+   * Reserves memory for a part of an answer. If there is none left, the largest answer is failed;
+   * returns false and reserves nothing if that is the one which receives the part.
+   */
+  boolean tryBuffer(Attempt receiving, int bytes) {
+    while (bufferedBytes + bytes > MAX_BUFFERED_BYTES) {
+      Attempt largest = largestCollectedAnswer(receiving);
+      if (largest == receiving) {
+        return false;
+      }
+      largest.failAsTooLarge();
     }
     bufferedBytes += bytes;
     return true;
   }
 
+  private Attempt largestCollectedAnswer(Attempt receiving) {
+    Attempt largest = receiving;
+    for (RequestFlow flow : flows) {
+      for (Attempt attempt : flow.openAttempts()) {
+        largest = attempt.collectedBytes() > largest.collectedBytes() ? attempt : largest;
+      }
+    }
+    return largest;
+  }
+
   void releaseBuffered(int bytes) {
     bufferedBytes -= bytes;
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -226,6 +226,11 @@
     return stage == Stage.ENDED;
   }
 
+  /** Returns the attempts that may still deliver the answer, as they are now. */
+  List<Attempt> openAttempts() {
+    return attempts.all();
+  }
+
   /** Returns whether the request may be sent and waits for a server that has room. */
   boolean waitsForServer() {
     return stage == Stage.SERVER;
@@ -764,8 +769,8 @@
   }
 
   /** Reserves memory for a part of an answer that is collected before it is sent. */
-  boolean tryBuffer(int bytes) {
-    return dispatcher.tryBuffer(bytes);
+  boolean tryBuffer(Attempt receiving, int bytes) {
+    return dispatcher.tryBuffer(receiving, bytes);
   }
 
   void releaseBuffered(int bytes) {
