--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerRequest.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerRequest.java
@@ -34,6 +34,11 @@
     headers = List.copyOf(headers);
   }
 
+  /** The ids of the parts that the prompt shares with others; empty without a prompt. */
+  public List<String> sharedPartIds() {
+    return prompt.map(PromptDescription::sharedPartIds).orElse(List.of());
+  }
+
   /** A hash that is equal for all attempts with the same host, key, method, target and body. */
   public String fingerprint() {
     HashStream64 hash = Hashing.komihash5_0().hashStream();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -152,7 +152,7 @@
   private final String service;
   private final TokenUsage tokenUsage;
   private final CallerStream stream;
-  private final long planVersion;
+  private final RequestReports reports;
   private final boolean trial;
 
   /** Whether the request is placed as one to a service without engines. */
@@ -201,7 +201,8 @@
     this.stream =
         new CallerStream(
             components, request, customer.map(PrepaidCustomer::name).orElse(""), service);
-    this.planVersion = admitted.planVersion();
+    this.reports =
+        new RequestReports(components.events(), request, route, service, admitted.planVersion());
     this.trial = admitted.trial();
     this.mayHaveRun = admitted.mayHaveRun();
     this.plain =
@@ -298,11 +299,7 @@
         arrivedAt.plus(route.silenceTimeout(Duration.between(arrivedAt, deadline)));
     requests.reserve(name, tokens, callerTimeout, deadline, this);
     if (stage == Stage.TOKENS && requests.waitsLocally(name)) {
-      components
-          .events()
-          .accept(
-              new GatewayEvent.WaitsForTokens(
-                  request.id(), name, tokens, requests.idle(name), requests.acceptsClaims()));
+      reports.waitsForTokens(name, tokens, requests);
     }
   }
 
@@ -460,7 +457,7 @@
     dispatcher.selector().onSent(server, now());
     placementDelay = Duration.between(arrivedAt, now());
     components.events().accept(placedEvent(chosen, way));
-    components.cachedPrompts().onSent(server.incarnation(), sharedPartIds(), now());
+    components.cachedPrompts().onSent(server.incarnation(), request.sharedPartIds(), now());
     request
         .prompt()
         .ifPresent(
@@ -512,11 +509,7 @@
       giveUp(ErrorKind.OVERLOADED, "no server will have room in time", retryAfter.get());
       return;
     }
-    components
-        .events()
-        .accept(
-            new GatewayEvent.WaitsForRoom(
-                request.id(), service, rank(), waiting.size(service), startsPerSecond));
+    reports.waitsForRoom(rank(), waiting.size(service), startsPerSecond);
   }
 
   private GatewayEvent.Placed placedEvent(ServerSelector.Selection chosen, Way way) {
@@ -555,10 +548,6 @@
     return fingerprint;
   }
 
-  private List<String> sharedPartIds() {
-    return request.prompt().map(PromptDescription::sharedPartIds).orElse(List.of());
-  }
-
   private int rank() {
     return customer.isPresent() && customer.get().rank().isPresent()
         ? customer.get().rank().getAsInt()
@@ -685,8 +674,8 @@
     }
     PromptPartQuarantine promptParts = components.promptParts();
     if (dispatcher.quarantine(request, false).isPresent()
-        || promptParts.isSuspected(sharedPartIds())
-        || promptParts.isRepeatedlyImplicated(sharedPartIds())) {
+        || promptParts.isSuspected(request.sharedPartIds())
+        || promptParts.isRepeatedlyImplicated(request.sharedPartIds())) {
       return;
     }
     Set<ServerIncarnation> tried = attempts.servers();
@@ -745,16 +734,7 @@
   /** Cancels the other attempts, as {@code delivering} has brought the answer forward. */
   private void keepOnly(Attempt delivering) {
     for (Attempt other : attempts.except(delivering)) {
-      components
-          .events()
-          .accept(
-              new GatewayEvent.AttemptSuperseded(
-                  request.id(),
-                  other.server().id().name(),
-                  other.number(),
-                  delivering.server().id().name(),
-                  other.age(),
-                  other.silence()));
+      reports.superseded(other, delivering);
       if (isOverdue(other) || hasLostItsPath(other)) {
         recordLoss(other);
       }
@@ -765,7 +745,7 @@
 
   private void clearPromptParts() {
     promptPartsCleared = true;
-    components.promptParts().onAnswered(sharedPartIds());
+    components.promptParts().onAnswered(request.sharedPartIds());
   }
 
   /** Reserves memory for a part of an answer that is collected before it is sent. */
@@ -841,7 +821,7 @@
     attempts.remove(failed);
     // The path to the server may have to be probed.
     dispatcher.wake();
-    reportFailure(failed, reason, detail);
+    reports.failed(failed, reason, detail);
     boolean refusedByHolders = reason == AttemptFailure.NOT_SENT && wasOfferedToHolders(failed);
     recordFailure(failed, reason, refusedByHolders);
     if (!attempts.isEmpty()) {
@@ -865,27 +845,11 @@
     }
   }
 
-  private void reportFailure(Attempt failed, AttemptFailure reason, String detail) {
-    components
-        .events()
-        .accept(
-            new GatewayEvent.AttemptFailed(
-                request.id(),
-                failed.server().id().name(),
-                failed.number(),
-                reason.name(),
-                detail,
-                failed.age(),
-                failed.silence(),
-                failed.eventsReceived(),
-                reason == AttemptFailure.MAY_HAVE_RUN ? String.join(",", sharedPartIds()) : ""));
-  }
-
   /** Records what a failure says about the request, its server and the path to it. */
   private void recordFailure(Attempt failed, AttemptFailure reason, boolean refusedByHolders) {
     BackendServer server = failed.server();
     if (reason.provesNotRun()) {
-      components.cachedPrompts().onNotRun(server.incarnation(), sharedPartIds());
+      components.cachedPrompts().onNotRun(server.incarnation(), request.sharedPartIds());
     } else {
       mayHaveRun = true;
       tokenUsage.onAttemptEnded(failed);
@@ -954,7 +918,7 @@
     }
     components.quarantine().onConnectionLost(fingerprint(), server.incarnation());
     if (lost.isBeginning()) {
-      components.promptParts().onConnectionLost(sharedPartIds(), server.incarnation());
+      components.promptParts().onConnectionLost(request.sharedPartIds(), server.incarnation());
     }
   }
 
@@ -965,7 +929,8 @@
   private void onMayHaveRun(String detail) {
     if (isDeadlinePassed()) {
       fail(Problem.of(ErrorKind.DEADLINE_PASSED, detail));
-    } else if (route.repeatable() && components.promptParts().isSuspected(sharedPartIds())) {
+    } else if (route.repeatable()
+        && components.promptParts().isSuspected(request.sharedPartIds())) {
       dispatcher.wake();
       heldRepeat = new HeldRepeat(now().plus(MAX_REPEAT_HOLD), detail);
     } else {
@@ -976,11 +941,11 @@
   private void repeatUnlessSuspected(HeldRepeat held) {
     PromptPartQuarantine promptParts = components.promptParts();
     boolean expired = !now().isBefore(held.until());
-    if (promptParts.isSuspected(sharedPartIds()) && !expired) {
+    if (promptParts.isSuspected(request.sharedPartIds()) && !expired) {
       return;
     }
     heldRepeat = null;
-    boolean allowed = !promptParts.isRepeatedlyImplicated(sharedPartIds());
+    boolean allowed = !promptParts.isRepeatedlyImplicated(request.sharedPartIds());
     resendIf(allowed && takeRetry(), ErrorKind.BACKEND_FAILED, held.detail());
   }
 
@@ -1087,44 +1052,18 @@
     components.tokens().settle(reservation, used);
     dispatcher.onEnded(this);
     if (outcome.equals(ANSWERED)) {
-      reportIfLate();
-    }
-    components
-        .events()
-        .accept(
-            new GatewayEvent.RequestEnded(
-                request.id(),
-                route.name(),
-                customer.map(PrepaidCustomer::name).orElse(""),
-                outcome,
-                status,
-                detail,
-                sendCount,
-                reservation.tokens() == 0 ? 0 : used,
-                planVersion,
-                tokenWait,
-                Duration.between(arrivedAt, now()),
-                route.kind().label(),
-                route.aim(),
-                fingerprint()));
-  }
-
-  private void reportIfLate() {
-    Duration toFirst = Duration.between(arrivedAt, answer.firstSentAt().orElse(now()));
-    boolean paused =
-        route.kind().streamed() && answer.longestPause().compareTo(route.pauseAim()) > 0;
-    if (paused || toFirst.compareTo(route.aim()) > 0) {
-      components
-          .events()
-          .accept(
-              new GatewayEvent.AnsweredLate(
-                  request.id(),
-                  tokenWait,
-                  placementDelay,
-                  toFirst,
-                  answer.longestPause(),
-                  route.pauseAim()));
+      reports.answeredLateIfSo(answer, arrivedAt, now(), tokenWait, placementDelay);
     }
+    reports.ended(
+        customer.map(PrepaidCustomer::name).orElse(""),
+        outcome,
+        status,
+        detail,
+        sendCount,
+        reservation.tokens() == 0 ? 0 : used,
+        tokenWait,
+        Duration.between(arrivedAt, now()),
+        fingerprint());
   }
 
   private Instant now() {
