Tell callers without an answer if their server can't be connected to

A caller whose answer had not begun waited until its deadline for a server that was silent and could not be connected to, if no retry was left, while another instance might have served it. It gets 502 again; a begun answer waits. tellsACallerWithoutAnAnswerThatItsServerCantBeConnectedTo.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -635,21 +635,30 @@
    * <p>A server that loses power doesn't close its connections. Without this check its callers
    * would wait until their deadlines. A server may also pause and go on, so silence alone ends no
    * attempt: the first one that delivers a part of the answer is kept, and the others are cancelled
-   * then.
+   * then. Only a caller whose answer has not begun is told if its server can't be connected to
+   * either and no other one takes the request, as it may still be served by another instance.
    */
   private void failOverIfSilent() {
     if (attempts.isEmpty()) {
       return;
     }
     Attempt newest = attempts.newest();
-    if (isOverdue(newest) && hasEndedServer(newest)) {
-      newest.cancel();
-      onAttemptFailed(newest, AttemptFailure.MAY_HAVE_RUN, "silent, and its server has ended");
-    } else if (isOverdue(newest) || hasLostItsPath(newest)) {
-      sendToAnotherServer();
+    boolean overdue = isOverdue(newest);
+    boolean pathLost = hasLostItsPath(newest);
+    if (overdue && hasEndedServer(newest)) {
+      giveUpAttempt(newest, "silent, and its server has ended");
+    } else if ((overdue || pathLost) && !sendToAnotherServer()) {
+      if (overdue && pathLost && !answer.hasBegun()) {
+        giveUpAttempt(newest, "silent, and its server can't be connected to");
+      }
     }
   }
 
+  private void giveUpAttempt(Attempt silent, String detail) {
+    silent.cancel();
+    onAttemptFailed(silent, AttemptFailure.MAY_HAVE_RUN, detail);
+  }
+
   /** Returns whether a later process has replaced that of the attempt's server. */
   private boolean hasEndedServer(Attempt silent) {
     ServerIncarnation incarnation = silent.server().incarnation();
@@ -661,33 +670,41 @@
   }
 
   /**
-   * Sends the request to a server that can take it now, if there is one and a retry is allowed. The
-   * open attempts go on.
+   * Sends the request to a server that can take it now, if there is one and a retry is allowed;
+   * returns whether it did. The open attempts go on.
    */
-  private void sendToAnotherServer() {
-    if (!route.repeatable()
-        || sendCount >= route.maxAttempts()
-        || connectFailures >= MAX_CONNECT_FAILURES
-        || refusalsByHolders >= MAX_REFUSALS_BY_HOLDERS
-        || (plain && dispatcher.waitingRequests().size(service) > 0)) {
-      return;
-    }
-    PromptPartQuarantine promptParts = components.promptParts();
-    if (dispatcher.quarantine(request, false).isPresent()
-        || promptParts.isSuspected(request.sharedPartIds())
-        || promptParts.isRepeatedlyImplicated(request.sharedPartIds())) {
-      return;
+  private boolean sendToAnotherServer() {
+    if (!mayBeSentAgain()) {
+      return false;
     }
     Set<ServerIncarnation> tried = attempts.servers();
     tried.addAll(failedIncarnations);
     Optional<ServerSelector.Selection> other = dispatcher.selector().select(criteria(tried), now());
     if (other.isEmpty()) {
-      return;
+      return false;
     }
     Way way = components.links().way(other.get().server(), connectFailures > 0);
-    if (way != Way.NONE && takeRetry()) {
-      sendTo(other.get(), way);
+    if (way == Way.NONE || !takeRetry()) {
+      return false;
     }
+    sendTo(other.get(), way);
+    return true;
+  }
+
+  /**
+   * Returns whether nothing but a lack of servers or retries keeps the request from another one.
+   */
+  private boolean mayBeSentAgain() {
+    PromptPartQuarantine promptParts = components.promptParts();
+    List<String> parts = request.sharedPartIds();
+    return route.repeatable()
+        && sendCount < route.maxAttempts()
+        && connectFailures < MAX_CONNECT_FAILURES
+        && refusalsByHolders < MAX_REFUSALS_BY_HOLDERS
+        && !(plain && dispatcher.waitingRequests().size(service) > 0)
+        && dispatcher.quarantine(request, false).isEmpty()
+        && !promptParts.isSuspected(parts)
+        && !promptParts.isRepeatedlyImplicated(parts);
   }
 
   /** Returns whether the answer can't arrive because the path to its server is lost. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
@@ -325,6 +325,23 @@
     }
   }
 
+  /**
+   * Guards against a caller that waits in vain for a server which can't be reached, although
+   * another instance may serve it.
+   */
+  @Test
+  void tellsACallerWithoutAnAnswerThatItsServerCantBeConnectedTo() {
+    GatewayFixture gateway = new GatewayFixture(0);
+    gateway.list("server-1", FIRST, Instant.EPOCH);
+    FakeExchange caller = gateway.call(GatewayFixture.STREAM_PATH);
+    GatewayFixture.SentRequest request = lastSent(gateway);
+    gateway.call(GatewayFixture.ONCE_PATH);
+    lastSent(gateway).listener().onFailure(HttpFailure.NOT_SENT, "no connection");
+    waitInSilence(gateway);
+    assertEquals(502, caller.status());
+    assertTrue(request.wasCancelled());
+  }
+
   /** Guards against a caller that waits for a process which another one has replaced. */
   @Test
   void endsTheAnswerOfASilentServerThatHasBeenReplaced() {
