Follow up the review of silent servers' attempts

Callers of a silent server, by a review and trials in virtual time: - a stream that had not begun was cut, as a comment of the other server counted as delivered; such events wait until an event with data decides (decidesNothingByEventsWithoutDataBeforeTheAnswerBegins); - a retry that could not be sent stayed reserved and could be used in a later window; it is returned to the window now (RetryWindowTests); - a request that may run once was given up by what the server list says (keepsARequestThatMayRunOnceAtAServerThatWasListedAnew); - silence was recorded against a server only once another one delivered; it is recorded when it is noticed, once for each silence; - a suspected prompt part kept a request at its silent server for as long as the suspicion lasts; it holds it for 300 ms more; - no request is sent to a second server once a stop refuses all, and waiting requests aren't sent while a stop aborts them; - a superseded silent server could be chosen again for the same request.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RetryWindow.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/RetryWindow.java
@@ -70,6 +70,15 @@
     return true;
   }
 
+  /** Returns a retry that was taken at {@code takenAt} and not sent. */
+  public void returnRetry(Instant takenAt) {
+    long bucket = takenAt.toEpochMilli() / bucketMillis;
+    boolean inWindow = newestBucket != Long.MIN_VALUE && newestBucket - bucket < BUCKETS;
+    if (inWindow && retries[index(bucket)] > 0) {
+      retries[index(bucket)]--;
+    }
+  }
+
   private int slide(Instant now) {
     long bucket = now.toEpochMilli() / bucketMillis;
     if (newestBucket == Long.MIN_VALUE || bucket - newestBucket >= BUCKETS) {
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/RetryWindowTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/RetryWindowTests.java
@@ -31,6 +31,23 @@
     assertEquals(first, retries(START.plusSeconds(12), 7));
   }
 
+  @Test
+  void grantsAReturnedRetryAgain() {
+    retries(START, 7);
+    window.returnRetry(START);
+    assertEquals(1, retries(START.plusSeconds(5), 7));
+  }
+
+  /** Guards against more retries than allowed, if one is returned after it has left the window. */
+  @Test
+  void forgetsRetriesThatAreReturnedAfterTheWindow() {
+    retries(START, 7);
+    int again = retries(START.plusSeconds(12), 7);
+    window.returnRetry(START);
+    assertEquals(6, again);
+    assertEquals(0, retries(START.plusSeconds(12), 7));
+  }
+
   private int retries(Instant now, int instances) {
     int granted = 0;
     while (window.tryRetry(now, instances)) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -3,6 +3,8 @@
 import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.decisions.PrefillTime;
@@ -59,6 +61,10 @@
   /** Whether the answer is a stream of events. */
   private boolean eventStream;
 
+  /** Events without data that are sent once the attempt delivers; see {@link #holdBack}. */
+  private final List<EventSplitter.Event> heldBack = new ArrayList<>(0);
+
+  private Instant lossRecordedAt = Instant.MIN;
   private boolean promptMarkedRead;
   private boolean ended;
 
@@ -153,6 +159,30 @@
     return lastProgressAt;
   }
 
+  /** Returns whether the answer is recorded as missing and has not come forward since. */
+  boolean isLossRecorded() {
+    return !lossRecordedAt.isBefore(lastProgressAt);
+  }
+
+  void markLossRecorded() {
+    lossRecordedAt = components.clock().instant();
+  }
+
+  /** Keeps an event that brings the answer no further until the attempt delivers one that does. */
+  void holdBack(EventSplitter.Event event) {
+    heldBack.add(event);
+  }
+
+  /** Returns the events that were held back, which are held no more. */
+  List<EventSplitter.Event> takeHeldBack() {
+    if (heldBack.isEmpty()) {
+      return List.of();
+    }
+    List<EventSplitter.Event> taken = List.copyOf(heldBack);
+    heldBack.clear();
+    return taken;
+  }
+
   /** How long the server has sent nothing. */
   Duration silence() {
     return Duration.between(lastReceivedAt, components.clock().instant());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -131,6 +131,7 @@
   private @Nullable DrainAdmission drainAdmission;
   private boolean placesPlainRequests;
   private boolean refusingAll;
+  private boolean aborting;
   private long bufferedBytes;
   private Runnable dueListener = () -> {};
 
@@ -234,6 +235,7 @@
    * request may have run, and answers that have begun are aborted.
    */
   public void abortAll() {
+    aborting = true;
     new ArrayList<>(flows).forEach(flow -> isolatedTasks.run(flow.request().id(), flow::abort));
   }
 
@@ -399,6 +401,9 @@
   }
 
   private void sendWaiting() {
+    if (aborting) {
+      return;
+    }
     waitingRequests.send(components.clock().instant());
   }
 
@@ -611,6 +616,15 @@
         .tryRetry(components.clock().instant(), components.instances().getAsInt());
   }
 
+  /**
+   * Returns a retry that no server has seen.
+   *
+   * @param takenAt when it was taken
+   */
+  void returnRetry(String service, Instant takenAt) {
+    retryWindow(service).returnRetry(takenAt);
+  }
+
   /** How long a server of {@code route} may send nothing before it counts as silent. */
   Duration maxSilence(Route route) {
     Duration silence = Durations.times(route.aim(), SILENCE_TARGET_MULTIPLE);
@@ -633,7 +647,7 @@
       if (largest == receiving) {
         return false;
       }
-      largest.failAsTooLarge();
+      isolatedTasks.run("answers that are too large", largest::failAsTooLarge);
     }
     bufferedBytes += bytes;
     return true;
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -172,9 +172,6 @@
   private int refusalsByHolders;
   private boolean mayHaveRun;
 
-  /** Whether the fleet's limit of retries already counts the next retry. */
-  private boolean retryReserved;
-
   /** Whether it is this request's turn among those that wait for room. */
   private boolean hasTurn;
 
@@ -455,7 +452,9 @@
     stage = Stage.ANSWER;
     sendCount++;
     dispatcher.selector().onSent(server, now());
-    placementDelay = Duration.between(arrivedAt, now());
+    if (attempts.isEmpty()) {
+      placementDelay = Duration.between(arrivedAt, now());
+    }
     components.events().accept(placedEvent(chosen, way));
     components.cachedPrompts().onSent(server.incarnation(), request.sharedPartIds(), now());
     request
@@ -645,12 +644,19 @@
     Attempt newest = attempts.newest();
     boolean overdue = isOverdue(newest);
     boolean pathLost = hasLostItsPath(newest);
-    if (overdue && hasEndedServer(newest)) {
+    if (!overdue && !pathLost) {
+      return;
+    }
+    if (overdue && route.repeatable() && hasEndedServer(newest)) {
       giveUpAttempt(newest, "silent, and its server has ended");
-    } else if ((overdue || pathLost) && !sendToAnotherServer()) {
-      if (overdue && pathLost && !answer.hasBegun()) {
-        giveUpAttempt(newest, "silent, and its server can't be connected to");
-      }
+      return;
+    }
+    boolean replaced = sendToAnotherServer(newest);
+    if ((overdue || replaced) && !newest.isLossRecorded()) {
+      recordLoss(newest);
+    }
+    if (!replaced && overdue && pathLost && route.repeatable() && !answer.hasBegun()) {
+      giveUpAttempt(newest, "silent, and its server can't be connected to");
     }
   }
 
@@ -673,8 +679,8 @@
    * Sends the request to a server that can take it now, if there is one and a retry is allowed;
    * returns whether it did. The open attempts go on.
    */
-  private boolean sendToAnotherServer() {
-    if (!mayBeSentAgain()) {
+  private boolean sendToAnotherServer(Attempt silent) {
+    if (!mayBeSentAgain() || isThoughtToCrashServers(silent)) {
       return false;
     }
     Set<ServerIncarnation> tried = attempts.servers();
@@ -691,20 +697,24 @@
     return true;
   }
 
-  /**
-   * Returns whether nothing but a lack of servers or retries keeps the request from another one.
-   */
+  /** Returns whether only a lack of servers or retries may keep the request from another one. */
   private boolean mayBeSentAgain() {
-    PromptPartQuarantine promptParts = components.promptParts();
-    List<String> parts = request.sharedPartIds();
     return route.repeatable()
+        && !dispatcher.refusingAll()
         && sendCount < route.maxAttempts()
         && connectFailures < MAX_CONNECT_FAILURES
         && refusalsByHolders < MAX_REFUSALS_BY_HOLDERS
-        && !(plain && dispatcher.waitingRequests().size(service) > 0)
-        && dispatcher.quarantine(request, false).isEmpty()
-        && !promptParts.isSuspected(parts)
-        && !promptParts.isRepeatedlyImplicated(parts);
+        && !(plain && dispatcher.waitingRequests().size(service) > 0);
+  }
+
+  /** Returns whether the request must not be sent again; a mere suspicion counts for a while. */
+  private boolean isThoughtToCrashServers(Attempt silent) {
+    PromptPartQuarantine promptParts = components.promptParts();
+    List<String> parts = request.sharedPartIds();
+    Duration hold = dispatcher.maxSilence(route).plus(MAX_REPEAT_HOLD);
+    return dispatcher.quarantine(request, false).isPresent()
+        || promptParts.isRepeatedlyImplicated(parts)
+        || (promptParts.isSuspected(parts) && silent.stalledFor().compareTo(hold) < 0);
   }
 
   /** Returns whether the answer can't arrive because the path to its server is lost. */
@@ -727,17 +737,17 @@
     if (stage == Stage.ENDED) {
       return;
     }
-    if (!attempts.isOnly(from)) {
-      // An event without data may only keep the connection open.
-      if (event.hasData() || !answer.hasBegun()) {
-        keepOnly(from);
-      } else if (!attempts.isOldest(from)) {
-        return;
-      }
+    if (event.hasData()) {
+      keepOnly(from);
+    } else if (!attempts.isOnly(from) && !(answer.hasBegun() && attempts.isOldest(from))) {
+      // It may only keep the connection open, and so doesn't decide between the attempts.
+      from.holdBack(event);
+      return;
     }
     if (!answer.hasBegun()) {
       stream.onFirstEvent(from.server().softwareVersion(), route.resumable());
     }
+    from.takeHeldBack().forEach(held -> answer.sendEvent(status, headers, held));
     answer.sendEvent(status, headers, event);
     if (answer.pendingBytes() > MAX_PENDING_BYTES) {
       abortStream("the caller reads too slowly");
@@ -753,7 +763,7 @@
     for (Attempt other : attempts.except(delivering)) {
       reports.superseded(other, delivering);
       if (isOverdue(other) || hasLostItsPath(other)) {
-        recordLoss(other);
+        failedIncarnations.add(other.server().incarnation());
       }
       attempts.remove(other);
       cancelAttempt(other);
@@ -780,6 +790,7 @@
     }
     keepOnly(from);
     recordAnswer(from, status);
+    from.takeHeldBack().forEach(held -> answer.sendEvent(status, headers, held));
     answer.finish(status, headers);
     end(ANSWERED, status, "");
   }
@@ -842,8 +853,9 @@
     boolean refusedByHolders = reason == AttemptFailure.NOT_SENT && wasOfferedToHolders(failed);
     recordFailure(failed, reason, refusedByHolders);
     if (!attempts.isEmpty()) {
-      // The retry was not used; the next server may take it.
-      retryReserved |= reason == AttemptFailure.NOT_SENT;
+      if (reason == AttemptFailure.NOT_SENT && failed.number() > 1) {
+        dispatcher.returnRetry(service, failed.startedAt());
+      }
       return;
     }
     stage = Stage.SERVER;
@@ -914,7 +926,8 @@
   }
 
   /**
-   * Records that an attempt that may have run won't be answered.
+   * Records that an attempt that may have run won't be answered, or is silent; once, unless its
+   * answer has come forward since.
    *
    * <p>An attempt that exceeded the deadline counts as a failure of its server only if the server
    * was silent for longer than the route allows. If every attempt that exceeded the deadline
@@ -926,6 +939,10 @@
     if (!lost.relayed()) {
       server.onConnectionLost(lost.startedAt(), now());
     }
+    if (lost.isLossRecorded()) {
+      return;
+    }
+    lost.markLossRecorded();
     if (isDeadlinePassed() && !isOverdue(lost)) {
       return;
     }
@@ -966,11 +983,9 @@
     resendIf(allowed && takeRetry(), ErrorKind.BACKEND_FAILED, held.detail());
   }
 
-  /** Takes the retry that was reserved, or else one out of the fleet's limit, if there is one. */
+  /** Takes a retry out of the fleet's limit, if there is one. */
   private boolean takeRetry() {
-    boolean reserved = retryReserved;
-    retryReserved = false;
-    return sendCount < route.maxAttempts() && (reserved || dispatcher.tryRetry(service));
+    return sendCount < route.maxAttempts() && dispatcher.tryRetry(service);
   }
 
   private void resendIf(boolean allowed, ErrorKind errorKind, String detail) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
@@ -342,6 +342,40 @@
     assertTrue(request.wasCancelled());
   }
 
+  /** Guards against a stream that is cut because another server sent nothing but a comment. */
+  @Test
+  void decidesNothingByEventsWithoutDataBeforeTheAnswerBegins() {
+    GatewayFixture gateway = new GatewayFixture();
+    gateway.list("server-1", FIRST, Instant.EPOCH);
+    FakeExchange caller = gateway.call(GatewayFixture.STREAM_PATH);
+    GatewayFixture.SentRequest silent = lastSent(gateway);
+    gateway.list("server-2", SECOND, Instant.EPOCH);
+    waitInSilence(gateway);
+    GatewayFixture.SentRequest other = lastSent(gateway);
+    other.listener().onHead(200, Map.of());
+    other.listener().onBodyPart(": wait\n\n".getBytes(StandardCharsets.UTF_8));
+    assertFalse(silent.wasCancelled());
+    other.sendEvent(0);
+    assertTrue(silent.wasCancelled());
+    other.endStream();
+    assertEquals(
+        ": wait\n\nid: 0\ndata: part 0\n\n", new String(caller.answer(), StandardCharsets.UTF_8));
+  }
+
+  /** Guards against a request that may run once and is given up by what the server list says. */
+  @Test
+  void keepsARequestThatMayRunOnceAtAServerThatWasListedAnew() {
+    GatewayFixture gateway = new GatewayFixture();
+    gateway.list("server-1", FIRST, Instant.EPOCH);
+    FakeExchange caller = gateway.call(GatewayFixture.ONCE_PATH);
+    GatewayFixture.SentRequest request = lastSent(gateway);
+    gateway.list("server-1", FIRST, Instant.EPOCH.plusSeconds(1));
+    waitInSilence(gateway);
+    assertEquals(0, caller.status());
+    request.answer();
+    assertEquals(200, caller.status());
+  }
+
   /** Guards against a caller that waits for a process which another one has replaced. */
   @Test
   void endsTheAnswerOfASilentServerThatHasBeenReplaced() {
