Ask a holder again that doesn't know one customer

Callers got 503 or waited for the store beside a configuration: a holder whose configuration was older and lacked a customer answered 503, and counted as unreachable for two seconds for all customers, also for those whose tokens it could give.

A holder now says that it doesn't know the customer (status 409), and the next one is asked for this request alone. Instances of an earlier version take the status for an unreachable holder, as before.

A holder with an older, lower total still refuses with 402.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderPort.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderPort.java
@@ -36,6 +36,9 @@
     /** The holder has refused the tokens. */
     record Refused(Problem problem) implements Answer {}
 
+    /** The holder's configuration lacks the customer, so it has given nothing. */
+    record UnknownCustomer() implements Answer {}
+
     /** The outcome is unknown; if the holder gave the tokens, they are lost. */
     record Unreachable(String detail) implements Answer {}
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -194,9 +194,14 @@
     account.serveWaiting(total(account), clock.instant());
   }
 
-  /** Returns whether this instance may give tokens of the customer to other instances. */
-  public boolean mayGiveTokens(String customer) {
-    return !closing && prepaidTotal.apply(customer).isPresent();
+  /** Returns whether this instance may give tokens to other instances. */
+  public boolean mayGiveTokens() {
+    return !closing;
+  }
+
+  /** Returns whether the configuration holds a total of the customer. */
+  public boolean knowsTotal(String customer) {
+    return prepaidTotal.apply(customer).isPresent();
   }
 
   /** Returns the number of the customer's tokens that are idle at this instance. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -222,6 +222,8 @@
       switch (answer) {
         case HolderPort.Answer.Granted granted -> onGranted(holder, requestedTokens);
         case HolderPort.Answer.Refused refused -> onRefused(refused.problem());
+        case HolderPort.Answer.UnknownCustomer unknown ->
+            continueUnlessCancelled(this::requestFromNext);
         case HolderPort.Answer.Unreachable unreachable -> {
           events.accept(new GatewayEvent.HolderUnreachable(customer, holder, unreachable.detail()));
           unreachableUntil.put(holder, clock.instant().plus(UNREACHABLE_SKIP_TIME));
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderCalls.java
@@ -34,6 +34,9 @@
   private static final int BAD_REQUEST = 400;
   private static final int UNAVAILABLE = 503;
 
+  /** The status of an answer of a holder whose configuration lacks the customer. */
+  private static final int UNKNOWN_CUSTOMER = 409;
+
   private final Function<String, Optional<String>> addresses;
   private final RelayedCalls.Caller caller;
   private final PrepaidAccounts accounts;
@@ -94,6 +97,9 @@
     if (failure != null || answer == null) {
       return new Answer.Unreachable(failure == null ? "" : String.valueOf(failure.getMessage()));
     }
+    if (answer.status() == UNKNOWN_CUSTOMER) {
+      return new Answer.UnknownCustomer();
+    }
     if (answer.status() != OK) {
       return new Answer.Unreachable("status " + answer.status());
     }
@@ -114,8 +120,12 @@
       exchange.respond(BAD_REQUEST, Map.of(), new byte[0]);
       return;
     }
-    if (!accounts.mayGiveTokens(request.customer())) {
-      // The instance stops, or doesn't know the customer's plan yet. Another holder may serve it.
+    if (!accounts.knowsTotal(request.customer())) {
+      exchange.respond(UNKNOWN_CUSTOMER, Map.of(), new byte[0]);
+      return;
+    }
+    if (!accounts.mayGiveTokens()) {
+      // The instance stops. Another holder may serve the request.
       exchange.respond(UNAVAILABLE, Map.of(), new byte[0]);
       return;
     }
@@ -127,11 +137,15 @@
     return switch (answer) {
       case Answer.Granted granted -> HolderMessages.encodeGranted();
       case Answer.Refused refused -> HolderMessages.encodeRefused(refused.problem());
-      case Answer.Unreachable lost ->
-          throw new IllegalArgumentException("a holder can't send the answer " + lost);
+      case Answer.UnknownCustomer unknown -> throw notEncodable(unknown);
+      case Answer.Unreachable lost -> throw notEncodable(lost);
     };
   }
 
+  private static IllegalArgumentException notEncodable(Answer answer) {
+    return new IllegalArgumentException("the answer %s has no body".formatted(answer));
+  }
+
   /** Handles a call in which another instance returns unused tokens. */
   public void handleReturn(HttpExchange exchange) {
     try {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/account/TokenRequestsTests.java
@@ -82,6 +82,21 @@
     assertEquals(1, reserved.size());
   }
 
+  /**
+   * Guards against a holder with an older configuration, which lacks one customer, that counts as
+   * unreachable for all customers.
+   */
+  @Test
+  void asksAHolderAgainThatDoesNotKnowACustomer() {
+    request();
+    String first = lastSentRequest().holder();
+    answer(new HolderPort.Answer.UnknownCustomer());
+    assertNotEquals(first, lastSentRequest().holder());
+    answer(new HolderPort.Answer.Granted());
+    request();
+    assertEquals(first, lastSentRequest().holder());
+  }
+
   /** Guards against long waits of callers at an instance that is partitioned from all others. */
   @Test
   void limitsTheHoldersAskedIfNoneIsReachable() {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/CutPeerAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/CutPeerAnswerTests.java
@@ -163,6 +163,7 @@
     return switch (answer) {
       case HolderPort.Answer.Granted granted -> granted.toString();
       case HolderPort.Answer.Refused refused -> "Refused";
+      case HolderPort.Answer.UnknownCustomer unknown -> "UnknownCustomer";
       case HolderPort.Answer.Unreachable unreachable -> NO_ANSWER;
     };
   }
