Fail the largest handed-over answer where memory is short

Callers got 502 for a sound, small answer of a request that another instance had taken, because another answer had filled the memory for answers that are collected: the one that received the next part was ended, whatever its size.

The largest of them is ended now, as it is among the attempts of an instance itself. The rule on memory is the same.

RequestHandoverTests.endsTheLargestAnswerIfThoseThatAreCollectedFillTheMemory failed before: the small answer was ended, the large one went on.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -6,6 +6,8 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -216,6 +218,16 @@
     }
   }
 
+  /** Ends the largest answers that are collected while all together are too large. */
+  private void abandonLargestAnswers() {
+    while (collectedBytes > MAX_COLLECTED_BYTES) {
+      HandedOverRequest largest =
+          Collections.max(open, Comparator.comparingInt(HandedOverRequest::collectedBytes));
+      largest.abandon(
+          "the answer is too large, %d bytes so far".formatted(largest.collectedBytes()));
+    }
+  }
+
   /** One request, from the first offer to another instance to the end of its answer. */
   private final class HandedOverRequest implements HttpListener {
     private final HttpExchange exchange;
@@ -345,10 +357,7 @@
       } else if (result == Result.COMPLETE) {
         collected.writeBytes(part);
         collectedBytes += part.length;
-        if (collectedBytes > MAX_COLLECTED_BYTES) {
-          call.cancel();
-          abandon("the answers that are collected are too large");
-        }
+        abandonLargestAnswers();
       } else if (collected.size() + part.length <= MAX_DETAIL_BYTES) {
         collected.writeBytes(part);
       }
@@ -394,6 +403,11 @@
       }
     }
 
+    /** The bytes of the answer that have been collected before they are passed on. */
+    int collectedBytes() {
+      return result == Result.COMPLETE ? collected.size() : 0;
+    }
+
     private void onNotTaken(String detail) {
       policy.onEnded(sibling);
       collected.reset();
@@ -455,9 +469,7 @@
 
     private void end() {
       ended = true;
-      if (result == Result.COMPLETE) {
-        collectedBytes -= collected.size();
-      }
+      collectedBytes -= collectedBytes();
       remove();
       policy.onEnded(sibling);
     }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -233,6 +233,25 @@
     assertFalse(caller.streamFinished);
   }
 
+  /**
+   * Guards against sound answers that are ended because a single one fills the memory for answers
+   * that are collected.
+   */
+  @Test
+  void endsTheLargestAnswerIfThoseThatAreCollectedFillTheMemory() {
+    Caller large = call(GatewayFixture.ONCE_PATH);
+    Caller small = call(GatewayFixture.ONCE_PATH);
+    Map<String, String> complete = Map.of("teaseldeal-handover", "COMPLETE");
+    ResponseStream largeBody = calls.get(0).startStream(200, complete);
+    ResponseStream smallBody = calls.get(1).startStream(200, complete);
+    largeBody.write(new byte[(6 << 20) - 10]);
+    smallBody.write(new byte[100]);
+    assertEquals(502, large.status());
+    smallBody.finish();
+    assertEquals(200, small.status());
+    assertEquals(100, small.answer().length);
+  }
+
   @Test
   void passesTheEndOfAStream() {
     Caller caller = call(GatewayFixture.ONCE_PATH);
