Go on with a stream whose taker stops

Callers saw a begun stream cut beside a stop of an instance that they had no connection to: their instance had handed the request over, the other one was stopped and ended what it had taken, or the link to it broke, and the caller's instance passed the cut on, although the stream may be resumed and servers were there.

The caller's instance now passes whole events only on such a route, knows the last one, and goes on from it through its own dispatcher as if the caller took the stream up again: at a server of the version that began it, which the stream's origin or the other instances tell, with the deadline of the first try, and counted as a retry. It does so only if the route's attempts that were not handed over allow a server more, and if the last event has an id; otherwise the stream is aborted as before. Where the tokens or the version can't be had, the answer is aborted instead of a second status being sent.

RequestHandoverTests.resumesAStreamWhoseTakerStops, passesNoPartOfAnEventOfAStreamThatMayGoOn and cancelsAResumedStreamIfItsCallerLeaves failed before. Four more tests hold that a stream is aborted if no server of its version is left, nobody can resume it, its events have no ids, or all attempts were handed over.

Open: on routes of two servers the other instance gets both attempts, and requests that may run once end with it.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -457,7 +457,8 @@
   /**
    * The answer to a request that another instance may have taken was lost.
    *
-   * @param begun whether a part of it has reached the caller, whose answer is aborted
+   * @param begun whether a part of it has reached the caller, whose answer is aborted unless the
+   *     request is sent again
    * @param again whether this instance sends the request to a server again
    */
   record HandoverLost(String request, String sibling, boolean begun, boolean again, String detail)
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerAnswer.java
@@ -27,6 +27,15 @@
     this.clock = clock;
   }
 
+  /** Creates the answer to a caller that has received the beginning of a stream. */
+  CallerAnswer(HttpExchange exchange, InstantSource clock, BegunStream begun) {
+    this(exchange, clock);
+    this.stream = begun.stream();
+    this.firstSentAt = begun.firstSentAt();
+    this.lastSentAt = begun.lastSentAt();
+    this.lastEventId = begun.lastEventId();
+  }
+
   /** When the first part of the answer was sent; empty if none was sent yet. */
   Optional<Instant> firstSentAt() {
     return Optional.ofNullable(firstSentAt);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerRequest.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/CallerRequest.java
@@ -34,6 +34,21 @@
     headers = List.copyOf(headers);
   }
 
+  /** Returns this request as one that takes up its own stream after an event. */
+  CallerRequest resumedAfter(String lastEventId) {
+    return new CallerRequest(
+        id,
+        method,
+        host,
+        target,
+        headers,
+        body,
+        callerTimeout,
+        key,
+        prompt,
+        Optional.of(new Resumption(Optional.of(lastEventId), Optional.of(id))));
+  }
+
   /** The ids of the parts that the prompt shares with others; empty without a prompt. */
   public List<String> sharedPartIds() {
     return prompt.map(PromptDescription::sharedPartIds).orElse(List.of());
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -291,6 +291,30 @@
     }
   }
 
+  /**
+   * Goes on with a stream that another instance began and that was lost on the way: sends the
+   * request to a server of the same software version, as if its caller took the stream up again.
+   *
+   * @param attemptsLeft how many servers it may be sent to
+   * @return whether it goes on; otherwise the stream has not been changed
+   */
+  public boolean resume(HttpExchange exchange, BegunStream begun, int attemptsLeft) {
+    if (!(components.dialect().read(exchange) instanceof Result.Ok<CallerRequest> read)) {
+      return false;
+    }
+    Result<CallerRequest> resumed = Result.ok(read.value().resumedAfter(begun.lastEventId()));
+    if (!(admit(resumed, arrivedAt(exchange)) instanceof Result.Ok<Admitted> admitted)
+        || !admitted.value().route().resumable()
+        || !tryRetry(admitted.value().service())) {
+      return false;
+    }
+    run(
+        exchange,
+        new CallerAnswer(exchange, components.clock(), begun),
+        admitted.value().withMaxAttempts(attemptsLeft, true));
+    return true;
+  }
+
   /** Answers a request that another instance may have sent to servers. */
   public void respondMayHaveRun(HttpExchange exchange, String detail) {
     refuse(
@@ -408,7 +432,11 @@
   }
 
   private void run(HttpExchange exchange, Admitted admitted) {
-    RequestFlow flow = new RequestFlow(components, this, exchange, admitted);
+    run(exchange, new CallerAnswer(exchange, components.clock()), admitted);
+  }
+
+  private void run(HttpExchange exchange, CallerAnswer answer, Admitted admitted) {
+    RequestFlow flow = new RequestFlow(components, this, exchange, answer, admitted);
     flows.add(flow);
     wake();
     flow.start();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -188,11 +188,12 @@
       GatewayComponents components,
       RequestDispatcher dispatcher,
       HttpExchange exchange,
+      CallerAnswer answer,
       RequestDispatcher.Admitted admitted) {
     this.components = components;
     this.dispatcher = dispatcher;
     this.exchange = exchange;
-    this.answer = new CallerAnswer(exchange, components.clock());
+    this.answer = answer;
     this.request = admitted.request();
     this.route = admitted.route();
     this.customer = admitted.customer();
@@ -295,8 +296,9 @@
 
   private void reserve(String name, long tokens) {
     TokenRequests requests = components.tokens();
+    Instant waitingSince = answer.hasBegun() ? now() : arrivedAt;
     Instant callerTimeout =
-        arrivedAt.plus(route.silenceTimeout(Duration.between(arrivedAt, deadline)));
+        waitingSince.plus(route.silenceTimeout(Duration.between(waitingSince, deadline)));
     requests.reserve(name, tokens, callerTimeout, deadline, this);
     if (stage == Stage.TOKENS && requests.waitsLocally(name)) {
       reports.waitsForTokens(name, tokens, requests);
@@ -1011,7 +1013,11 @@
 
   /** Refuses a request that waits, unless a server may have run it before. */
   private void refuseOrFail(Problem problem) {
-    refuse(mayHaveRun ? Problem.of(ErrorKind.BACKEND_FAILED, problem.detail()) : problem);
+    if (mayHaveRun) {
+      fail(Problem.of(ErrorKind.BACKEND_FAILED, problem.detail()));
+    } else {
+      refuse(problem);
+    }
   }
 
   private void refuse(Problem problem) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -20,12 +20,14 @@
 import org.teaseldeal.decisions.HandoverPolicy;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.flow.BegunStream;
 import org.teaseldeal.gateway.flow.RequestDispatcher;
 import org.teaseldeal.gateway.handover.HandoverMessage.Result;
 import org.teaseldeal.gateway.path.BackendPort;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -228,6 +230,44 @@
     }
   }
 
+  /**
+   * Passes the events of a stream on, whole ones only, so that the stream can go on elsewhere after
+   * the last of them.
+   */
+  private final class PassedEvents {
+    private final EventSplitter splitter = new EventSplitter();
+    private final ResponseStream stream;
+    private String lastEventId = "";
+    private Instant firstSentAt = Instant.MAX;
+    private Instant lastSentAt = Instant.MAX;
+
+    PassedEvents(ResponseStream stream) {
+      this.stream = stream;
+    }
+
+    void pass(byte[] part) {
+      for (EventSplitter.Event event : splitter.add(part)) {
+        stream.write(event.bytes());
+        lastSentAt = clock.instant();
+        firstSentAt = firstSentAt.equals(Instant.MAX) ? lastSentAt : firstSentAt;
+        if (event.hasData()) {
+          lastEventId = event.id();
+        }
+      }
+    }
+
+    boolean endsInEvent() {
+      return splitter.incompleteBytes() > 0;
+    }
+
+    /** The stream as the caller has it; empty if its last event has no id to go on from. */
+    Optional<BegunStream> resumable() {
+      return lastEventId.isEmpty()
+          ? Optional.empty()
+          : Optional.of(new BegunStream(stream, lastEventId, firstSentAt, lastSentAt));
+    }
+  }
+
   /** One request, from the first offer to another instance to the end of its answer. */
   private final class HandedOverRequest implements HttpListener {
     private final HttpExchange exchange;
@@ -244,6 +284,7 @@
     private int status;
     private Map<String, String> headers = Map.of();
     private @Nullable ResponseStream stream;
+    private @Nullable PassedEvents passedEvents;
     private boolean ended;
 
     HandedOverRequest(HttpExchange exchange, Route route, long planVersion, Duration late) {
@@ -336,6 +377,7 @@
         case STREAM -> {
           policy.onWilling(sibling, clock.instant());
           stream = exchange.startStream(status, headers);
+          passedEvents = route.resumable() ? new PassedEvents(stream) : null;
         }
         case COMPLETE -> policy.onWilling(sibling, clock.instant());
         case NOT_TAKEN, REPEATED, WILLING -> policy.onUnwilling(sibling, clock.instant());
@@ -349,7 +391,11 @@
         return;
       }
       if (begun != null) {
-        begun.write(part);
+        if (passedEvents == null) {
+          begun.write(part);
+        } else {
+          passedEvents.pass(part);
+        }
         if (begun.pendingBytes() > MAX_PENDING_BYTES) {
           call.cancel();
           abandon("the caller reads too slowly");
@@ -375,7 +421,8 @@
           exchange.respond(status, headers, collected.toByteArray());
         }
         case STREAM -> {
-          if (end == AnswerEnd.LAST_CHUNK && stream != null) {
+          boolean inEvent = passedEvents != null && passedEvents.endsInEvent();
+          if (end == AnswerEnd.LAST_CHUNK && stream != null && !inEvent) {
             end();
             stream.finish();
           } else {
@@ -422,14 +469,28 @@
      */
     private void onLost(String detail) {
       int attemptsLeft = route.maxAttempts() - maxAttempts;
-      boolean again = stream == null && route.repeatable() && attemptsLeft > 0;
-      if (!again) {
+      if (!route.repeatable() || attemptsLeft <= 0) {
+        abandon(detail);
+      } else if (stream == null) {
+        reportLost(detail, true);
+        end();
+        dispatcher.handleMayHaveRun(exchange, attemptsLeft);
+      } else {
+        resumeOrAbandon(detail, attemptsLeft);
+      }
+    }
+
+    /** Goes on with a begun stream at a server, from the last event that the caller has. */
+    private void resumeOrAbandon(String detail, int attemptsLeft) {
+      Optional<BegunStream> begun =
+          passedEvents == null ? Optional.empty() : passedEvents.resumable();
+      if (begun.isPresent() && dispatcher.resume(exchange, begun.get(), attemptsLeft)) {
+        reportLost(detail, true);
+        end();
+        call.cancel();
+      } else {
         abandon(detail);
-        return;
       }
-      reportLost(detail, true);
-      end();
-      dispatcher.handleMayHaveRun(exchange, attemptsLeft);
     }
 
     /** Ends the request without its answer. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -40,6 +40,9 @@
   /** In a refusal: the milliseconds after which the caller may come back. */
   private static final String RETRY_AFTER_HEADER = "come-back-ms";
 
+  /** In a request to a server: the id of the last event that the caller has. */
+  public static final String RESUME_HEADER = "resume-after";
+
   /** In an answer: the server leaves. */
   public static final String LEAVING_HEADER = "leaving";
 
@@ -105,7 +108,7 @@
         terms.address(),
         request.method(),
         request.target(),
-        Map.of(),
+        terms.resumeAfter().map(id -> Map.of(RESUME_HEADER, id)).orElse(Map.of()),
         request.body(),
         terms.timeLeft());
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -67,6 +67,9 @@
   /** The path prefix of a route whose streams may be resumed at a second server. */
   static final String STREAM_PATH = "/query/";
 
+  /** The path prefix of a route whose streams may be resumed at a third server. */
+  static final String LONG_STREAM_PATH = "/browse/";
+
   /** A request that the gateway sent to a server's address. */
   record SentRequest(HttpCallRequest request, HttpListener listener, AtomicBoolean cancelled) {
     SentRequest(HttpCallRequest request, HttpListener listener) {
@@ -220,7 +223,8 @@
                 route("bid", ONCE_PATH, RouteKind.AT_MOST_ONCE, 1),
                 route("hold", REPEATABLE_PATH, RouteKind.IDEMPOTENT, 2),
                 route("read", OFTEN_REPEATABLE_PATH, RouteKind.IDEMPOTENT, 3),
-                route("query", STREAM_PATH, RouteKind.STREAM, 2)),
+                route("query", STREAM_PATH, RouteKind.STREAM, 2),
+                route("browse", LONG_STREAM_PATH, RouteKind.STREAM, 3)),
             List.of(new PlannedService(SERVICE, 100, 0)),
             List.of(),
             CallerLimits.untilPublished());
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RequestHandoverTests.java
@@ -1,9 +1,11 @@
 package org.teaseldeal.gateway.flow;
 
+import static java.nio.charset.StandardCharsets.UTF_8;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.ByteArrayOutputStream;
 import java.time.Duration;
 import java.time.Instant;
 import java.util.ArrayList;
@@ -15,6 +17,7 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.decisions.HandoverPolicy;
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.fake.FakeDialect;
@@ -22,6 +25,7 @@
 import org.teaseldeal.gateway.handover.HandoverReceiver;
 import org.teaseldeal.gateway.handover.RequestHandover;
 import org.teaseldeal.gateway.plan.GatewayPlan;
+import org.teaseldeal.gateway.stream.StreamPeers;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
@@ -233,6 +237,107 @@
     assertFalse(caller.streamFinished);
   }
 
+  /**
+   * Guards against a stream that is cut because the instance that took it stops, although its
+   * caller's instance goes on and could resume it.
+   */
+  @Test
+  void resumesAStreamWhoseTakerStops() {
+    Caller caller = beginHandedOverStream();
+    second.dispatcher.abortAll();
+    assertFalse(caller.streamAborted);
+    assertEquals(1, first.sent.size());
+    assertEquals("4", first.sent.getFirst().request().headers().get(FakeDialect.RESUME_HEADER));
+    assertEquals(0, handover.openRequests());
+    first.sent.getFirst().listener().onHead(200, Map.of());
+    first.sent.getFirst().sendEvent(5);
+    first.sent.getFirst().endStream();
+    assertTrue(caller.streamFinished);
+    assertEquals(event(0) + event(4) + event(5), caller.streamed.toString(UTF_8));
+  }
+
+  /** Guards against a part of an event before the whole event, if the link breaks inside it. */
+  @Test
+  void passesNoPartOfAnEventOfAStreamThatMayGoOn() {
+    Caller caller = call(GatewayFixture.LONG_STREAM_PATH);
+    PeerCall call = calls.getFirst();
+    first.peerAnswer = new StreamPeers.Answer.Known("v1");
+    ResponseStream stream = call.startStream(200, Map.of("teaseldeal-handover", "STREAM"));
+    stream.write((event(0) + "id: 1\ndata: pa").getBytes(UTF_8));
+    assertEquals(event(0), caller.streamed.toString(UTF_8));
+    call.fail(HttpFailure.BROKEN_ANSWER);
+    assertEquals("0", first.sent.getFirst().request().headers().get(FakeDialect.RESUME_HEADER));
+    assertFalse(caller.streamAborted);
+  }
+
+  /** Guards against a stream of two software versions. */
+  @Test
+  void abortsAStreamWhoseTakerStopsIfNoServerOfItsVersionIsLeft() {
+    Caller caller = beginHandedOverStream("v2");
+    second.dispatcher.abortAll();
+    assertEquals(List.of(), first.sent);
+    assertTrue(caller.streamAborted);
+    assertEquals(0, caller.status());
+  }
+
+  /** Guards against a second status in the middle of an answer. */
+  @Test
+  void abortsAStreamThatNobodyCanResume() {
+    Caller caller = beginHandedOverStream();
+    first.servers.remove(new BackendServerId("i-1"));
+    second.dispatcher.abortAll();
+    assertTrue(caller.streamAborted);
+    assertEquals(0, caller.status());
+  }
+
+  /** Guards against a stream that goes on from an unknown event. */
+  @Test
+  void abortsAStreamWithoutIdsWhoseTakerStops() {
+    Caller caller = call(GatewayFixture.LONG_STREAM_PATH);
+    second.sent.getFirst().listener().onHead(200, Map.of());
+    second.sent.getFirst().listener().onBodyPart("data: part\n\n".getBytes(UTF_8));
+    second.dispatcher.abortAll();
+    assertEquals(List.of(), first.sent);
+    assertTrue(caller.streamAborted);
+  }
+
+  /** Guards against more servers for one request than its route allows. */
+  @Test
+  void abortsAStreamWhoseTakerMayHaveUsedAllAttempts() {
+    first.peerAnswer = new StreamPeers.Answer.Known("v1");
+    Caller caller = call(GatewayFixture.STREAM_PATH);
+    second.sent.getFirst().beginStream();
+    second.dispatcher.abortAll();
+    assertEquals(List.of(), first.sent);
+    assertTrue(caller.streamAborted);
+  }
+
+  /** Guards against servers that work on a resumed stream whose caller has left. */
+  @Test
+  void cancelsAResumedStreamIfItsCallerLeaves() {
+    Caller caller = beginHandedOverStream();
+    second.dispatcher.abortAll();
+    caller.leave();
+    assertTrue(first.sent.getFirst().wasCancelled());
+  }
+
+  private Caller beginHandedOverStream() {
+    return beginHandedOverStream("v1");
+  }
+
+  private Caller beginHandedOverStream(String version) {
+    first.listIsCurrent = false;
+    first.peerAnswer = new StreamPeers.Answer.Known(version);
+    Caller caller = call(GatewayFixture.LONG_STREAM_PATH);
+    second.sent.getFirst().beginStream();
+    second.sent.getFirst().sendEvent(4);
+    return caller;
+  }
+
+  private static String event(int id) {
+    return "id: %d\ndata: part %d\n\n".formatted(id, id);
+  }
+
   /**
    * Guards against sound answers that are ended because a single one fills the memory for answers
    * that are collected.
@@ -388,6 +493,7 @@
   /** A caller's request to the first instance. */
   private static final class Caller extends FakeExchange {
     private @Nullable Runnable onDisconnect;
+    private final ByteArrayOutputStream streamed = new ByteArrayOutputStream();
     private int streamedBytes;
     private boolean streamFinished;
     private boolean streamAborted;
@@ -432,6 +538,7 @@
         @Override
         public void write(byte[] part) {
           streamedBytes += part.length;
+          streamed.writeBytes(part);
         }
 
         @Override
