--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -6,6 +6,8 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.ArrayList;
+import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -18,12 +20,14 @@
 import org.teaseldeal.decisions.HandoverPolicy;
 import org.teaseldeal.gateway.event.EventSink;
 import org.teaseldeal.gateway.event.GatewayEvent;
+import org.teaseldeal.gateway.flow.BegunStream;
 import org.teaseldeal.gateway.flow.RequestDispatcher;
 import org.teaseldeal.gateway.handover.HandoverMessage.Result;
 import org.teaseldeal.gateway.path.BackendPort;
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -216,6 +220,54 @@
     }
   }
 
+  /** Ends the largest answers that are collected while all together are too large. */
+  private void abandonLargestAnswers() {
+    while (collectedBytes > MAX_COLLECTED_BYTES) {
+      HandedOverRequest largest =
+          Collections.max(open, Comparator.comparingInt(HandedOverRequest::collectedBytes));
+      largest.abandon(
+          "the answer is too large, %d bytes so far".formatted(largest.collectedBytes()));
+    }
+  }
+
+  /**
+   * Passes the events of a stream on, whole ones only, so that the stream can go on elsewhere after
+   * the last of them.
+   */
+  private final class PassedEvents {
+    private final EventSplitter splitter = new EventSplitter();
+    private final ResponseStream stream;
+    private String lastEventId = "";
+    private Instant firstSentAt = Instant.MAX;
+    private Instant lastSentAt = Instant.MAX;
+
+    PassedEvents(ResponseStream stream) {
+      this.stream = stream;
+    }
+
+    void pass(byte[] part) {
+      for (EventSplitter.Event event : splitter.add(part)) {
+        stream.write(event.bytes());
+        lastSentAt = clock.instant();
+        firstSentAt = firstSentAt.equals(Instant.MAX) ? lastSentAt : firstSentAt;
+        if (event.hasData()) {
+          lastEventId = event.id();
+        }
+      }
+    }
+
+    boolean endsInEvent() {
+      return splitter.incompleteBytes() > 0;
+    }
+
+    /** The stream as the caller has it; empty if its last event has no id to go on from. */
+    Optional<BegunStream> resumable() {
+      return lastEventId.isEmpty()
+          ? Optional.empty()
+          : Optional.of(new BegunStream(stream, lastEventId, firstSentAt, lastSentAt));
+    }
+  }
+
   /** One request, from the first offer to another instance to the end of its answer. */
   private final class HandedOverRequest implements HttpListener {
     private final HttpExchange exchange;
@@ -232,6 +284,7 @@
     private int status;
     private Map<String, String> headers = Map.of();
     private @Nullable ResponseStream stream;
+    private @Nullable PassedEvents passedEvents;
     private boolean ended;
 
     HandedOverRequest(HttpExchange exchange, Route route, long planVersion, Duration late) {
@@ -324,6 +377,7 @@
         case STREAM -> {
           policy.onWilling(sibling, clock.instant());
           stream = exchange.startStream(status, headers);
+          passedEvents = route.resumable() ? new PassedEvents(stream) : null;
         }
         case COMPLETE -> policy.onWilling(sibling, clock.instant());
         case NOT_TAKEN, REPEATED, WILLING -> policy.onUnwilling(sibling, clock.instant());
@@ -337,7 +391,11 @@
         return;
       }
       if (begun != null) {
-        begun.write(part);
+        if (passedEvents == null) {
+          begun.write(part);
+        } else {
+          passedEvents.pass(part);
+        }
         if (begun.pendingBytes() > MAX_PENDING_BYTES) {
           call.cancel();
           abandon("the caller reads too slowly");
@@ -345,10 +403,7 @@
       } else if (result == Result.COMPLETE) {
         collected.writeBytes(part);
         collectedBytes += part.length;
-        if (collectedBytes > MAX_COLLECTED_BYTES) {
-          call.cancel();
-          abandon("the answers that are collected are too large");
-        }
+        abandonLargestAnswers();
       } else if (collected.size() + part.length <= MAX_DETAIL_BYTES) {
         collected.writeBytes(part);
       }
@@ -366,7 +421,8 @@
           exchange.respond(status, headers, collected.toByteArray());
         }
         case STREAM -> {
-          if (end == AnswerEnd.LAST_CHUNK && stream != null) {
+          boolean inEvent = passedEvents != null && passedEvents.endsInEvent();
+          if (end == AnswerEnd.LAST_CHUNK && stream != null && !inEvent) {
             end();
             stream.finish();
           } else {
@@ -394,6 +450,11 @@
       }
     }
 
+    /** The bytes of the answer that have been collected before they are passed on. */
+    int collectedBytes() {
+      return result == Result.COMPLETE ? collected.size() : 0;
+    }
+
     private void onNotTaken(String detail) {
       policy.onEnded(sibling);
       collected.reset();
@@ -408,14 +469,28 @@
      */
     private void onLost(String detail) {
       int attemptsLeft = route.maxAttempts() - maxAttempts;
-      boolean again = stream == null && route.repeatable() && attemptsLeft > 0;
-      if (!again) {
+      if (!route.repeatable() || attemptsLeft <= 0) {
+        abandon(detail);
+      } else if (stream == null) {
+        reportLost(detail, true);
+        end();
+        dispatcher.handleMayHaveRun(exchange, attemptsLeft);
+      } else {
+        resumeOrAbandon(detail, attemptsLeft);
+      }
+    }
+
+    /** Goes on with a begun stream at a server, from the last event that the caller has. */
+    private void resumeOrAbandon(String detail, int attemptsLeft) {
+      Optional<BegunStream> begun =
+          passedEvents == null ? Optional.empty() : passedEvents.resumable();
+      if (begun.isPresent() && dispatcher.resume(exchange, begun.get(), attemptsLeft)) {
+        reportLost(detail, true);
+        end();
+        call.cancel();
+      } else {
         abandon(detail);
-        return;
       }
-      reportLost(detail, true);
-      end();
-      dispatcher.handleMayHaveRun(exchange, attemptsLeft);
     }
 
     /** Ends the request without its answer. */
@@ -455,9 +530,7 @@
 
     private void end() {
       ended = true;
-      if (result == Result.COMPLETE) {
-        collectedBytes -= collected.size();
-      }
+      collectedBytes -= collectedBytes();
       remove();
       policy.onEnded(sibling);
     }
