Tell a caller without an answer before it leaves

A caller of a silent server that could be connected to, with no retry left, got neither an answer nor a refusal: its connection was held until it left by itself. It gets 502 now 200 ms before that.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -139,6 +139,9 @@
   /** How often a silent server's request is checked: twice as long as a round of the loop. */
   private static final Duration SILENCE_CHECK_INTERVAL = Duration.ofMillis(40);
 
+  /** How long before its caller stops waiting for the first part of an answer it is told. */
+  private static final Duration CALLER_LEAVE_LEAD_TIME = Duration.ofMillis(200);
+
   /** A stream is aborted if its caller reads so slowly that more than this waits for it. */
   private static final long MAX_PENDING_BYTES = 1 << 20;
 
@@ -636,8 +639,9 @@
    * <p>A server that loses power doesn't close its connections. Without this check its callers
    * would wait until their deadlines. A server may also pause and go on, so silence alone ends no
    * attempt: the first one that delivers a part of the answer is kept, and the others are cancelled
-   * then. Only a caller whose answer has not begun is told if its server can't be connected to
-   * either and no other one takes the request, as it may still be served by another instance.
+   * then. Only a caller whose answer has not begun is told that there is none, as it may still be
+   * served by another instance: if its server can't be connected to either and no other one takes
+   * the request, or right before it would leave by itself.
    */
   private void failOverIfSilent() {
     if (attempts.isEmpty()) {
@@ -649,6 +653,10 @@
     if (!overdue && !pathLost) {
       return;
     }
+    if (overdue && route.repeatable() && !answer.hasBegun() && callerIsAboutToLeave()) {
+      fail(Problem.of(ErrorKind.BACKEND_FAILED, "silent until its caller would leave"));
+      return;
+    }
     if (overdue && route.repeatable() && hasEndedServer(newest)) {
       giveUpAttempt(newest, "silent, and its server has ended");
       return;
@@ -662,6 +670,11 @@
     }
   }
 
+  private boolean callerIsAboutToLeave() {
+    Duration patience = route.silenceTimeout(Duration.between(arrivedAt, deadline));
+    return !now().isBefore(arrivedAt.plus(patience).minus(CALLER_LEAVE_LEAD_TIME));
+  }
+
   private void giveUpAttempt(Attempt silent, String detail) {
     silent.cancel();
     onAttemptFailed(silent, AttemptFailure.MAY_HAVE_RUN, detail);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/SilentServerFlowTests.java
@@ -342,6 +342,19 @@
     assertTrue(request.wasCancelled());
   }
 
+  /** Guards against a caller that leaves without an answer or a refusal. */
+  @Test
+  void tellsACallerWithoutAnAnswerBeforeItLeaves() {
+    GatewayFixture gateway = new GatewayFixture(0);
+    gateway.list("server-1", FIRST, Instant.EPOCH);
+    FakeExchange caller = gateway.call(GatewayFixture.STREAM_PATH);
+    waitInSilence(gateway, Duration.ofMillis(4_700));
+    assertEquals(0, caller.status());
+    waitInSilence(gateway, Duration.ofMillis(150));
+    assertEquals(502, caller.status());
+    assertTrue(lastSent(gateway).wasCancelled());
+  }
+
   /** Guards against a stream that is cut because another server sent nothing but a comment. */
   @Test
   void decidesNothingByEventsWithoutDataBeforeTheAnswerBegins() {
