Say in the last line of a stop how long connections were unread

Callers whose requests arrive while the event loop of a stopping instance is blocked wait unread. Whether that was so at a stop could not be told from its log. The drain now measures the longest time between two of its steps, each of which follows a read of all connections, and says it in the "stopped" line behind the number of requests that were cut off.

DrainPhasesTests.measuresTheLongestTimeBetweenTwoSteps passes.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/DrainPhases.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/DrainPhases.java
@@ -90,6 +90,8 @@
   private final Instant flushDeadline;
   private Phase phase = Phase.ACCEPTING;
   private Instant phaseSince;
+  private Instant lastStep;
+  private Duration longestStepGap = Duration.ZERO;
 
   /**
    * Begins a shutdown.
@@ -103,6 +105,7 @@
     admission = new DrainAdmission(drainStart, drainStart.plus(grace).minus(reserve));
     flushDeadline = admission.abortTime().plus(reserve.dividedBy(FLUSH_DIVISOR));
     phaseSince = drainStart;
+    lastStep = drainStart;
   }
 
   /**
@@ -119,6 +122,7 @@
    * outstanding.
    */
   public Phase advance(Instant now, Outstanding outstanding) {
+    countStep(now);
     Phase next = nextPhase(now, outstanding);
     if (next != phase) {
       phase = next;
@@ -127,6 +131,20 @@
     return phase;
   }
 
+  /**
+   * Returns the longest time between two steps so far. Callers' connections are read before each
+   * step, and may have been unread in between.
+   */
+  public Duration longestStepGap() {
+    return longestStepGap;
+  }
+
+  private void countStep(Instant now) {
+    Duration gap = Duration.between(lastStep, now);
+    longestStepGap = gap.compareTo(longestStepGap) > 0 ? gap : longestStepGap;
+    lastStep = now;
+  }
+
   private Phase nextPhase(Instant now, Outstanding outstanding) {
     boolean idle = outstanding.unanswered() == 0;
     return switch (phase) {
--- a/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/DrainPhasesTests.java
+++ b/teaseldeal-decisions/src/test/java/org/teaseldeal/decisions/DrainPhasesTests.java
@@ -83,6 +83,14 @@
     return now;
   }
 
+  @Test
+  void measuresTheLongestTimeBetweenTwoSteps() {
+    phases.advance(BEGAN.plusMillis(20), NOTHING);
+    phases.advance(BEGAN.plusMillis(370), NOTHING);
+    phases.advance(BEGAN.plusMillis(390), NOTHING);
+    assertEquals(Duration.ofMillis(350), phases.longestStepGap());
+  }
+
   @Test
   void leavesMostOfAShortGraceToCallers() {
     DrainPhases shortGrace = new DrainPhases(BEGAN, Duration.ofSeconds(1));
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
@@ -43,7 +43,10 @@
   private final DrainPhases phases;
   private final CountDownLatch done = new CountDownLatch(1);
   private Phase phase = Phase.ACCEPTING;
-  private int abortedRequests;
+  private volatile int abortedRequests;
+
+  /** The longest time in which the event loop may not have read the callers' connections. */
+  private volatile Duration longestUnread = Duration.ZERO;
 
   /**
    * Creates a drain whose grace period begins now; {@link #run()} carries it out.
@@ -88,7 +91,12 @@
       LOG.warn("the drain did not finish within the shutdown grace of {}", grace);
     }
     steps.cancel(false);
-    events.accept(new GatewayEvent.InstanceState("stopped", abortedRequests + " requests cut off"));
+    events.accept(new GatewayEvent.InstanceState("stopped", summary()));
+  }
+
+  private String summary() {
+    return "%d requests cut off, connections unread for at most %d ms"
+        .formatted(abortedRequests, longestUnread.toMillis());
   }
 
   private void begin() {
@@ -108,6 +116,7 @@
                   callerServer.unansweredRequests() + relay.openRequests() + handedOver.taken(),
                   callerServer.openConnections(),
                   accounts.allReturned()));
+      longestUnread = phases.longestStepGap();
       if (next != phase) {
         phase = next;
         enter(next);
@@ -124,9 +133,9 @@
       case ACCEPTING, SHORT_ONLY -> {}
       case REFUSING -> dispatcher.refuseAllNotRun();
       case ABORTING -> {
-        abortedRequests = dispatcher.openRequests() + relay.openRequests();
+        int open = dispatcher.openRequests() + relay.openRequests();
         dispatcher.abortAll();
-        abortedRequests += handedOver.abortHandedOver();
+        abortedRequests = open + handedOver.abortHandedOver();
       }
       case CLOSING -> callerServer.stopAcceptingAsync();
       case FLUSHING -> callerServer.closeIdleConnections(dispatcher.drainingAnswer());
