--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/InstanceDrain.java
@@ -28,9 +28,6 @@
 public final class InstanceDrain {
   private static final Logger LOG = LoggerFactory.getLogger(InstanceDrain.class);
 
-  /** The interval between two steps; short compared with the shortest phase, which takes 60 ms. */
-  private static final Duration STEP_INTERVAL = Duration.ofMillis(20);
-
   private final ScheduledExecutorService loop;
   private final HttpServer callerServer;
   private final RequestDispatcher dispatcher;
@@ -43,7 +40,10 @@
   private final DrainPhases phases;
   private final CountDownLatch done = new CountDownLatch(1);
   private Phase phase = Phase.ACCEPTING;
-  private int abortedRequests;
+  private volatile int abortedRequests;
+
+  /** The longest time in which the event loop may not have read the callers' connections. */
+  private volatile Duration longestUnread = Duration.ZERO;
 
   /**
    * Creates a drain whose grace period begins now; {@link #run()} carries it out.
@@ -81,14 +81,20 @@
   public void run() throws InterruptedException {
     callerServer.closeAfterAnswers();
     loop.execute(this::begin);
+    long interval = DrainPhases.STEP_INTERVAL.toMillis();
+    // At a fixed rate, steps that were missed while the loop was blocked would follow at once.
     Future<?> steps =
-        loop.scheduleAtFixedRate(
-            this::step, STEP_INTERVAL.toMillis(), STEP_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::step, interval, interval, TimeUnit.MILLISECONDS);
     if (!done.await(grace.toMillis(), TimeUnit.MILLISECONDS)) {
       LOG.warn("the drain did not finish within the shutdown grace of {}", grace);
     }
     steps.cancel(false);
-    events.accept(new GatewayEvent.InstanceState("stopped", abortedRequests + " requests cut off"));
+    events.accept(new GatewayEvent.InstanceState("stopped", summary()));
+  }
+
+  private String summary() {
+    return "%d requests cut off, connections unread for at most %d ms"
+        .formatted(abortedRequests, longestUnread.toMillis());
   }
 
   private void begin() {
@@ -106,8 +112,11 @@
               clock.instant(),
               new Outstanding(
                   callerServer.unansweredRequests() + relay.openRequests() + handedOver.taken(),
+                  callerServer.isAccepting(),
+                  callerServer.usableConnections(),
                   callerServer.openConnections(),
                   accounts.allReturned()));
+      longestUnread = phases.longestStepGap();
       if (next != phase) {
         phase = next;
         enter(next);
@@ -124,12 +133,13 @@
       case ACCEPTING, SHORT_ONLY -> {}
       case REFUSING -> dispatcher.refuseAllNotRun();
       case ABORTING -> {
-        abortedRequests = dispatcher.openRequests() + relay.openRequests();
+        int open = dispatcher.openRequests() + relay.openRequests();
         dispatcher.abortAll();
-        abortedRequests += handedOver.abortHandedOver();
+        abortedRequests = open + handedOver.abortHandedOver();
       }
       case CLOSING -> callerServer.stopAcceptingAsync();
       case FLUSHING -> callerServer.closeIdleConnections(dispatcher.drainingAnswer());
+      case ENDING -> callerServer.closeUnlessAnswering(dispatcher.drainingAnswer());
       case DONE -> done.countDown();
     }
   }
