Refuse for a while if a holder knows a lower total

Callers got 402, for good, beside a configuration that raised a total: a holder that had not read it yet refused by the lower total, and its refusal was passed on, although the asking instance knew the higher one.

The asking instance now sends the total that it knows, and a holder that would refuse by a lower one says "not at hand", with a time to come back; the next holder is asked then. Instances of an earlier version read such messages and send none with a total; their requests are refused as before. Where the total was lowered and the asking instance is the later one to read it, callers get 503 instead of 402 until it has.

HolderCallsTests.refusesForAWhileIfTheAskingInstanceKnowsAHigherTotal failed before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderPort.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderPort.java
@@ -18,8 +18,11 @@
    * @param tokens number of tokens, greater than 0 and at most {@link TokenCounts#MAX_TOTAL}
    * @param maxWait how long the request may wait for the tokens at the holder
    * @param timeLeft how long the answer is of use to the caller
+   * @param knownTotal the customer's total in the configuration of the instance that asks; 0 if it
+   *     doesn't say it
    */
-  record Request(String customer, long tokens, Duration maxWait, Duration timeLeft) {
+  record Request(
+      String customer, long tokens, Duration maxWait, Duration timeLeft, long knownTotal) {
     public Request {
       Preconditions.requireText(customer, "customer");
       Preconditions.require(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderService.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/HolderService.java
@@ -3,6 +3,7 @@
 import java.time.Instant;
 import java.time.InstantSource;
 import java.util.function.Consumer;
+import org.teaseldeal.api.ErrorKind;
 import org.teaseldeal.api.Problem;
 
 /** Answers the token requests of other instances out of this instance's own accounts. */
@@ -24,7 +25,7 @@
    */
   public Runnable answer(HolderPort.Request request, Consumer<HolderPort.Answer> answer) {
     Instant now = clock.instant();
-    PeerRequest listener = new PeerRequest(request.tokens(), answer);
+    PeerRequest listener = new PeerRequest(request, answer);
     accounts.reserve(
         request.customer(),
         request.tokens(),
@@ -35,11 +36,11 @@
   }
 
   private final class PeerRequest implements ReservationListener {
-    private final long tokens;
+    private final HolderPort.Request request;
     private final Consumer<HolderPort.Answer> answer;
 
-    PeerRequest(long tokens, Consumer<HolderPort.Answer> answer) {
-      this.tokens = tokens;
+    PeerRequest(HolderPort.Request request, Consumer<HolderPort.Answer> answer) {
+      this.request = request;
       this.answer = answer;
     }
 
@@ -49,13 +50,21 @@
      */
     @Override
     public void onReserved(Reservation reservation) {
-      accounts.settle(reservation, tokens);
+      accounts.settle(reservation, request.tokens());
       answer.accept(new HolderPort.Answer.Granted());
     }
 
     @Override
     public void onRefused(Problem problem) {
-      answer.accept(new HolderPort.Answer.Refused(problem));
+      answer.accept(new HolderPort.Answer.Refused(unlessTotalIsLower(problem)));
+    }
+
+    /** That a total is used up holds only by the newer of two configurations. */
+    private Problem unlessTotalIsLower(Problem problem) {
+      long total = accounts.total(request.customer());
+      return problem.kind() == ErrorKind.BUDGET_EXHAUSTED && total < request.knownTotal()
+          ? RefusalPolicy.lowerTotal(total, request.knownTotal())
+          : problem;
     }
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/PrepaidAccounts.java
@@ -204,6 +204,11 @@
     return prepaidTotal.apply(customer).isPresent();
   }
 
+  /** Returns the customer's total in the configuration; 0 if there is none. */
+  long total(String customer) {
+    return prepaidTotal.apply(customer).orElse(0);
+  }
+
   /** Returns the number of the customer's tokens that are idle at this instance. */
   public long idle(String customer) {
     return account(customer).idle();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/RefusalPolicy.java
@@ -121,6 +121,18 @@
         ErrorKind.NO_LEASE, "the total of %s was removed".formatted(customer), RETRY_AFTER);
   }
 
+  /**
+   * Returns the problem of a request that a holder can't cover whose configuration has a lower
+   * total than that of the instance that asks. One of the two is about to change, so the caller
+   * asks again.
+   */
+  static Problem lowerTotal(long total, long knownTotal) {
+    return Problem.retryable(
+        ErrorKind.NO_LEASE,
+        "the holder's total is %d, expected %d".formatted(total, knownTotal),
+        RETRY_AFTER);
+  }
+
   /** Returns the problem of a request that needs more tokens than remain of the total. */
   static Problem exhausted(long tokens, long total) {
     return Problem.of(
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/account/TokenRequests.java
@@ -214,7 +214,12 @@
       long missing = tokens - Math.min(accounts.drawn(customer), tokens - 1);
       Duration maxWait = Durations.shorter(MAX_WAIT, Duration.between(now, callerTimeout));
       HolderPort.Request request =
-          new HolderPort.Request(customer, missing, maxWait, Duration.between(now, deadline));
+          new HolderPort.Request(
+              customer,
+              missing,
+              maxWait,
+              Duration.between(now, deadline),
+              accounts.total(customer));
       port.request(holder, request, answer -> onAnswer(holder, missing, answer));
     }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/peer/HolderMessages.java
@@ -32,6 +32,7 @@
           out.writeLong(request.tokens());
           out.writeLong(request.maxWait().toMillis());
           out.writeLong(request.timeLeft().toMillis());
+          out.writeLong(request.knownTotal());
         });
   }
 
@@ -48,7 +49,9 @@
                 in.readUTF(),
                 in.readLong(),
                 Duration.ofMillis(in.readLong()),
-                Duration.ofMillis(in.readLong())));
+                Duration.ofMillis(in.readLong()),
+                // Instances of an earlier version don't send it.
+                in.available() > 0 ? in.readLong() : 0));
   }
 
   /** Tokens that are returned to their holder because no request has used them. */
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/CutPeerAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/CutPeerAnswerTests.java
@@ -136,7 +136,7 @@
           new HolderCalls(this::address, this::call, accounts, clock)
               .request(
                   PEER,
-                  new HolderPort.Request(CUSTOMER, TOKENS, Duration.ZERO, TIMEOUT),
+                  new HolderPort.Request(CUSTOMER, TOKENS, Duration.ZERO, TIMEOUT, 0),
                   given -> meanings.add(meaning(given)));
       case DRAWN ->
           new TokenDrawCalls(this::address, this::call, accounts)
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/HolderCallsTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/peer/HolderCallsTests.java
@@ -2,9 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -70,6 +72,31 @@
     assertEquals(ErrorKind.BUDGET_EXHAUSTED, refused.problem().kind());
   }
 
+  /**
+   * Guards against callers that are told for good that a total is used up, by a holder that hasn't
+   * read of the higher one yet.
+   */
+  @Test
+  void refusesForAWhileIfTheAskingInstanceKnowsAHigherTotal() {
+    requestTokens(CUSTOMER, TOTAL + 1, 2 * TOTAL);
+    run(Duration.ofSeconds(2));
+    HolderPort.Answer.Refused refused =
+        assertInstanceOf(HolderPort.Answer.Refused.class, answers.getFirst());
+    assertEquals(ErrorKind.NO_LEASE, refused.problem().kind());
+    assertTrue(refused.problem().retryAfter().isPresent());
+  }
+
+  /** Guards against requests of instances of an earlier version that can't be read. */
+  @Test
+  void readsARequestWithoutATotal() {
+    byte[] message =
+        HolderMessages.encode(new HolderPort.Request(CUSTOMER, 1, MAX_WAIT, DEADLINE, TOTAL));
+    byte[] earlier = Arrays.copyOf(message, message.length - Long.BYTES);
+    assertEquals(
+        new HolderPort.Request(CUSTOMER, 1, MAX_WAIT, DEADLINE, 0),
+        HolderMessages.decodeRequest(earlier));
+  }
+
   @Test
   void grantsReturnedTokensAgain() {
     requestTokens(CUSTOMER, TOTAL);
@@ -146,8 +173,14 @@
   }
 
   private void requestTokens(String customer, long tokens) {
+    requestTokens(customer, tokens, TOTAL);
+  }
+
+  private void requestTokens(String customer, long tokens, long knownTotal) {
     requester.request(
-        HOLDER, new HolderPort.Request(customer, tokens, MAX_WAIT, DEADLINE), answers::add);
+        HOLDER,
+        new HolderPort.Request(customer, tokens, MAX_WAIT, DEADLINE, knownTotal),
+        answers::add);
   }
 
   private void run(Duration time) {
