Play engines that do nothing for a second in the model

Callers' begun answers were cut, and others failed, beside servers that paused and went on: an instance with little traffic hears of no server for a second and its probes get no answer. The model's engines only held back their answers; probes went through.

With the fault "freeze" engines neither read nor send anything, probes included. In a scenario whose faults end no answer by themselves, a stream that is cut before its deadline and a request that ends as backend-failed break a promise now.

ModelInvariantTests was not run.

--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/FaultInjector.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 import org.teaseldeal.decisions.TokenHolderChoice;
 
 /** Injects the faults of a scenario into a fleet. */
@@ -118,16 +119,8 @@
         randomSubset(engineNames(), fault.share())
             .forEach(name -> fleet.rejectWithPause(fleet.server(name), pause, fault.lasting()));
       }
-      case SILENCE -> {
-        List<String> chosen = randomSubset(engineNames(), fault.share());
-        for (int i = 0; i < chosen.size(); i++) {
-          ModelServer engine = fleet.server(chosen.get(i));
-          fleet
-              .time()
-              .schedule(
-                  fault.gap().multipliedBy(i), () -> fleet.silenceEngine(engine, fault.lasting()));
-        }
-      }
+      case SILENCE -> inTurn(fault, engine -> fleet.silenceEngine(engine, fault.lasting()));
+      case FREEZE -> inTurn(fault, engine -> fleet.freezeEngine(engine, fault.lasting()));
       case HOLDER_LOST -> {
         List<String> holders =
             TokenHolderChoice.holders(load.customers().getFirst(), fleet.memberNames()).stream()
@@ -141,6 +134,15 @@
     }
   }
 
+  /** Disturbs a share of the engines, one after the other. */
+  private void inTurn(Scenario.Fault fault, Consumer<ModelServer> disturbance) {
+    List<String> chosen = randomSubset(engineNames(), fault.share());
+    for (int i = 0; i < chosen.size(); i++) {
+      ModelServer engine = fleet.server(chosen.get(i));
+      fleet.time().schedule(fault.gap().multipliedBy(i), () -> disturbance.accept(engine));
+    }
+  }
+
   private void limit(List<String> names, Scenario.Fault fault) {
     for (String name : names) {
       ModelServer server = fleet.server(name);
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelCaller.java
@@ -23,6 +23,9 @@
   /** Time until a caller retries if the answer doesn't name a time. */
   private static final Duration DEFAULT_RETRY_DELAY = Duration.ofMillis(200);
 
+  /** How long before a request's deadline its instance may end it. */
+  private static final Duration DEADLINE_TOLERANCE = Duration.ofMillis(20);
+
   private static final int FIRST_SERVER_ERROR = 500;
   private static final int OK = 200;
   private static final int NOT_FOUND = 404;
@@ -54,7 +57,7 @@
 
   private void reachInstance() {
     Optional<ModelInstance> instance = fleet.randomReadyInstance();
-    Duration timeLeft = request.kind().deadline().minusNanos(time.elapsedNanos() - sentAtNanos);
+    Duration timeLeft = Duration.ofNanos(timeLeftNanos());
     if (instance.isEmpty() || timeLeft.isNegative() || timeLeft.isZero()) {
       retryOrComplete(DEFAULT_RETRY_DELAY, Outcome.FAILED);
       return;
@@ -77,6 +80,10 @@
     instance.get().accept(exchange);
   }
 
+  private long timeLeftNanos() {
+    return request.kind().deadline().toNanos() - (time.elapsedNanos() - sentAtNanos);
+  }
+
   /** Returns the statement with which a stream is taken up of which events have arrived. */
   private Optional<Resumption> takeUp() {
     return events == 0
@@ -157,6 +164,9 @@
     @Override
     public void onConnectionLost() {
       recordAttempt(false);
+      if (events > 0 && timeLeftNanos() > DEADLINE_TOLERANCE.toNanos()) {
+        fleet.onStreamCut(request);
+      }
       if (events == 0 || request.kind().resumable()) {
         retryOrComplete(DEFAULT_RETRY_DELAY, Outcome.FAILED);
       } else {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelFleet.java
@@ -77,6 +77,7 @@
   private final Map<String, Double> serverLimits = new HashMap<>();
   private final StatementCheck statementCheck;
   private final Set<String> leavingServers = new HashSet<>();
+  private final Map<String, Long> frozenUntilNanos = new HashMap<>();
   private final Map<String, Duration> pausesByServer = new HashMap<>();
   private final Map<String, ModelInstance> instances = new TreeMap<>();
   private final Map<String, Long> steadyClockOffsetsNanos = new HashMap<>();
@@ -383,6 +384,28 @@
     }
   }
 
+  /** Has an engine neither read nor send anything for a time, after which it goes on. */
+  void freezeEngine(ModelServer server, Duration lasting) {
+    silenceEngine(server, lasting);
+    frozenUntilNanos.merge(server.name(), time.elapsedNanos() + lasting.toNanos(), Math::max);
+  }
+
+  /** Returns for how long a server still reads nothing; 0 if it reads. */
+  long frozenNanos(ModelServer server) {
+    return Math.max(0, frozenUntilNanos.getOrDefault(server.name(), 0L) - time.elapsedNanos());
+  }
+
+  /** Records that a connection was closed within a stream, before the request's time was over. */
+  void onStreamCut(ModelRequest request) {
+    if (faultsSpareAnswers()) {
+      violations.add("stream %d was cut although no fault ends one".formatted(request.number()));
+    }
+  }
+
+  private boolean faultsSpareAnswers() {
+    return scenario.faults().stream().allMatch(fault -> fault.kind().sparesAnswers());
+  }
+
   /** Sets the requests in a second that a server takes. */
   void limitServer(ModelServer server, double requestsPerSecond) {
     serverLimits.put(server.name(), requestsPerSecond);
@@ -488,6 +511,9 @@
 
   void onEvent(String instance, GatewayEvent event) {
     if (event instanceof GatewayEvent.RequestEnded ended) {
+      if (ended.outcome().equals("backend-failed") && faultsSpareAnswers()) {
+        violations.add("%s failed although no server did".formatted(ended.request()));
+      }
       if (!ended.outcome().equals("answered")) {
         refusals.merge(ended.outcome(), 1L, Long::sum);
       }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -550,9 +550,15 @@
     return call;
   }
 
-  /** Probes a backend server, which answers unless it is down. */
+  /** Probes a backend server, which answers unless it is down or frozen. */
   private HttpCall probeServer(HttpCallRequest request, HttpListener listener) {
-    boolean down = fleet.server(request.address()).isDown();
+    ModelServer server = fleet.server(request.address());
+    boolean down = server.isDown();
+    if (!down && fleet.frozenNanos(server) > 0) {
+      time.schedule(
+          PROBE_TIMEOUT, () -> listener.onFailure(HttpFailure.NO_ANSWER, "the server is frozen"));
+      return () -> {};
+    }
     time.schedule(
         fleet.network().oneWayDelay().multipliedBy(2),
         () -> {
@@ -603,26 +609,28 @@
               fail(HttpFailure.NO_ANSWER);
             }
           });
-      fleet
-          .network()
-          .transmit(
-              name,
-              server.name(),
-              CALL_BYTES,
-              () -> {
-                if (!ended && !server.isDown()) {
-                  String id = String.valueOf(request.headers().get(ModelDialect.ATTEMPT_ID_HEADER));
-                  fleet.onAttemptStarted(id);
-                  version = fleet.versionOf(server);
-                  fleet.onSentToServer(name, server, fleet.requestOf(id), id);
-                  Optional<Duration> pause = fleet.pauseOf(server);
-                  if (pause.isPresent()) {
-                    rejectWithPause(pause.get());
-                  } else {
-                    serverRun = server.run(fleet.requestOf(id), partCount, this);
-                  }
-                }
-              });
+      fleet.network().transmit(name, server.name(), CALL_BYTES, this::arrive);
+    }
+
+    private void arrive() {
+      long frozenNanos = fleet.frozenNanos(server);
+      if (ended || server.isDown()) {
+        return;
+      }
+      if (frozenNanos > 0) {
+        time.scheduleNanos(frozenNanos, this::arrive);
+        return;
+      }
+      String id = String.valueOf(request.headers().get(ModelDialect.ATTEMPT_ID_HEADER));
+      fleet.onAttemptStarted(id);
+      version = fleet.versionOf(server);
+      fleet.onSentToServer(name, server, fleet.requestOf(id), id);
+      Optional<Duration> pause = fleet.pauseOf(server);
+      if (pause.isPresent()) {
+        rejectWithPause(pause.get());
+      } else {
+        serverRun = server.run(fleet.requestOf(id), partCount, this);
+      }
     }
 
     private void fail(HttpFailure failure) {
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/Scenario.java
@@ -1,7 +1,9 @@
 package org.teaseldeal.model;
 
 import java.time.Duration;
+import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import org.teaseldeal.api.Preconditions;
 
 /**
@@ -197,7 +199,20 @@
      * Sound engines send nothing for the duration and go on then, one after the other with a {@code
      * gap}.
      */
-    SILENCE
+    SILENCE,
+    /**
+     * Sound engines neither read nor send anything for the duration, probes included, and go on
+     * then, one after the other with a {@code gap}.
+     */
+    FREEZE;
+
+    private static final Set<FaultKind> SPARING_ANSWERS =
+        EnumSet.of(BURST, HOT_CUSTOMER, HOT_BEGINNING, CONFIGURATIONS, SKEW, SILENCE, FREEZE);
+
+    /** Whether nothing that the fault does ends an answer that has begun. */
+    boolean sparesAnswers() {
+      return SPARING_ANSWERS.contains(this);
+    }
   }
 
   /** Where in a prompt a part stands, which is never the last. */
