Give up no request because probes of silent servers stay unanswered

Callers without an answer got 502 beside sound servers that did nothing for a second: an instance with little traffic takes all its paths for lost then, as its probes get no answer, though connections can be opened. Only that no connection can be opened tells such a caller now.

--- a/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerPaths.java
+++ b/teaseldeal-decisions/src/main/java/org/teaseldeal/decisions/ServerPaths.java
@@ -127,10 +127,13 @@
 
   /** Returns whether requests to {@code server} can't be sent from here at present. */
   public boolean isLost(BackendServerId server) {
+    return isUnconnectable(server) || areAllLost();
+  }
+
+  /** Returns whether no connection to {@code server} could be opened since its path was lost. */
+  public boolean isUnconnectable(BackendServerId server) {
     Path path = paths.get(server);
-    boolean unconnectable =
-        path != null && path.isLost() && path.evidence == Evidence.CONNECT_FAILED;
-    return unconnectable || areAllLost();
+    return path != null && path.isLost() && path.evidence == Evidence.CONNECT_FAILED;
   }
 
   /** Returns whether this instance reaches no server, as far as it can tell. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -665,7 +665,9 @@
     if ((overdue || replaced) && !newest.isLossRecorded()) {
       recordLoss(newest);
     }
-    if (!replaced && overdue && pathLost && route.repeatable() && !answer.hasBegun()) {
+    boolean unconnectable =
+        !newest.relayed() && components.links().isUnconnectable(newest.server());
+    if (!replaced && overdue && unconnectable && route.repeatable() && !answer.hasBegun()) {
       giveUpAttempt(newest, "silent, and its server can't be connected to");
     }
   }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -188,6 +188,11 @@
     return paths.isLost(server.id());
   }
 
+  /** Returns whether this instance can't open connections to {@code server}. */
+  public boolean isUnconnectable(BackendServer server) {
+    return paths.isUnconnectable(server.id());
+  }
+
   /** Returns whether this instance reaches no server by itself, as far as it can tell. */
   public boolean areAllLost() {
     return paths.areAllLost();
