Keep a plain request until its deadline

A plain request whose server was slow got 502 up to 200 ms before its deadline since callers without an answer are told before they leave: its caller doesn't leave before the deadline. Only a caller that leaves earlier, that of a stream, is told (keepsAPlainRequestUntilItsDeadline failed before by reading; it was not run on that code).

All tests of the gateway and FrozenEngineTests pass, with the linter.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestFlow.java
@@ -672,9 +672,10 @@
     }
   }
 
+  /** Returns whether the caller is about to leave, before its deadline, as nothing has arrived. */
   private boolean callerIsAboutToLeave() {
-    Duration patience = route.silenceTimeout(Duration.between(arrivedAt, deadline));
-    return !now().isBefore(arrivedAt.plus(patience).minus(CALLER_LEAVE_LEAD_TIME));
+    Instant leavesAt = arrivedAt.plus(route.silenceTimeout(Duration.between(arrivedAt, deadline)));
+    return leavesAt.isBefore(deadline) && !now().isBefore(leavesAt.minus(CALLER_LEAVE_LEAD_TIME));
   }
 
   private void giveUpAttempt(Attempt silent, String detail) {
