Log where each answer was received and which were skipped

Callers received successes for requests that their backend server had failed, and no line named these requests: the log said neither whether an answer named its request nor what its connection had carried before. A listener now learns how an answer was matched (AnswerMatch) and where it arrived (AnswerOrigin).

AnswerReceived has the signature, the match, the connection and the place on it; AnswerSkipped has whose answer was dropped. An answer without an id shows as UNNAMED, a joined head as a signature or status that its server's record lacks, a shifted connection as a row of AnswerSkipped on one connection.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/EventLog.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicLong;
+import org.teaseldeal.net.AnswerMatch;
 
 /**
  * Writes events as JSON lines from its own thread.
@@ -136,6 +137,10 @@
     return switch (event) {
       case GatewayEvent.Placed placed ->
           placed.attempt() == 1 && placed.resumes().isEmpty() && !placed.relayed();
+      case GatewayEvent.AnswerReceived received ->
+          received.attempt() == 1
+              && received.skipped() == 0
+              && received.match().equals(AnswerMatch.THIS_CALL.name());
       case GatewayEvent.RequestEnded ended ->
           ended.outcome().equals("answered") && ended.attempts() == 1;
       case GatewayEvent.HandedOver handedOver -> true;
@@ -162,6 +167,7 @@
     String request =
         switch (event) {
           case GatewayEvent.Placed placed -> placed.request();
+          case GatewayEvent.AnswerReceived received -> received.request();
           case GatewayEvent.RequestEnded ended -> ended.request();
           case GatewayEvent.HandedOver handedOver -> handedOver.request();
           case GatewayEvent.HandoverTaken taken -> taken.request();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -169,6 +169,46 @@
       Duration silent)
       implements GatewayEvent {}
 
+  /**
+   * The head of a backend server's answer to an attempt was received.
+   *
+   * @param signature the server's signature of the answer; empty if it has none
+   * @param match whether the answer names the request, a name of {@link
+   *     org.teaseldeal.net.AnswerMatch}
+   * @param connection the number of the connection in this process
+   * @param call the number of the attempt among the calls of the connection, from 1
+   * @param skipped the number of answers that were skipped since the attempt was sent
+   */
+  record AnswerReceived(
+      String request,
+      String server,
+      int attempt,
+      int status,
+      String signature,
+      String match,
+      long connection,
+      int call,
+      int skipped)
+      implements GatewayEvent {}
+
+  /**
+   * An answer to another request was received, and skipped, while an attempt waited for its own.
+   *
+   * @param answeredRequest the request that the answer names
+   * @param signature the server's signature of the answer; empty if it has none
+   * @param connection the number of the connection in this process
+   * @param call the number of the attempt among the calls of the connection, from 1
+   */
+  record AnswerSkipped(
+      String request,
+      String server,
+      String answeredRequest,
+      int status,
+      String signature,
+      long connection,
+      int call)
+      implements GatewayEvent {}
+
   /**
    * The end of a backend server's answer does not show by itself that the answer is complete: it
    * was not marked by a length or a last chunk, or a stream ended inside an event.
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -11,6 +11,8 @@
 import org.teaseldeal.gateway.event.GatewayEvent;
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.AnswerMatch;
+import org.teaseldeal.net.AnswerOrigin;
 import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
@@ -52,6 +54,10 @@
 
   private @Nullable HttpCall call;
   private @Nullable AnswerVerdict verdict;
+
+  /** Where the answer was received; null before, and if another instance relays it. */
+  private @Nullable AnswerOrigin origin;
+
   private int status;
   private Map<String, String> headers = Map.of();
   private Instant lastReceivedAt;
@@ -209,8 +215,29 @@
   }
 
   @Override
-  public boolean acceptsAnswer(int answerStatus, Map<String, String> answerHeaders) {
-    return components.dialect().isAnswerTo(flow.request(), answerHeaders);
+  public AnswerMatch match(int answerStatus, Map<String, String> answerHeaders) {
+    return AnswerMatch.of(components.dialect().answeredRequest(answerHeaders), flow.request().id());
+  }
+
+  @Override
+  public void onSkipped(
+      int answerStatus, Map<String, String> answerHeaders, AnswerOrigin answerOrigin) {
+    components
+        .events()
+        .accept(
+            new GatewayEvent.AnswerSkipped(
+                flow.request().id(),
+                server.id().name(),
+                components.dialect().answeredRequest(answerHeaders).orElse(""),
+                answerStatus,
+                components.dialect().signature(answerHeaders),
+                answerOrigin.connection(),
+                answerOrigin.call()));
+  }
+
+  @Override
+  public void onReceived(AnswerOrigin answerOrigin) {
+    origin = answerOrigin;
   }
 
   @Override
@@ -220,6 +247,7 @@
     status = answerStatus;
     headers = components.dialect().answerHeaders(answerHeaders);
     verdict = components.dialect().verdict(answerStatus, answerHeaders);
+    reportReceived(answerHeaders);
     String contentType = headers.get(CONTENT_TYPE);
     eventStream =
         streamed
@@ -230,6 +258,26 @@
     }
   }
 
+  private void reportReceived(Map<String, String> answerHeaders) {
+    AnswerOrigin received = origin;
+    if (received == null) {
+      return;
+    }
+    components
+        .events()
+        .accept(
+            new GatewayEvent.AnswerReceived(
+                flow.request().id(),
+                server.id().name(),
+                number,
+                status,
+                components.dialect().signature(answerHeaders),
+                received.match().name(),
+                received.connection(),
+                received.call(),
+                received.skipped()));
+  }
+
   @Override
   public void onBodyPart(byte[] part) {
     if (ended) {
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
@@ -26,8 +26,11 @@
   /** Creates the request that is sent to a backend server. */
   HttpCallRequest forward(CallerRequest request, ForwardingTerms terms);
 
-  /** Whether the headers of an answer identify it as an answer to {@code request}. */
-  boolean isAnswerTo(CallerRequest request, Map<String, String> headers);
+  /** The id of the request that an answer names; empty if it names none. */
+  Optional<String> answeredRequest(Map<String, String> headers);
+
+  /** The backend server's signature of its answer, for the log; empty if it has none. */
+  String signature(Map<String, String> headers);
 
   /** Interprets the status and headers of an answer. */
   AnswerVerdict verdict(int status, Map<String, String> headers);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -55,6 +55,8 @@
       case GatewayEvent.StreamNotResumed refused -> count("streams_not_resumed_", refused.reason());
       case GatewayEvent.AttemptFailed failed -> count("attempts_failed_", failed.failure());
       case GatewayEvent.AttemptSuperseded superseded -> count("attempts_superseded");
+      case GatewayEvent.AnswerReceived received -> count("answers_received_", received.match());
+      case GatewayEvent.AnswerSkipped skipped -> count("answers_skipped");
       case GatewayEvent.AnswerEnded ended -> onAnswerEnded(ended);
       case GatewayEvent.RequestEnded ended -> onRequestEnded(ended);
       case GatewayEvent.WaitsForTokens waiting -> count("requests_that_waited_for_tokens");
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
@@ -4,7 +4,7 @@
 import java.time.Duration;
 import java.util.Map;
 import java.util.Optional;
-import java.util.function.BiPredicate;
+import java.util.function.BiFunction;
 import org.jspecify.annotations.Nullable;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -13,6 +13,7 @@
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerDirectory;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.AnswerMatch;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
@@ -50,22 +51,23 @@
 
   private final ServerLinks links;
   private final ServerDirectory servers;
-  private final BiPredicate<Map<String, String>, Map<String, String>> isAnswerTo;
+  private final BiFunction<Map<String, String>, Map<String, String>, AnswerMatch> answerMatch;
   private int openRequests;
   private boolean draining;
 
   /**
    * Creates the relay of an instance.
    *
-   * @param isAnswerTo whether an answer with the second headers belongs to a request with the first
+   * @param answerMatch which request an answer with the second headers names, if it arrived in the
+   *     place of the answer to a request with the first headers
    */
   public RequestRelay(
       ServerLinks links,
       ServerDirectory servers,
-      BiPredicate<Map<String, String>, Map<String, String>> isAnswerTo) {
+      BiFunction<Map<String, String>, Map<String, String>, AnswerMatch> answerMatch) {
     this.links = links;
     this.servers = servers;
-    this.isAnswerTo = isAnswerTo;
+    this.answerMatch = answerMatch;
   }
 
   /** From now on refuses requests; those that were accepted go on. */
@@ -169,8 +171,8 @@
     }
 
     @Override
-    public boolean acceptsAnswer(int status, Map<String, String> headers) {
-      return isAnswerTo.test(relayed.headers(), headers);
+    public AnswerMatch match(int status, Map<String, String> headers) {
+      return answerMatch.apply(relayed.headers(), headers);
     }
 
     @Override
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -24,6 +24,8 @@
 import org.teaseldeal.gateway.server.ServerIncarnation;
 import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.AnswerMatch;
+import org.teaseldeal.net.AnswerOrigin;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpFailure;
@@ -354,8 +356,18 @@
     }
 
     @Override
-    public boolean acceptsAnswer(int status, Map<String, String> headers) {
-      return listener.acceptsAnswer(status, headers);
+    public AnswerMatch match(int status, Map<String, String> headers) {
+      return listener.match(status, headers);
+    }
+
+    @Override
+    public void onSkipped(int status, Map<String, String> headers, AnswerOrigin origin) {
+      listener.onSkipped(status, headers, origin);
+    }
+
+    @Override
+    public void onReceived(AnswerOrigin origin) {
+      listener.onReceived(origin);
     }
 
     @Override
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -114,8 +114,13 @@
   }
 
   @Override
-  public boolean isAnswerTo(CallerRequest request, Map<String, String> headers) {
-    return true;
+  public Optional<String> answeredRequest(Map<String, String> headers) {
+    return Optional.empty();
+  }
+
+  @Override
+  public String signature(Map<String, String> headers) {
+    return "";
   }
 
   @Override
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/CutRelayedAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/CutRelayedAnswerTests.java
@@ -31,6 +31,7 @@
 import org.teaseldeal.gateway.server.ServerListing;
 import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.AnswerMatch;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpClient;
@@ -127,7 +128,7 @@
         new RequestRelay(
             newLinks("instance-1", client::send, List.of(), client::send),
             servers,
-            (sent, got) -> true);
+            (sent, got) -> AnswerMatch.THIS_CALL);
     links = newLinks("instance-2", client::send, List.of(toRelay.address()), client::send);
     links.tick();
   }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -104,8 +104,13 @@
   }
 
   @Override
-  public boolean isAnswerTo(CallerRequest request, Map<String, String> headers) {
-    return true;
+  public Optional<String> answeredRequest(Map<String, String> headers) {
+    return Optional.empty();
+  }
+
+  @Override
+  public String signature(Map<String, String> headers) {
+    return "";
   }
 
   @Override
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
@@ -59,17 +59,25 @@
     return true;
   }
 
-  /** Returns whether an answer with this head belongs to the call. */
-  synchronized boolean acceptsAnswer(int status, Map<String, String> headers) {
-    return finished || listener.acceptsAnswer(status, headers);
+  /** Returns which call an answer with this head names. */
+  synchronized AnswerMatch match(int status, Map<String, String> headers) {
+    return finished ? AnswerMatch.THIS_CALL : listener.match(status, headers);
   }
 
-  synchronized void deliverHead(int status, Map<String, String> headers, AnswerEnd announcedEnd) {
+  synchronized void reportSkipped(int status, Map<String, String> headers, AnswerOrigin origin) {
+    if (!finished) {
+      runCallback(() -> listener.onSkipped(status, headers, origin));
+    }
+  }
+
+  synchronized void deliverHead(
+      int status, Map<String, String> headers, AnswerEnd announcedEnd, AnswerOrigin origin) {
     if (finished) {
       return;
     }
     headReceived = true;
     cancelTimeout();
+    runCallback(() -> listener.onReceived(origin));
     runCallback(() -> listener.onEndAnnounced(announcedEnd));
     runCallback(() -> listener.onHead(status, headers));
   }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -28,6 +28,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 
 /** A client's connection, which carries one call at a time. */
@@ -42,10 +43,16 @@
 
   private static final int MAX_SKIPPED_BYTES = 256 << 10;
 
+  private static final AtomicLong LAST_NUMBER = new AtomicLong();
+
+  private final long number = LAST_NUMBER.incrementAndGet();
   private final SocketChannel channel;
   private final InetSocketAddress address;
   private final ConnectionPool pool;
 
+  /** The number of calls that have been started on the connection. */
+  private int calls;
+
   private @Nullable ClientCall call;
   private @Nullable ChannelFuture requestWrite;
   private @Nullable Future<?> idleTimer;
@@ -106,6 +113,7 @@
       return;
     }
     call = newCall;
+    calls++;
     announcedEnd = null;
     keepAlive = false;
     skippedAnswers = 0;
@@ -204,12 +212,17 @@
   }
 
   private void readHead(ClientCall current, HttpResponse head) {
+    int status = head.status().code();
     Map<String, String> headers = copyWithLowerCaseNames(head.headers());
-    skippingAnswer =
-        head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-            || !current.acceptsAnswer(head.status().code(), headers);
+    boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+    AnswerMatch match = interim ? AnswerMatch.THIS_CALL : current.match(status, headers);
+    AnswerOrigin origin = new AnswerOrigin(number, calls, skippedAnswers, match);
+    skippingAnswer = interim || match == AnswerMatch.OTHER_CALL;
     if (skippingAnswer) {
       skippedAnswers++;
+      if (!interim) {
+        current.reportSkipped(status, headers, origin);
+      }
       return;
     }
     keepAlive = HttpUtil.isKeepAlive(head);
@@ -218,7 +231,7 @@
     announcedEnd = end;
     remainingBytes =
         end == AnswerEnd.LENGTH ? HttpUtil.getContentLength(head, NO_LENGTH) : NO_LENGTH;
-    current.deliverHead(head.status().code(), headers, end);
+    current.deliverHead(status, headers, end, origin);
   }
 
   private static AnswerEnd announcedEnd(HttpCallRequest request, HttpResponse head) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
@@ -8,17 +8,23 @@
  */
 public interface HttpListener {
   /**
-   * Returns whether this head belongs to the call; if not, its whole answer is dropped, and the
-   * next one is awaited.
+   * Returns which call an answer with this head names. The answer to another call is skipped, and
+   * the next one is awaited.
    *
    * <p>If a server answers a request twice, its second answer arrives where the answer to the next
    * call on the connection is due. Matched by order alone, it would be given to the caller of that
    * next call.
    */
-  default boolean acceptsAnswer(int status, Map<String, String> headers) {
-    return true;
+  default AnswerMatch match(int status, Map<String, String> headers) {
+    return AnswerMatch.THIS_CALL;
   }
 
+  /** Called when the answer to another call is skipped. */
+  default void onSkipped(int status, Map<String, String> headers, AnswerOrigin origin) {}
+
+  /** Called right before {@link #onHead} with where the answer was received. */
+  default void onReceived(AnswerOrigin origin) {}
+
   /** Called right before {@link #onHead} with how the head says that the answer's end is marked. */
   default void onEndAnnounced(AnswerEnd end) {}
 
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/CutHeadTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/CutHeadTests.java
@@ -168,8 +168,10 @@
     }
 
     @Override
-    public boolean acceptsAnswer(int status, Map<String, String> headers) {
-      return !headers.containsKey(OTHER_ANSWER_HEADER);
+    public AnswerMatch match(int status, Map<String, String> headers) {
+      return headers.containsKey(OTHER_ANSWER_HEADER)
+          ? AnswerMatch.OTHER_CALL
+          : AnswerMatch.THIS_CALL;
     }
   }
 }
