Refuse answers whose status HTTP does not have

A server in trouble answered with status 000 and its caller got that as an answer; reported from other systems, and the same here: the client delivered 10 of 11 such statuses (000, 1, 42, 99, 600, 999, 2000, ...), and the dialect took those with a signature as the server's own, and those of 600 and more without one too. The protocol has 100 to 599, a final answer 200 to 599.

A status outside that range is a malformed answer: the attempt may have run, and its caller gets a 502 or the answer of another server.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerHeads.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerHeads.java
@@ -8,6 +8,9 @@
 
 /** Checks of an answer's head beyond those of the decoder. */
 final class AnswerHeads {
+  private static final int FIRST_STATUS = 100;
+  private static final int LAST_STATUS = 599;
+
   private static final Pattern STATUS_LINE = Pattern.compile("HTTP/\\d\\.\\d \\d{3}");
 
   private AnswerHeads() {}
@@ -18,6 +21,10 @@
     if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
       return Optional.of("version " + version.text());
     }
+    int status = head.status().code();
+    if (status < FIRST_STATUS || status > LAST_STATUS) {
+      return Optional.of("status " + status);
+    }
     return isJoined(head) ? Optional.of("two heads are joined") : Optional.empty();
   }
 
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/UnusualAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/UnusualAnswerTests.java
@@ -11,6 +11,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * Tests of answers that arrive at the wrong time or end in the wrong way, scripted byte by byte.
@@ -129,6 +131,23 @@
     }
   }
 
+  /** Guards against a status that HTTP does not have being reported as an answer. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "0", "1", "42", "099", "600", "700", "999", "1000", "2000", "-1"})
+  void reportsStatusOutsideHttpAsBroken(String status) throws Exception {
+    LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
+    try (ScriptedServer server =
+        new ScriptedServer(
+            socket -> {
+              ScriptedServer.readRequest(socket);
+              ScriptedServer.write(
+                  socket, "HTTP/1.1 " + status + " OK\r\nContent-Length: 2\r\n\r\nok");
+            })) {
+      client.send(request(server, new byte[0]), new RecordingListener(recorded));
+      assertEquals("BROKEN_ANSWER", recorded.take());
+    }
+  }
+
   private static String readLine(Socket socket) throws Exception {
     StringBuilder line = new StringBuilder();
     for (int next = socket.getInputStream().read(); next != '\r'; ) {
