Find the end of an answer by the method of its own call

A HEAD request whose answer followed the second copy of an earlier answer got that copy's body, read as an answer, or bytes of its own that it must not have. Netty's client codec keeps a queue of methods and takes one from it for each answer. The copy took the one of the HEAD request: its body was decoded as the next head, and the call's own answer as one with a body.

An answer has no body now if its own call is a HEAD request; one that names another call has one, as no call follows a HEAD request on its connection: a copy of the answer to it announces a body that isn't sent. The connection and its codec are installed in one place and no longer need a socket.

AnswerBoundaryTests: HEAD_AFTER_COPY and HEAD_AFTER_TWO_COPIES failed before ("head 200 FAKE, part fake, end") and pass now, as does BODY_OF_HEAD; interim answers, also 101, two lengths, and a length beside chunks passed before.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -2,19 +2,21 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -47,7 +49,7 @@
   private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
   private final long number = LAST_NUMBER.incrementAndGet();
-  private final SocketChannel channel;
+  private final Channel channel;
   private final InetSocketAddress address;
   private final ConnectionPool pool;
 
@@ -84,12 +86,29 @@
   /** Whether the server has closed the connection in order. */
   private boolean closedByServer;
 
-  ClientConnection(SocketChannel channel, InetSocketAddress address, ConnectionPool pool) {
+  private ClientConnection(Channel channel, InetSocketAddress address, ConnectionPool pool) {
     this.channel = channel;
     this.address = address;
     this.pool = pool;
   }
 
+  /** Adds a connection, and the codec that it needs, to the pipeline of {@code channel}. */
+  static ClientConnection install(Channel channel, InetSocketAddress address, ConnectionPool pool) {
+    ClientConnection connection = new ClientConnection(channel, address, pool);
+    int maxHeaderBytes = pool.config().maxHeaderBytes();
+    HttpDecoderConfig decoderConfig =
+        new HttpDecoderConfig()
+            .setMaxInitialLineLength(maxHeaderBytes)
+            .setMaxHeaderSize(maxHeaderBytes);
+    channel
+        .pipeline()
+        .addLast(connection.rawInputObserver())
+        .addLast(new AnswerDecoder(decoderConfig, connection::answersHead))
+        .addLast(new HttpRequestEncoder())
+        .addLast(connection);
+    return connection;
+  }
+
   /**
    * Starts a call, or runs {@code ifClosed} if the connection was closed before a byte was written.
    *
@@ -155,7 +174,7 @@
    * reports the end of an answer without a length in the same way for every kind of close; and
    * bytes between two calls, which it would join with the next answer until they are a whole head.
    */
-  ChannelHandler rawInputObserver() {
+  private ChannelHandler rawInputObserver() {
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext ctx, Object message) {
@@ -175,6 +194,21 @@
     };
   }
 
+  /**
+   * Returns whether an answer is that to a HEAD request. One that names another call isn't: no call
+   * follows a HEAD request on its connection.
+   */
+  private boolean answersHead(HttpResponse head) {
+    return call != null
+        && isHead(call.request())
+        && call.match(head.status().code(), copyWithLowerCaseNames(head.headers()))
+            != AnswerMatch.OTHER_CALL;
+  }
+
+  private static boolean isHead(HttpCallRequest request) {
+    return request.method().equals("HEAD");
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event instanceof ChannelInputShutdownEvent) {
@@ -252,7 +286,12 @@
       return;
     }
     // A server that answers twice sends the second copy where the answer to the next call is due.
-    reusable = HttpUtil.isKeepAlive(head) && match.identifiesCopies() && skippedOthers == 0;
+    // So does one whose HEAD request was answered, without the body that the head announces.
+    reusable =
+        HttpUtil.isKeepAlive(head)
+            && match.identifiesCopies()
+            && skippedOthers == 0
+            && !isHead(current.request());
     serverIdleTimeout = KeepAliveHeader.parseTimeout(headers);
     AnswerEnd end = announcedEnd(current.request(), head);
     announcedEnd = end;
@@ -262,9 +301,7 @@
   }
 
   private static AnswerEnd announcedEnd(HttpCallRequest request, HttpResponse head) {
-    if (request.method().equals("HEAD")
-        || head.status().code() == 204
-        || head.status().code() == 304) {
+    if (isHead(request) || head.status().code() == 204 || head.status().code() == 304) {
       return AnswerEnd.NO_BODY;
     }
     if (HttpUtil.isTransferEncodingChunked(head)) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -12,8 +12,6 @@
 import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
-import io.netty.handler.codec.http.HttpClientCodec;
-import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.util.concurrent.GlobalEventExecutor;
 import java.net.InetSocketAddress;
 import java.time.Duration;
@@ -135,7 +133,7 @@
                 new ChannelInitializer<SocketChannel>() {
                   @Override
                   protected void initChannel(SocketChannel channel) {
-                    initChannelPipeline(channel, address);
+                    ClientConnection.install(channel, address, pool);
                   }
                 })
             .connect(address);
@@ -163,21 +161,6 @@
     connecting.addListener(done -> timer.cancel(false));
   }
 
-  private void initChannelPipeline(SocketChannel channel, InetSocketAddress address) {
-    ClientConnection connection = new ClientConnection(channel, address, pool);
-    channel
-        .pipeline()
-        .addLast(connection.rawInputObserver())
-        .addLast(
-            new HttpClientCodec(
-                new HttpDecoderConfig()
-                    .setMaxInitialLineLength(config.maxHeaderBytes())
-                    .setMaxHeaderSize(config.maxHeaderBytes()),
-                false,
-                false))
-        .addLast(connection);
-  }
-
   private static void onConnected(ChannelFuture connecting, ClientCall call) {
     if (!connecting.isSuccess()) {
       call.fail(HttpFailure.NOT_SENT, String.valueOf(connecting.cause().getMessage()));
--- /dev/null
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerBoundaryTests.java
@@ -0,0 +1,142 @@
+package org.teaseldeal.net;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+
+/** Tests of answers on one connection whose boundaries the server states wrongly or not at all. */
+@Timeout(60)
+class AnswerBoundaryTests {
+  private static final String NO_OUTCOME = "none";
+
+  private static final String FAKE_ANSWER =
+      "HTTP/1.1 200 OK\r\nX-Method: FAKE\r\nContent-Length: 4\r\n\r\nfake";
+
+  private static final String NAMED_FIRST =
+      "HTTP/1.1 200 OK\r\nRequest: 1\r\nX-Method: FIRST\r\nContent-Length: %d\r\n\r\n%s"
+          .formatted(FAKE_ANSWER.length(), FAKE_ANSWER);
+
+  private static final String HEADERS_OF_OWN = "Request: 2\r\nX-Method: OWN\r\n";
+
+  private static final String OWN =
+      "HTTP/1.1 500 Status\r\n" + HEADERS_OF_OWN + "Content-Length: 6\r\n\r\nfailed";
+
+  private static final String OWN_TO_HEAD =
+      "HTTP/1.1 500 Status\r\n" + HEADERS_OF_OWN + "Content-Length: 6\r\n\r\n";
+
+  /** What a server sends after two requests; the bytes between are sent with the second answer. */
+  private enum Exchange {
+    HEAD_AFTER_COPY("POST", NAMED_FIRST, NAMED_FIRST, "HEAD", OWN_TO_HEAD),
+    HEAD_AFTER_TWO_COPIES("POST", NAMED_FIRST, NAMED_FIRST + NAMED_FIRST, "HEAD", OWN_TO_HEAD),
+    HEAD_AFTER_INTERIM("POST", NAMED_FIRST, "HTTP/1.1 103 Hints\r\n\r\n", "HEAD", OWN_TO_HEAD),
+    COPY_OF_HEAD("HEAD", head(200, "Content-Length: 46"), head(200, "Content-Length: 46")),
+    BODY_OF_HEAD("HEAD", head(200, "Content-Length: %d".formatted(FAKE_ANSWER.length()))),
+    BODY_OF_HEAD_WITHOUT_LENGTH("HEAD", head(200, "X: y")),
+    LENGTH_AND_CHUNKS(
+        "POST",
+        head(200, "Content-Length: 99\r\nTransfer-Encoding: chunked") + "2\r\nok\r\n0\r\n\r\n"),
+    CONTINUE("POST", NAMED_FIRST, "HTTP/1.1 100 Continue\r\n\r\n"),
+    SWITCHING_PROTOCOLS("POST", NAMED_FIRST, "HTTP/1.1 101 Switching\r\n\r\n" + FAKE_ANSWER),
+    SWITCHING_TO_OTHER(
+        "POST", NAMED_FIRST, "HTTP/1.1 101 Switching\r\nUpgrade: x\r\n\r\n" + FAKE_ANSWER),
+    TWO_LENGTHS(
+        "POST",
+        NAMED_FIRST,
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 4\r\n\r\nokok" + FAKE_ANSWER);
+
+    private final String firstMethod;
+    private final String first;
+    private final String between;
+    private final String secondMethod;
+    private final String own;
+
+    Exchange(String firstMethod, String first) {
+      this(firstMethod, first, FAKE_ANSWER);
+    }
+
+    Exchange(String firstMethod, String first, String between) {
+      this(firstMethod, first, between, "POST", OWN);
+    }
+
+    Exchange(String firstMethod, String first, String between, String secondMethod, String own) {
+      this.firstMethod = firstMethod;
+      this.first = first;
+      this.between = between;
+      this.secondMethod = secondMethod;
+      this.own = own;
+    }
+
+    private static String head(int status, String header) {
+      return "HTTP/1.1 %d Status\r\nRequest: 1\r\n%s\r\n\r\n".formatted(status, header);
+    }
+
+    /** Returns whether the second call may get these events. */
+    boolean allows(String events) {
+      String ownEvents = secondMethod.equals("HEAD") ? "head 500 OWN, end" : OWN_EVENTS;
+      return events.equals(ownEvents) || events.endsWith("_ANSWER") && !events.contains("FAKE");
+    }
+  }
+
+  private static final String OWN_EVENTS = "head 500 OWN, part failed, end";
+
+  private final HttpClient client = new HttpClient(HttpClientConfig.defaults());
+
+  @AfterEach
+  void closeClient() {
+    client.close();
+  }
+
+  /**
+   * Guards against bytes after the end of an answer, as the client sees it, being taken for the
+   * answer to the next call, and against that call waiting for a body that never comes.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void nextCallReceivesItsOwnAnswer(Exchange exchange) throws Exception {
+    try (ScriptedServer server =
+        new ScriptedServer(
+            socket -> {
+              String between = "";
+              if (ScriptedServer.requestNumber(socket) == 1) {
+                ScriptedServer.write(socket, exchange.first);
+                ScriptedServer.requestNumber(socket);
+                between = exchange.between;
+              }
+              ScriptedServer.write(socket, between + exchange.own);
+              ScriptedServer.requestNumber(socket);
+            })) {
+      call(server, 1, exchange.firstMethod);
+      String events = call(server, 2, exchange.secondMethod);
+      assertTrue(exchange.allows(events), events);
+    }
+  }
+
+  /** Sends a call with a number and returns what the client reports. */
+  private String call(ScriptedServer server, int number, String method) throws Exception {
+    LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
+    client.send(
+        new HttpCallRequest(
+            IpAddresses.format(server.address()),
+            method,
+            "/answer",
+            Map.of("request", Integer.toString(number)),
+            new byte[0],
+            Duration.ofSeconds(2)),
+        new NumberedListener(recorded, number));
+    List<String> events = new ArrayList<>();
+    do {
+      String event = recorded.poll(4, TimeUnit.SECONDS);
+      events.add(event == null ? NO_OUTCOME : event);
+    } while (events.getLast().startsWith("head") || events.getLast().startsWith("part"));
+    return String.join(", ", events);
+  }
+}
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
@@ -2,12 +2,10 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.io.EOFException;
 import java.net.Socket;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
@@ -72,12 +70,12 @@
       try (ScriptedServer server =
           new ScriptedServer(
               socket -> {
-                if (requestNumber(socket) == 1) {
+                if (ScriptedServer.requestNumber(socket) == 1) {
                   ScriptedServer.write(socket, copy);
                   Thread.sleep(20);
                   ScriptedServer.write(socket, cut);
                   sent.add(cut);
-                  requestNumber(socket);
+                  ScriptedServer.requestNumber(socket);
                 }
                 ScriptedServer.write(socket, OWN_ANSWER);
               })) {
@@ -99,9 +97,9 @@
       try (ScriptedServer server =
           new ScriptedServer(
               socket -> {
-                requestNumber(socket);
+                ScriptedServer.requestNumber(socket);
                 ScriptedServer.write(socket, answer(200, "Request: 1", "of another"));
-                requestNumber(socket);
+                ScriptedServer.requestNumber(socket);
                 ScriptedServer.write(socket, cut + OWN_ANSWER);
               })) {
         call(server, 1);
@@ -115,13 +113,13 @@
   }
 
   private static void answerTwice(Socket socket, String first) throws Exception {
-    if (requestNumber(socket) == 1) {
+    if (ScriptedServer.requestNumber(socket) == 1) {
       ScriptedServer.write(socket, first);
-      requestNumber(socket);
+      ScriptedServer.requestNumber(socket);
       ScriptedServer.write(socket, first);
     }
     ScriptedServer.write(socket, OWN_ANSWER);
-    requestNumber(socket);
+    ScriptedServer.requestNumber(socket);
   }
 
   private static String answer(int status, String header, String body) {
@@ -129,30 +127,6 @@
         .formatted(status, header, body.length(), body);
   }
 
-  /** Reads a request without a body and returns its number. */
-  private static int requestNumber(Socket socket) throws Exception {
-    String line = "";
-    int number = 0;
-    for (StringBuilder next = new StringBuilder(); ; ) {
-      int read = socket.getInputStream().read();
-      if (read < 0) {
-        throw new EOFException();
-      }
-      if (read != '\n') {
-        next.append((char) read);
-        continue;
-      }
-      line = next.toString().strip();
-      next.setLength(0);
-      if (line.isEmpty()) {
-        return number;
-      }
-      if (line.toLowerCase(Locale.ROOT).startsWith("request:")) {
-        number = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
-      }
-    }
-  }
-
   /** Sends a call with a number and returns what the client reports. */
   private String call(ScriptedServer server, int number) throws Exception {
     LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
@@ -171,25 +145,4 @@
     } while (events.getLast().startsWith("head") || events.getLast().startsWith("part"));
     return String.join(", ", events);
   }
-
-  /** Matches answers by the number of their request. */
-  private static final class NumberedListener extends RecordingListener {
-    private final int number;
-
-    NumberedListener(LinkedBlockingQueue<String> recorded, int number) {
-      super(recorded);
-      this.number = number;
-    }
-
-    @Override
-    public AnswerMatch match(int status, Map<String, String> headers) {
-      String named = headers.get("request");
-      if (named == null) {
-        return AnswerMatch.UNNAMED;
-      }
-      return named.equals(Integer.toString(number))
-          ? AnswerMatch.THIS_CALL
-          : AnswerMatch.OTHER_CALL;
-    }
-  }
 }
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/ScriptedServer.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/ScriptedServer.java
@@ -2,12 +2,14 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.io.EOFException;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 
@@ -72,6 +74,30 @@
     }
   }
 
+  /** Reads a request without a body and returns its number. */
+  static int requestNumber(Socket socket) throws Exception {
+    String line = "";
+    int number = 0;
+    for (StringBuilder next = new StringBuilder(); ; ) {
+      int read = socket.getInputStream().read();
+      if (read < 0) {
+        throw new EOFException();
+      }
+      if (read != '\n') {
+        next.append((char) read);
+        continue;
+      }
+      line = next.toString().strip();
+      next.setLength(0);
+      if (line.isEmpty()) {
+        return number;
+      }
+      if (line.toLowerCase(Locale.ROOT).startsWith("request:")) {
+        number = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
+      }
+    }
+  }
+
   static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
