End the use of a connection after an answer that announces an ignored body

A 204 or 304 has no body by its status, yet a server may announce one and send it. If it came after the next request was written, and read like an answer that names no request, that call's caller got it: a status and body that nobody gave.

A connection carries no further call after an answer without a body whose head announces one. The decoder tells, as it takes the header of chunks away.

AnswerBoundaryTests: BODY_OF_NO_CONTENT, BODY_OF_NOT_MODIFIED and those with chunks failed before (4 of 4, "head 200 FAKE, part fake, end") and pass now.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerDecoder.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerDecoder.java
@@ -1,9 +1,11 @@
 package org.teaseldeal.net;
 
 import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.HttpUtil;
 import java.util.function.Predicate;
 
 /**
@@ -13,6 +15,8 @@
 final class AnswerDecoder extends HttpResponseDecoder {
   private final Predicate<HttpResponse> answersHead;
 
+  private boolean ignoresAnnouncedBody;
+
   /**
    * Creates a decoder.
    *
@@ -23,8 +27,21 @@
     this.answersHead = answersHead;
   }
 
+  /** Returns whether the last decoded answer has no body, although its head announces one. */
+  boolean ignoresAnnouncedBody() {
+    return ignoresAnnouncedBody;
+  }
+
+  /** The superclass calls this for each head, and then removes the encoding of the body. */
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
-    return super.isContentAlwaysEmpty(message) || answersHead.test((HttpResponse) message);
+    boolean empty = super.isContentAlwaysEmpty(message) || answersHead.test((HttpResponse) message);
+    ignoresAnnouncedBody = empty && announcesBody(message);
+    return empty;
+  }
+
+  private static boolean announcesBody(HttpMessage message) {
+    return message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)
+        || HttpUtil.getContentLength(message, 0L) > 0;
   }
 }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -52,6 +52,7 @@
   private final Channel channel;
   private final InetSocketAddress address;
   private final ConnectionPool pool;
+  private final AnswerDecoder decoder;
 
   /** The number of calls that have been started on the connection. */
   private int calls;
@@ -90,20 +91,22 @@
     this.channel = channel;
     this.address = address;
     this.pool = pool;
+    int maxHeaderBytes = pool.config().maxHeaderBytes();
+    this.decoder =
+        new AnswerDecoder(
+            new HttpDecoderConfig()
+                .setMaxInitialLineLength(maxHeaderBytes)
+                .setMaxHeaderSize(maxHeaderBytes),
+            this::answersHead);
   }
 
   /** Adds a connection, and the codec that it needs, to the pipeline of {@code channel}. */
   static ClientConnection install(Channel channel, InetSocketAddress address, ConnectionPool pool) {
     ClientConnection connection = new ClientConnection(channel, address, pool);
-    int maxHeaderBytes = pool.config().maxHeaderBytes();
-    HttpDecoderConfig decoderConfig =
-        new HttpDecoderConfig()
-            .setMaxInitialLineLength(maxHeaderBytes)
-            .setMaxHeaderSize(maxHeaderBytes);
     channel
         .pipeline()
         .addLast(connection.rawInputObserver())
-        .addLast(new AnswerDecoder(decoderConfig, connection::answersHead))
+        .addLast(connection.decoder)
         .addLast(new HttpRequestEncoder())
         .addLast(connection);
     return connection;
@@ -286,12 +289,11 @@
       return;
     }
     // A server that answers twice sends the second copy where the answer to the next call is due.
-    // So does one whose HEAD request was answered, without the body that the head announces.
     reusable =
         HttpUtil.isKeepAlive(head)
             && match.identifiesCopies()
             && skippedOthers == 0
-            && !isHead(current.request());
+            && statesItsEnd(current.request());
     serverIdleTimeout = KeepAliveHeader.parseTimeout(headers);
     AnswerEnd end = announcedEnd(current.request(), head);
     announcedEnd = end;
@@ -300,6 +302,15 @@
     current.deliverHead(status, headers, end, origin);
   }
 
+  /**
+   * Returns whether the server, too, takes the answer to end where the client does. A server may
+   * send a body where there is none by the method or status, and a copy of such an answer may come
+   * without the body that its head announces.
+   */
+  private boolean statesItsEnd(HttpCallRequest request) {
+    return !isHead(request) && !decoder.ignoresAnnouncedBody();
+  }
+
   private static AnswerEnd announcedEnd(HttpCallRequest request, HttpResponse head) {
     if (isHead(request) || head.status().code() == 204 || head.status().code() == 304) {
       return AnswerEnd.NO_BODY;
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerBoundaryTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerBoundaryTests.java
@@ -41,6 +41,10 @@
     COPY_OF_HEAD("HEAD", head(200, "Content-Length: 46"), head(200, "Content-Length: 46")),
     BODY_OF_HEAD("HEAD", head(200, "Content-Length: %d".formatted(FAKE_ANSWER.length()))),
     BODY_OF_HEAD_WITHOUT_LENGTH("HEAD", head(200, "X: y")),
+    BODY_OF_NO_CONTENT("POST", head(204, "Content-Length: %d".formatted(FAKE_ANSWER.length()))),
+    BODY_OF_NOT_MODIFIED("POST", head(304, "Content-Length: %d".formatted(FAKE_ANSWER.length()))),
+    CHUNKS_OF_NO_CONTENT("POST", head(204, "Transfer-Encoding: chunked")),
+    CHUNKS_OF_NOT_MODIFIED("POST", head(304, "Transfer-Encoding: chunked")),
     LENGTH_AND_CHUNKS(
         "POST",
         head(200, "Content-Length: 99\r\nTransfer-Encoding: chunked") + "2\r\nok\r\n0\r\n\r\n"),
