Don't reuse a connection on which bytes follow an answer

The first bytes of a second copy may arrive together with the end of an answer. They stayed in the decoder, and the next call on the connection failed, as its answer was read as the rest of the copy. What joins two heads is refused only if it shows; nothing kept the joined bytes from reading like a sound answer.

A connection whose decoder holds bytes at the end of an answer is closed. AnswerBoundaryTests.nextCallReceivesItsOwnAnswerAfterPartOfCopy: failed before for the parts of a copy that end inside its head; passes now for each part.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerDecoder.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerDecoder.java
@@ -32,6 +32,11 @@
     return ignoresAnnouncedBody;
   }
 
+  /** Returns whether bytes have been received that are not decoded yet. */
+  boolean hasUndecodedBytes() {
+    return actualReadableBytes() > 0;
+  }
+
   /** The superclass calls this for each head, and then removes the encoding of the body. */
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -360,8 +360,11 @@
 
   private void reuseOrClose() {
     // An answer received before the whole request was written leaves the connection in an unknown
-    // state.
-    if (reusable && requestWrite != null && requestWrite.isSuccess()) {
+    // state. Bytes that follow the answer would become part of the next one.
+    if (reusable
+        && requestWrite != null
+        && requestWrite.isSuccess()
+        && !decoder.hasUndecodedBytes()) {
       returnToPool();
     } else {
       channel.close();
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerBoundaryTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerBoundaryTests.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.net;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.time.Duration;
@@ -9,6 +10,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -124,6 +126,35 @@
     }
   }
 
+  /**
+   * Guards against the first bytes of a copy, which arrive together with the end of an answer,
+   * being completed by the answer to the next call.
+   */
+  @Test
+  void nextCallReceivesItsOwnAnswerAfterPartOfCopy() throws Exception {
+    List<String> violations = new ArrayList<>();
+    for (int bytes = 1; bytes < NAMED_FIRST.length(); bytes++) {
+      String part = NAMED_FIRST.substring(0, bytes);
+      try (ScriptedServer server =
+          new ScriptedServer(
+              socket -> {
+                if (ScriptedServer.requestNumber(socket) == 1) {
+                  ScriptedServer.write(socket, NAMED_FIRST + part);
+                  ScriptedServer.requestNumber(socket);
+                }
+                ScriptedServer.write(socket, OWN);
+                ScriptedServer.requestNumber(socket);
+              })) {
+        call(server, 1, "POST");
+        String events = call(server, 2, "POST");
+        if (!events.equals(OWN_EVENTS)) {
+          violations.add("part of %d bytes: %s".formatted(bytes, events));
+        }
+      }
+    }
+    assertEquals(List.of(), violations);
+  }
+
   /** Sends a call with a number and returns what the client reports. */
   private String call(ScriptedServer server, int number, String method) throws Exception {
     LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
