--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -2,19 +2,21 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.socket.ChannelInputShutdownEvent;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -47,9 +49,10 @@
   private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
   private final long number = LAST_NUMBER.incrementAndGet();
-  private final SocketChannel channel;
+  private final Channel channel;
   private final InetSocketAddress address;
   private final ConnectionPool pool;
+  private final AnswerDecoder decoder;
 
   /** The number of calls that have been started on the connection. */
   private int calls;
@@ -84,10 +87,29 @@
   /** Whether the server has closed the connection in order. */
   private boolean closedByServer;
 
-  ClientConnection(SocketChannel channel, InetSocketAddress address, ConnectionPool pool) {
+  private ClientConnection(Channel channel, InetSocketAddress address, ConnectionPool pool) {
     this.channel = channel;
     this.address = address;
     this.pool = pool;
+    int maxHeaderBytes = pool.config().maxHeaderBytes();
+    this.decoder =
+        new AnswerDecoder(
+            new HttpDecoderConfig()
+                .setMaxInitialLineLength(maxHeaderBytes)
+                .setMaxHeaderSize(maxHeaderBytes),
+            this::answersHead);
+  }
+
+  /** Adds a connection, and the codec that it needs, to the pipeline of {@code channel}. */
+  static ClientConnection install(Channel channel, InetSocketAddress address, ConnectionPool pool) {
+    ClientConnection connection = new ClientConnection(channel, address, pool);
+    channel
+        .pipeline()
+        .addLast(connection.rawInputObserver())
+        .addLast(connection.decoder)
+        .addLast(new HttpRequestEncoder())
+        .addLast(connection);
+    return connection;
   }
 
   /**
@@ -155,7 +177,7 @@
    * reports the end of an answer without a length in the same way for every kind of close; and
    * bytes between two calls, which it would join with the next answer until they are a whole head.
    */
-  ChannelHandler rawInputObserver() {
+  private ChannelHandler rawInputObserver() {
     return new ChannelInboundHandlerAdapter() {
       @Override
       public void channelRead(ChannelHandlerContext ctx, Object message) {
@@ -175,6 +197,21 @@
     };
   }
 
+  /**
+   * Returns whether an answer is that to a HEAD request. One that names another call isn't: no call
+   * follows a HEAD request on its connection.
+   */
+  private boolean answersHead(HttpResponse head) {
+    return call != null
+        && isHead(call.request())
+        && call.match(head.status().code(), copyWithLowerCaseNames(head.headers()))
+            != AnswerMatch.OTHER_CALL;
+  }
+
+  private static boolean isHead(HttpCallRequest request) {
+    return request.method().equals("HEAD");
+  }
+
   @Override
   public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
     if (event instanceof ChannelInputShutdownEvent) {
@@ -252,7 +289,11 @@
       return;
     }
     // A server that answers twice sends the second copy where the answer to the next call is due.
-    reusable = HttpUtil.isKeepAlive(head) && match.identifiesCopies() && skippedOthers == 0;
+    reusable =
+        HttpUtil.isKeepAlive(head)
+            && match.identifiesCopies()
+            && skippedOthers == 0
+            && statesItsEnd(current.request());
     serverIdleTimeout = KeepAliveHeader.parseTimeout(headers);
     AnswerEnd end = announcedEnd(current.request(), head);
     announcedEnd = end;
@@ -261,10 +302,17 @@
     current.deliverHead(status, headers, end, origin);
   }
 
+  /**
+   * Returns whether the server, too, takes the answer to end where the client does. A server may
+   * send a body where there is none by the method or status, and a copy of such an answer may come
+   * without the body that its head announces.
+   */
+  private boolean statesItsEnd(HttpCallRequest request) {
+    return !isHead(request) && !decoder.ignoresAnnouncedBody();
+  }
+
   private static AnswerEnd announcedEnd(HttpCallRequest request, HttpResponse head) {
-    if (request.method().equals("HEAD")
-        || head.status().code() == 204
-        || head.status().code() == 304) {
+    if (isHead(request) || head.status().code() == 204 || head.status().code() == 304) {
       return AnswerEnd.NO_BODY;
     }
     if (HttpUtil.isTransferEncodingChunked(head)) {
@@ -312,8 +360,11 @@
 
   private void reuseOrClose() {
     // An answer received before the whole request was written leaves the connection in an unknown
-    // state.
-    if (reusable && requestWrite != null && requestWrite.isSuccess()) {
+    // state. Bytes that follow the answer would become part of the next one.
+    if (reusable
+        && requestWrite != null
+        && requestWrite.isSuccess()
+        && !decoder.hasUndecodedBytes()) {
       returnToPool();
     } else {
       channel.close();
