Match relayed answers with their calls by number

A second message on the connection between two instances was taken as the answer to whatever relayed request was in flight there, as these answers were matched by order alone: another request's answer, or a refusal that promises that the request was not sent and leads to a second run. A relayed answer that named another request was passed on too.

Each call at a relay has a number now, which every answer to it repeats. An answer with another number is skipped and ends the use of its connection. An answer without one comes from an instance of an earlier release, or was given before the request was looked at: then the server's headers decide as for a direct answer, and a refusal is the last answer on its connection. A numbered answer that names another request is no answer; the request may have run.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
@@ -15,6 +15,7 @@
 import org.teaseldeal.gateway.server.BackendServer;
 import org.teaseldeal.gateway.server.ServerIncarnation;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.AnswerMatch;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
 
@@ -51,6 +52,9 @@
   /** How the end of the server's answer is marked, a name of {@link AnswerEnd}. */
   static final String ANSWER_END = PREFIX + "end";
 
+  /** The number of the call, which each answer to it repeats. */
+  private static final String CALL = PREFIX + "call";
+
   /** How long the relay has no room, in milliseconds; 0 if it doesn't know. */
   private static final String NO_ROOM_MILLIS = PREFIX + "no-room-ms";
 
@@ -83,9 +87,11 @@
   private RelayMessages() {}
 
   /** Returns the headers that tell a relay what to send where. */
-  static Map<String, String> encode(String sender, BackendServer server, HttpCallRequest request) {
+  static Map<String, String> encode(
+      String sender, long call, BackendServer server, HttpCallRequest request) {
     Map<String, String> headers = new HashMap<>(request.headers());
     headers.put(SENDER, sender);
+    headers.put(CALL, Long.toString(call));
     headers.put(SERVER, server.id().name());
     server
         .incarnation()
@@ -129,18 +135,36 @@
   }
 
   /** Returns the headers of the relay's answer that passes on a server's answer. */
-  static Map<String, String> answerHeaders(Map<String, String> headers, AnswerEnd end) {
+  static Map<String, String> answerHeaders(
+      HttpExchange exchange, Map<String, String> headers, AnswerEnd end) {
     Map<String, String> passed = withoutRelayHeaders(headers);
     passed.keySet().removeAll(CONNECTION_HEADERS);
-    passed.put(RESULT, Result.ANSWER.name());
+    passed.putAll(resultHeaders(exchange, Result.ANSWER));
     passed.put(ANSWER_END, end.name());
     return passed;
   }
 
+  /** Returns the headers of an answer to a relayed request. */
+  static Map<String, String> resultHeaders(HttpExchange exchange, Result result) {
+    Map<String, String> headers = new HashMap<>(Map.of(RESULT, result.name()));
+    exchange.header(CALL).ifPresent(call -> headers.put(CALL, call));
+    return headers;
+  }
+
   /** Returns the headers of an answer that says that the relay has no room for some time. */
-  static Map<String, String> noRoomHeaders(Duration noRoomFor) {
-    return Map.of(
-        RESULT, Result.NO_ROOM.name(), NO_ROOM_MILLIS, Long.toString(noRoomFor.toMillis()));
+  static Map<String, String> noRoomHeaders(HttpExchange exchange, Duration noRoomFor) {
+    Map<String, String> headers = resultHeaders(exchange, Result.NO_ROOM);
+    headers.put(NO_ROOM_MILLIS, Long.toString(noRoomFor.toMillis()));
+    return headers;
+  }
+
+  /** Returns which call a relay's answer names; that of an instance of an earlier release none. */
+  static AnswerMatch match(long call, Map<String, String> headers) {
+    String named = headers.get(CALL);
+    if (named == null) {
+      return AnswerMatch.UNNAMED;
+    }
+    return named.equals(Long.toString(call)) ? AnswerMatch.THIS_CALL : AnswerMatch.OTHER_CALL;
   }
 
   /** Returns how long a relay says that it has no room; zero if it doesn't say it. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -7,6 +7,8 @@
 import org.jspecify.annotations.Nullable;
 import org.teaseldeal.gateway.path.RelayMessages.Result;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.AnswerMatch;
+import org.teaseldeal.net.AnswerOrigin;
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
 
@@ -45,6 +47,7 @@
 
   private static final int MAX_DETAIL_BYTES = 4 << 10;
 
+  private final long number;
   private final HttpListener listener;
   private final Outcome outcome;
   private final ByteArrayOutputStream detail = new ByteArrayOutputStream(0);
@@ -52,20 +55,45 @@
   private Duration noRoomFor = Duration.ZERO;
   private AnswerEnd announcedEnd = AnswerEnd.CONNECTION_CLOSED;
 
-  RelayedCall(HttpListener listener, Outcome outcome) {
+  /**
+   * Creates a call.
+   *
+   * @param number the number that the relay's answer repeats
+   * @param listener receives the answer of the backend server
+   */
+  RelayedCall(long number, HttpListener listener, Outcome outcome) {
+    this.number = number;
     this.listener = listener;
     this.outcome = outcome;
   }
 
+  @Override
+  public AnswerMatch match(int status, Map<String, String> headers) {
+    AnswerMatch relayed = RelayMessages.match(number, headers);
+    boolean fromServer = RelayMessages.result(headers) == Result.ANSWER;
+    return relayed == AnswerMatch.UNNAMED && fromServer
+        ? listener.match(status, RelayMessages.withoutRelayHeaders(headers))
+        : relayed;
+  }
+
+  @Override
+  public void onSkipped(int status, Map<String, String> headers, AnswerOrigin origin) {
+    listener.onSkipped(status, RelayMessages.withoutRelayHeaders(headers), origin);
+  }
+
   @Override
   public void onHead(int status, Map<String, String> headers) {
     result = RelayMessages.result(headers);
+    Map<String, String> serverHeaders = RelayMessages.withoutRelayHeaders(headers);
+    if (result == Result.ANSWER
+        && listener.match(status, serverHeaders) == AnswerMatch.OTHER_CALL) {
+      result = Result.NO_ANSWER;
+    }
     if (result == Result.NO_ROOM) {
       noRoomFor = RelayMessages.noRoomFor(headers);
     }
     if (result == Result.ANSWER) {
       announcedEnd = RelayMessages.answerEnd(headers);
-      Map<String, String> serverHeaders = RelayMessages.withoutRelayHeaders(headers);
       outcome.onAnswered(status, serverHeaders);
       listener.onHead(status, serverHeaders);
     }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
@@ -130,14 +130,14 @@
   private static void respondNoRoom(HttpExchange exchange, Duration noRoomFor) {
     exchange.respond(
         UNAVAILABLE,
-        RelayMessages.noRoomHeaders(noRoomFor),
+        RelayMessages.noRoomHeaders(exchange, noRoomFor),
         "the server takes no more requests".getBytes(StandardCharsets.UTF_8));
   }
 
   private static void respond(HttpExchange exchange, int status, Result result, String detail) {
     exchange.respond(
         status,
-        Map.of(RelayMessages.RESULT, result.name()),
+        RelayMessages.resultHeaders(exchange, result),
         detail.getBytes(StandardCharsets.UTF_8));
   }
 
@@ -188,7 +188,7 @@
       if (ended) {
         return;
       }
-      Map<String, String> passed = RelayMessages.answerHeaders(headers, announcedEnd);
+      Map<String, String> passed = RelayMessages.answerHeaders(exchange, headers, announcedEnd);
       if (announcedEnd == AnswerEnd.NO_BODY) {
         end();
         exchange.respond(status, passed, new byte[0]);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -85,6 +85,7 @@
   private final Map<BackendServerId, String> lastRelays = new HashMap<>();
   private Listener pathListener = new NoListener();
   private long lastSeenChanges = -1;
+  private long lastRelayedCall;
   private boolean allLost;
 
   /**
@@ -276,14 +277,23 @@
         .ifPresent(peer -> new RelayedProbe(server, peer).send(request));
   }
 
-  private HttpCallRequest relayRequest(String peer, BackendServer server, HttpCallRequest request) {
-    return new HttpCallRequest(
-        peer,
-        "POST",
-        RequestRelay.PATH,
-        RelayMessages.encode(instance, server, request),
-        request.body(),
-        request.timeout());
+  /** Asks an instance to relay a request, and reports what became of it. */
+  private HttpCall sendToRelay(
+      String peer,
+      BackendServer server,
+      HttpCallRequest request,
+      HttpListener listener,
+      RelayedCall.Outcome outcome) {
+    long number = ++lastRelayedCall;
+    return peers.send(
+        new HttpCallRequest(
+            peer,
+            "POST",
+            RequestRelay.PATH,
+            RelayMessages.encode(instance, number, server, request),
+            request.body(),
+            request.timeout()),
+        new RelayedCall(number, listener, outcome));
   }
 
   /**
@@ -430,13 +440,13 @@
         listener.onFailure(HttpFailure.NOT_SENT, refusal);
         return;
       }
-      peer = next.get();
-      tried.add(peer);
-      limits.announced().onOffered(server, peer);
-      HttpCallRequest relayed = relayRequest(peer, server, request.withTimeout(timeLeft));
-      HttpCall sent = peers.send(relayed, new RelayedCall(listener, this));
+      String asked = next.get();
+      peer = asked;
+      tried.add(asked);
+      limits.announced().onOffered(server, asked);
+      HttpCall sent = sendToRelay(asked, server, request.withTimeout(timeLeft), listener, this);
       // The call may have failed at once and been replaced by the next one.
-      if (peer.equals(relayed.address())) {
+      if (peer.equals(asked)) {
         call = sent;
       }
     }
@@ -514,9 +524,7 @@
     }
 
     void send(HttpCallRequest request) {
-      call.onSent(
-          peers.send(
-              relayRequest(peer, server, request), new RelayedCall(new IgnoredAnswer(), this)));
+      call.onSent(sendToRelay(peer, server, request, new IgnoredAnswer(), this));
     }
 
     @Override
--- /dev/null
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
@@ -0,0 +1,251 @@
+package org.teaseldeal.gateway.path;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.io.IOException;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.fake.ManualClock;
+import org.teaseldeal.gateway.fake.ScriptedPeer;
+import org.teaseldeal.gateway.fake.ScriptedPeer.Received;
+import org.teaseldeal.gateway.server.BackendServer;
+import org.teaseldeal.gateway.server.ServerDirectory;
+import org.teaseldeal.gateway.server.ServerListing;
+import org.teaseldeal.gateway.server.ServerStatements;
+import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.AnswerMatch;
+import org.teaseldeal.net.HttpCall;
+import org.teaseldeal.net.HttpCallRequest;
+import org.teaseldeal.net.HttpClient;
+import org.teaseldeal.net.HttpClientConfig;
+import org.teaseldeal.net.HttpFailure;
+import org.teaseldeal.net.HttpListener;
+
+/** Tests of relays that send an answer twice, or the answer to another request. */
+@Timeout(60)
+class RepeatedRelayAnswerTests {
+  private static final Duration TIMEOUT = Duration.ofSeconds(2);
+
+  /** The header by which a backend server names the request that it answers. */
+  private static final String REQUEST = "request";
+
+  private static final String CALL_LINE = "teaseldeal-relay-call: CALL\r\n";
+  private static final String ANSWER_LINES =
+      "teaseldeal-relay-result: ANSWER\r\nteaseldeal-relay-end: LENGTH\r\n";
+  private static final String CHUNKED_BODY =
+      "transfer-encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n";
+
+  private static final String OWN_ANSWER =
+      "HTTP/1.1 500 Failed\r\n" + CALL_LINE + ANSWER_LINES + "request: 2\r\n" + CHUNKED_BODY;
+
+  private static final List<String> OWN_ANSWER_REPORTED = List.of("head 500", "end");
+
+  /** The first answer on a connection, which the relay sends once more. */
+  private enum First {
+    SUCCESS(200, CALL_LINE + ANSWER_LINES + "request: 1\r\n"),
+    UNNAMED_SUCCESS(200, CALL_LINE + ANSWER_LINES),
+    REJECTION(503, CALL_LINE + ANSWER_LINES + "not-run: 1\r\nrequest: 1\r\n"),
+    UNNAMED_REJECTION(503, CALL_LINE + ANSWER_LINES + "not-run: 1\r\n"),
+    REFUSED(503, CALL_LINE + "teaseldeal-relay-result: REFUSED\r\n"),
+    NOT_LISTED(503, CALL_LINE + "teaseldeal-relay-result: NOT_LISTED\r\n"),
+    NO_ROOM(503, CALL_LINE + "teaseldeal-relay-result: NO_ROOM\r\n"),
+    UNREACHABLE(503, CALL_LINE + "teaseldeal-relay-result: UNREACHABLE\r\n"),
+    SUCCESS_OF_EARLIER_RELEASE(200, ANSWER_LINES + "request: 1\r\n"),
+    REJECTION_OF_EARLIER_RELEASE(503, ANSWER_LINES + "not-run: 1\r\n"),
+    REFUSED_BY_EARLIER_RELEASE(503, "teaseldeal-relay-result: REFUSED\r\n"),
+    ANSWER_WITHOUT_RESULT(404, "");
+
+    private final String text;
+
+    First(int status, String headers) {
+      text = "HTTP/1.1 %d Status\r\n%s%s".formatted(status, headers, CHUNKED_BODY);
+    }
+  }
+
+  private final ManualClock clock = new ManualClock();
+  private final ServerDirectory servers = new ServerDirectory();
+  private final HttpClient client = new HttpClient(HttpClientConfig.defaults());
+  private final LinkedBlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
+  private volatile ScriptedPeer.Script script = request -> "";
+  private ScriptedPeer relay;
+  private ServerLinks links;
+
+  @BeforeEach
+  void start() throws IOException {
+    relay = new ScriptedPeer(request -> script.answer(request));
+    servers.put(
+        new ServerListing(
+            new BackendServerId("server-1"),
+            "register",
+            "127.0.0.1:1",
+            "hall-a",
+            "v1",
+            6,
+            false,
+            Optional.of(Instant.EPOCH)));
+    ServerLimits limits = ServerLimits.alone("instance-1", event -> {}, clock, new Random(1));
+    links =
+        new ServerLinks(
+            "instance-1",
+            RepeatedRelayAnswerTests::refuse,
+            client::send,
+            () -> List.of(relay.address()),
+            RepeatedRelayAnswerTests::refuse,
+            probed -> request(0),
+            servers,
+            limits,
+            new ServerStatementHandler(
+                (answering, status, headers) -> ServerStatements.NONE,
+                limits,
+                new LeaveAnnouncements("instance-1", servers, note -> {}, event -> {}),
+                event -> {}),
+            event -> {},
+            clock,
+            new Random(1));
+    links.tick();
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    client.close();
+    relay.close();
+  }
+
+  /**
+   * Guards against a relay's second copy of an answer being taken for the answer to the next
+   * request on its connection, or for the proof that this one was not sent.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void areNotTakenForTheNextAnswer(First first) throws Exception {
+    LinkedBlockingQueue<String> firstAnswers = new LinkedBlockingQueue<>();
+    script =
+        request -> {
+          if (request.header(REQUEST).equals("1")) {
+            firstAnswers.add(answer(first.text, request));
+            return firstAnswers.element();
+          }
+          String copy = request.position() > 1 ? firstAnswers.element() : "";
+          return copy + answer(OWN_ANSWER, request);
+        };
+    call(1);
+    assertEquals(OWN_ANSWER_REPORTED, call(2));
+  }
+
+  /** Guards against the answer to another request being passed on by a relay that mixes them up. */
+  @Test
+  void areNoAnswersIfTheyNameAnotherRequest() throws Exception {
+    script = request -> answer(First.SUCCESS.text, request);
+    assertEquals(List.of(HttpFailure.NO_ANSWER.name()), call(2));
+  }
+
+  /** Guards against the late answer to a request that was given up reaching the next one. */
+  @Test
+  void areNotTakenForTheNextAnswerIfTheirRequestWasGivenUp() throws Exception {
+    LinkedBlockingQueue<String> received = new LinkedBlockingQueue<>();
+    LinkedBlockingQueue<String> cancelled = new LinkedBlockingQueue<>();
+    script =
+        request -> {
+          if (request.header(REQUEST).equals("1")) {
+            received.add("1");
+            cancelled.take();
+            return answer(First.UNNAMED_SUCCESS.text, request);
+          }
+          return answer(OWN_ANSWER, request);
+        };
+    HttpCall given = links.sendThroughRelay(server(), request(1), new NumberedListener(1));
+    received.take();
+    given.cancel();
+    cancelled.add("1");
+    assertEquals(OWN_ANSWER_REPORTED, call(2));
+  }
+
+  private static String answer(String text, Received request) {
+    return text.replace("CALL", request.header("teaseldeal-relay-call"));
+  }
+
+  private static HttpCall refuse(HttpCallRequest request, HttpListener listener) {
+    listener.onFailure(HttpFailure.NOT_SENT, "refused");
+    return () -> {};
+  }
+
+  private BackendServer server() {
+    return servers.find(new BackendServerId("server-1")).orElseThrow();
+  }
+
+  private static HttpCallRequest request(int number) {
+    return new HttpCallRequest(
+        "127.0.0.1:1",
+        "POST",
+        "/bid/1",
+        Map.of(REQUEST, Integer.toString(number)),
+        new byte[0],
+        TIMEOUT);
+  }
+
+  /** Sends a request through the relay, and returns what is reported of its answer. */
+  private List<String> call(int number) throws Exception {
+    // A relay that failed is left out for some time.
+    clock.advance(Duration.ofMinutes(1));
+    links.sendThroughRelay(server(), request(number), new NumberedListener(number));
+    List<String> events = new ArrayList<>();
+    do {
+      events.add(outcomes.take());
+    } while (events.getLast().startsWith("head"));
+    return events;
+  }
+
+  /** Matches answers by the number of their request. */
+  private final class NumberedListener implements HttpListener {
+    private final int number;
+
+    NumberedListener(int number) {
+      this.number = number;
+    }
+
+    @Override
+    public AnswerMatch match(int status, Map<String, String> headers) {
+      String named = headers.get(REQUEST);
+      if (named == null) {
+        return AnswerMatch.UNNAMED;
+      }
+      if (!named.equals(Integer.toString(number))) {
+        return AnswerMatch.OTHER_CALL;
+      }
+      return headers.containsKey("not-run")
+          ? AnswerMatch.THIS_CALL_REJECTED
+          : AnswerMatch.THIS_CALL;
+    }
+
+    @Override
+    public void onHead(int status, Map<String, String> headers) {
+      outcomes.add("head " + status);
+    }
+
+    @Override
+    public void onBodyPart(byte[] part) {}
+
+    @Override
+    public void onEnd(AnswerEnd end) {
+      outcomes.add("end");
+    }
+
+    @Override
+    public void onFailure(HttpFailure failure, String detail) {
+      outcomes.add(failure.name());
+    }
+  }
+}
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/ServerLinksTests.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.api.BackendServerId;
+import org.teaseldeal.gateway.fake.FakeExchange;
 import org.teaseldeal.gateway.fake.ManualClock;
 import org.teaseldeal.gateway.path.RelayMessages.Result;
 import org.teaseldeal.gateway.path.ServerLinks.Way;
@@ -170,7 +171,10 @@
     relayed
         .getFirst()
         .listener()
-        .onHead(200, RelayMessages.answerHeaders(Map.of("a", "b"), AnswerEnd.CONNECTION_CLOSED));
+        .onHead(
+            200,
+            RelayMessages.answerHeaders(
+                new FakeExchange(""), Map.of("a", "b"), AnswerEnd.CONNECTION_CLOSED));
     relayed.getFirst().listener().onBodyPart("part".getBytes(StandardCharsets.UTF_8));
     relayed.getFirst().listener().onEnd(AnswerEnd.LAST_CHUNK);
     assertEquals(List.of("head 200 {a=b}", "part", "end CONNECTION_CLOSED"), outcomes);
