Match answers to handed-over requests with their calls by number

A second message on the connection between two instances was taken as the answer to whatever handed-over request was in flight there: its caller got another request's success, a 502, or the request ran here as well although the other instance had taken it, as a copy of "not taken" had arrived in its place.

Each offer, and each question whether a request would be taken, has a number now, which its answer repeats. An answer with another number is skipped and ends the use of its connection; one without a number, of an earlier release, is the last on its connection, so that its copy reaches nobody.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandedOverExchange.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandedOverExchange.java
@@ -72,14 +72,14 @@
 
   @Override
   public void respond(int status, Map<String, String> headers, byte[] body) {
-    call.respond(status, HandoverMessage.withResult(headers, Result.COMPLETE), body);
+    call.respond(status, HandoverMessage.withResult(call, headers, Result.COMPLETE), body);
     end();
   }
 
   @Override
   public ResponseStream startStream(int status, Map<String, String> headers) {
     ResponseStream stream =
-        call.startStream(status, HandoverMessage.withResult(headers, Result.STREAM));
+        call.startStream(status, HandoverMessage.withResult(call, headers, Result.STREAM));
     return new CountedStream(stream);
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
@@ -14,6 +14,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.teaseldeal.api.Preconditions;
+import org.teaseldeal.net.AnswerMatch;
+import org.teaseldeal.net.HttpExchange;
 
 /**
  * A caller's request on its way from the instance that received it to the one that decides about
@@ -54,13 +56,16 @@
 
   static final String RESULT = "teaseldeal-handover";
 
+  /** The number of the call, which each answer to it repeats. */
+  private static final String CALL = "teaseldeal-handover-call";
+
   private static final int LAYOUT = 1;
   private static final int MAX_HEADERS = 0xffff;
   private static final int FIXED_BYTES = 512;
 
   /** Headers of a single connection, which the instances' own client and server set. */
   private static final Set<String> CONNECTION_HEADERS =
-      Set.of("connection", "content-length", "keep-alive", "transfer-encoding", RESULT);
+      Set.of("connection", "content-length", "keep-alive", "transfer-encoding", RESULT, CALL);
 
   /**
    * Encodes the request.
@@ -157,13 +162,30 @@
     return in.readNBytes(length);
   }
 
-  /** Returns the headers of an answer with a result. */
-  static Map<String, String> withResult(Map<String, String> headers, Result result) {
+  /** Returns the headers of a call to another instance. */
+  static Map<String, String> callHeaders(long call) {
+    return Map.of(CALL, Long.toString(call));
+  }
+
+  /** Returns the headers of an answer to another instance's call. */
+  static Map<String, String> withResult(
+      HttpExchange exchange, Map<String, String> headers, Result result) {
     Map<String, String> all = new HashMap<>(headers);
     all.put(RESULT, result.name());
+    all.remove(CALL);
+    exchange.header(CALL).ifPresent(call -> all.put(CALL, call));
     return all;
   }
 
+  /** Returns which call an answer names; that of an instance of an earlier release none. */
+  static AnswerMatch match(long call, Map<String, String> headers) {
+    String named = headers.get(CALL);
+    if (named == null) {
+      return AnswerMatch.UNNAMED;
+    }
+    return named.equals(Long.toString(call)) ? AnswerMatch.THIS_CALL : AnswerMatch.OTHER_CALL;
+  }
+
   /** Returns the headers of an answer that are passed on to the caller. */
   static Map<String, String> callersHeaders(Map<String, String> headers) {
     Map<String, String> kept = new HashMap<>(headers);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverReceiver.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverReceiver.java
@@ -166,7 +166,7 @@
   private static void respond(HttpExchange exchange, int status, Result result, String detail) {
     exchange.respond(
         status,
-        HandoverMessage.withResult(Map.of(), result),
+        HandoverMessage.withResult(exchange, Map.of(), result),
         detail.getBytes(StandardCharsets.UTF_8));
   }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -27,6 +27,7 @@
 import org.teaseldeal.gateway.plan.GatewayPlan;
 import org.teaseldeal.gateway.plan.Route;
 import org.teaseldeal.net.AnswerEnd;
+import org.teaseldeal.net.AnswerMatch;
 import org.teaseldeal.net.EventSplitter;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
@@ -185,18 +186,31 @@
   }
 
   private void ask(String address) {
+    Question question = new Question(address, ++lastNumber);
     siblings.send(
         new HttpCallRequest(
-            address, "GET", HandoverReceiver.PATH, Map.of(), new byte[0], ASK_TIMEOUT),
-        new Question(address));
+            address,
+            "GET",
+            HandoverReceiver.PATH,
+            HandoverMessage.callHeaders(question.number),
+            new byte[0],
+            ASK_TIMEOUT),
+        question);
   }
 
   /** Asks an instance whether it would take a request. */
   private final class Question implements HttpListener {
     private final String address;
+    private final long number;
 
-    Question(String address) {
+    Question(String address, long number) {
       this.address = address;
+      this.number = number;
+    }
+
+    @Override
+    public AnswerMatch match(int status, Map<String, String> headers) {
+      return HandoverMessage.match(number, headers);
     }
 
     @Override
@@ -278,6 +292,10 @@
     private final Set<String> tried = new HashSet<>();
     private final ByteArrayOutputStream collected = new ByteArrayOutputStream(0);
     private String sibling = "";
+
+    /** The number of the newest offer. */
+    private long number;
+
     private int maxAttempts;
     private HttpCall call = () -> {};
     private @Nullable Result result;
@@ -344,10 +362,11 @@
     }
 
     private HttpCallRequest request(String address, Instant now) {
+      number = ++lastNumber;
       HandoverMessage message =
           new HandoverMessage(
               instance,
-              ++lastNumber,
+              number,
               planVersion,
               maxAttempts,
               exchange.timeSinceHead(),
@@ -360,11 +379,16 @@
           address,
           "POST",
           HandoverReceiver.PATH,
-          Map.of(),
+          HandoverMessage.callHeaders(number),
           message.encode(),
           Duration.between(now, overdueAt));
     }
 
+    @Override
+    public AnswerMatch match(int answerStatus, Map<String, String> answerHeaders) {
+      return HandoverMessage.match(number, answerHeaders);
+    }
+
     @Override
     public void onHead(int answerStatus, Map<String, String> answerHeaders) {
       if (ended) {
