Refuse answers of other instances whose end nothing marks

Instances write their answers to each other with a length or in chunks. If the head lost that line, an answer that was cut by an orderly close was passed on as whole: a handed-over one, and one that a relay had passed on, as only the server's own marking was looked at.

Such an answer is broken now: the request may have run. Failed before: 2 of 2 (RepeatedHandoverAnswerTests, RepeatedRelayAnswerTests); passes now, with RequestHandoverTests and CutRelayedAnswerTests.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -441,8 +441,12 @@
       }
       switch (received) {
         case COMPLETE -> {
-          end();
-          exchange.respond(status, headers, collected.toByteArray());
+          if (end.isMarkedByFraming()) {
+            end();
+            exchange.respond(status, headers, collected.toByteArray());
+          } else {
+            onLost("nothing marked the end of the answer");
+          }
         }
         case STREAM -> {
           boolean inEvent = passedEvents != null && passedEvents.endsInEvent();
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -112,7 +112,13 @@
   public void onEnd(AnswerEnd end) {
     String text = detail.toString(StandardCharsets.UTF_8);
     switch (result) {
-      case ANSWER -> listener.onEnd(announcedEnd);
+      case ANSWER -> {
+        if (end.isMarkedByFraming()) {
+          listener.onEnd(announcedEnd);
+        } else {
+          listener.onFailure(HttpFailure.BROKEN_ANSWER, "nothing marked the end of the answer");
+        }
+      }
       case NOT_LISTED -> outcome.onNotSendable(text);
       case NO_ROOM -> outcome.onNoRoom(noRoomFor, text);
       case UNREACHABLE -> outcome.onUnreachable(text);
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/ScriptedPeer.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/ScriptedPeer.java
@@ -37,6 +37,7 @@
 
   private final ServerSocket listener = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
   private final Script script;
+  private volatile boolean closesAfterAnswer;
 
   /** Listens on a free port. */
   public ScriptedPeer(Script script) throws IOException {
@@ -49,6 +50,11 @@
     return IpAddresses.format((InetSocketAddress) listener.getLocalSocketAddress());
   }
 
+  /** From now on closes each connection, in order, after its first answer. */
+  public void closeAfterEachAnswer() {
+    closesAfterAnswer = true;
+  }
+
   @Override
   public void close() throws IOException {
     listener.close();
@@ -67,7 +73,7 @@
 
   private void serve(Socket socket) {
     try (socket) {
-      for (int position = 1; ; position++) {
+      for (int position = 1; position == 1 || !closesAfterAnswer; position++) {
         Map<String, String> headers = readRequest(socket.getInputStream());
         String answer = script.answer(new Received(position, headers));
         socket.getOutputStream().write(answer.getBytes(ISO_8859_1));
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RepeatedHandoverAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RepeatedHandoverAnswerTests.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -107,6 +108,18 @@
     assertEquals("500 own", call());
   }
 
+  /** Guards against an answer that has lost its length, and was cut, being passed on as whole. */
+  @Test
+  void isNotCompleteIfNothingMarksItsEnd() throws Exception {
+    sibling.closeAfterEachAnswer();
+    script =
+        request ->
+            answer(
+                "HTTP/1.1 200 OK\r\n" + CALL_LINE + "teaseldeal-handover: COMPLETE\r\n\r\nhalf of",
+                request);
+    assertEquals("502 ", call());
+  }
+
   private static String answer(String text, Received request) {
     return text.replace("CALL", request.header("teaseldeal-handover-call"));
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
@@ -173,6 +173,18 @@
     assertEquals(OWN_ANSWER_REPORTED, call(2));
   }
 
+  /** Guards against an answer that has lost its chunks, and was cut, being passed on as whole. */
+  @Test
+  void areNotCompleteIfNothingMarksTheirEnd() throws Exception {
+    relay.closeAfterEachAnswer();
+    script =
+        request ->
+            answer(
+                "HTTP/1.1 200 OK\r\n" + CALL_LINE + ANSWER_LINES + "request: 2\r\n\r\nhalf of",
+                request);
+    assertEquals(List.of("head 200", HttpFailure.BROKEN_ANSWER.name()), call(2));
+  }
+
   private static String answer(String text, Received request) {
     return text.replace("CALL", request.header("teaseldeal-relay-call"));
   }
