--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -106,7 +106,7 @@
 
   @Override
   public AnswerMatch match(String id, int status, Map<String, String> headers) {
-    return AnswerMatch.THIS_CALL;
+    return AnswerMatch.BY_PLACE;
   }
 
   @Override
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -210,7 +210,7 @@
             time,
             new Random(fleet.nextSeed()));
     requestRelay =
-        new RequestRelay(links, servers, (asked, status, answered) -> AnswerMatch.THIS_CALL);
+        new RequestRelay(links, servers, (asked, status, answered) -> AnswerMatch.BY_PLACE);
     dispatcher =
         new RequestDispatcher(
             new GatewayComponents(
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerHeads.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerHeads.java
@@ -15,8 +15,12 @@
 
   private AnswerHeads() {}
 
-  /** Returns what makes a decoded head no answer of HTTP/1; empty if it is one. */
-  static Optional<String> violation(HttpResponse head) {
+  /**
+   * Returns what makes a decoded head no answer of HTTP/1; empty if it is one.
+   *
+   * @param first whether the server has sent no other head on the connection
+   */
+  static Optional<String> violation(HttpResponse head, boolean first) {
     HttpVersion version = head.protocolVersion();
     if (!version.equals(HttpVersion.HTTP_1_1) && !version.equals(HttpVersion.HTTP_1_0)) {
       return Optional.of("version " + version.text());
@@ -25,7 +29,7 @@
     if (status < FIRST_STATUS || status > LAST_STATUS) {
       return Optional.of("status " + status);
     }
-    return isJoined(head) ? Optional.of("two heads are joined") : Optional.empty();
+    return !first && isJoined(head) ? Optional.of("two heads are joined") : Optional.empty();
   }
 
   /**
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerMatch.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerMatch.java
@@ -2,6 +2,8 @@
 
 /** How an answer relates to the call in whose place it arrived on a connection. */
 public enum AnswerMatch {
+  /** The server answers each call once, so that its place suffices. */
+  BY_PLACE,
   /** It names the call. */
   THIS_CALL,
   /**
@@ -15,10 +17,10 @@
   OTHER_CALL;
 
   /**
-   * Returns whether a second copy of the answer can be told from the answers to later calls, so
-   * that the connection can carry them.
+   * Returns whether the connection can carry another call: a second copy of the answer would not be
+   * taken for the answer to that one.
    */
-  boolean identifiesCopies() {
-    return this == THIS_CALL;
+  boolean allowsReuse() {
+    return this == THIS_CALL || this == BY_PLACE;
   }
 }
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
@@ -59,9 +59,11 @@
     return true;
   }
 
-  /** Returns which call an answer with this head names. */
+  /**
+   * Returns how an answer with this head relates to the call; that to a finished call is dropped.
+   */
   synchronized AnswerMatch match(int status, Map<String, String> headers) {
-    return finished ? AnswerMatch.THIS_CALL : listener.match(status, headers);
+    return finished ? AnswerMatch.BY_PLACE : listener.match(status, headers);
   }
 
   synchronized void reportSkipped(int status, Map<String, String> headers, AnswerOrigin origin) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -239,7 +239,7 @@
       return;
     }
     if (object instanceof HttpResponse head) {
-      Optional<String> violation = AnswerHeads.violation(head);
+      Optional<String> violation = AnswerHeads.violation(head, calls == 1 && skippedAnswers == 0);
       if (violation.isPresent()) {
         failAsMalformed(call, violation.get());
         return;
@@ -291,7 +291,7 @@
     // A server that answers twice sends the second copy where the answer to the next call is due.
     reusable =
         HttpUtil.isKeepAlive(head)
-            && match.identifiesCopies()
+            && match.allowsReuse()
             && skippedOthers == 0
             && statesItsEnd(current.request());
     serverIdleTimeout = KeepAliveHeader.parseTimeout(headers);
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
@@ -8,15 +8,16 @@
  */
 public interface HttpListener {
   /**
-   * Returns which call an answer with this head names. The answer to another call is skipped, and
-   * the next one is awaited.
+   * Returns how an answer with this head relates to the call. The answer to another call is
+   * skipped, and the next one is awaited. By default the server is trusted to answer each call
+   * once.
    *
    * <p>If a server answers a request twice, its second answer arrives where the answer to the next
    * call on the connection is due. Matched by order alone, it would be given to the caller of that
    * next call.
    */
   default AnswerMatch match(int status, Map<String, String> headers) {
-    return AnswerMatch.THIS_CALL;
+    return AnswerMatch.BY_PLACE;
   }
 
   /** Called when the answer to another call is skipped. */
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/ScriptedServer.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/ScriptedServer.java
@@ -4,10 +4,12 @@
 
 import java.io.EOFException;
 import java.io.IOException;
+import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -98,6 +100,15 @@
     }
   }
 
+  /** Waits until the client has closed the connection. */
+  static void awaitClose(Socket socket) throws IOException {
+    try {
+      socket.getInputStream().transferTo(OutputStream.nullOutputStream());
+    } catch (SocketException e) {
+      // The client has reset the connection, as it hadn't read all.
+    }
+  }
+
   static void write(Socket socket, String text) throws IOException {
     socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
   }
