Report an answer as broken if it ends before its request is written

A server answered a long upload at once with a 200 without a length, sent a part of the body and ended the connection in order while the upload was still being written. The client reported the part as the complete answer: the orderly end of the connection counted as that of the answer, whatever the request had got to.

An answer that ends with its connection counts as complete only if the whole request had been written.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -352,6 +352,13 @@
       close();
       return;
     }
+    if (end == AnswerEnd.CONNECTION_CLOSED && !isRequestWritten()) {
+      current.fail(
+          HttpFailure.BROKEN_ANSWER,
+          withAnnouncedEnd("the connection was closed before the request was written"));
+      close();
+      return;
+    }
     call = null;
     if (!current.complete(end, this::reuseOrClose)) {
       channel.close();
@@ -361,16 +368,17 @@
   private void reuseOrClose() {
     // An answer received before the whole request was written leaves the connection in an unknown
     // state. Bytes that follow the answer would become part of the next one.
-    if (reusable
-        && requestWrite != null
-        && requestWrite.isSuccess()
-        && !decoder.hasUndecodedBytes()) {
+    if (reusable && isRequestWritten() && !decoder.hasUndecodedBytes()) {
       returnToPool();
     } else {
       channel.close();
     }
   }
 
+  private boolean isRequestWritten() {
+    return requestWrite != null && requestWrite.isSuccess();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     cancelIdleTimer();
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/UnusualAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/UnusualAnswerTests.java
@@ -1,6 +1,7 @@
 package org.teaseldeal.net;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.OutputStream;
 import java.net.Socket;
@@ -12,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /**
@@ -131,6 +133,77 @@
     }
   }
 
+  /** How a server ends the connection on which it answers a request that it hasn't read. */
+  private enum EarlyEnd {
+    RESET,
+    /** The client reads the part only after the reset. */
+    RESET_BEFORE_READ,
+    CLOSE_OF_OUTPUT,
+    CLOSE_OF_OUTPUT_THEN_RESET,
+    /** Unread bytes turn the close into a reset. */
+    CLOSE_WITH_UNREAD_BYTES
+  }
+
+  /**
+   * Guards against a part of an answer without a length being reported as complete if its server
+   * ends the connection before it has read the request, however the end and the part are ordered.
+   */
+  @ParameterizedTest
+  @EnumSource
+  void reportsAnswerWithoutLengthAsBrokenIfRequestIsUnsent(EarlyEnd end) throws Exception {
+    for (int i = 0; i < 20; i++) {
+      LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
+      CountDownLatch testEnded = new CountDownLatch(1);
+      try (ScriptedServer server =
+          new ScriptedServer(socket -> answerPartAndEnd(socket, end, testEnded))) {
+        client.send(
+            request(server, new byte[BYTES_EXCEEDING_SOCKET_BUFFERS]),
+            new RecordingListener(recorded));
+        String last = recorded.take();
+        while (last.startsWith("head") || last.startsWith("part")) {
+          last = recorded.take();
+        }
+        testEnded.countDown();
+        assertTrue(last.endsWith("_ANSWER"), last);
+      }
+    }
+  }
+
+  private static void answerPartAndEnd(Socket socket, EarlyEnd end, CountDownLatch testEnded)
+      throws Exception {
+    CountDownLatch loopReleased = new CountDownLatch(1);
+    ScriptedServer.readRequest(socket);
+    if (end == EarlyEnd.RESET_BEFORE_READ) {
+      SharedEventLoops.eventLoopGroup().forEach(loop -> loop.execute(() -> await(loopReleased)));
+    }
+    ScriptedServer.write(socket, "HTTP/1.1 200 OK\r\n\r\nhalf of");
+    switch (end) {
+      case RESET -> socket.setSoLinger(true, 0);
+      case RESET_BEFORE_READ -> {
+        socket.setSoLinger(true, 0);
+        socket.close();
+        loopReleased.countDown();
+      }
+      case CLOSE_OF_OUTPUT -> {
+        socket.shutdownOutput();
+        testEnded.await();
+      }
+      case CLOSE_OF_OUTPUT_THEN_RESET -> {
+        socket.shutdownOutput();
+        socket.setSoLinger(true, 0);
+      }
+      case CLOSE_WITH_UNREAD_BYTES -> {}
+    }
+  }
+
+  private static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Guards against a status that HTTP does not have being reported as an answer. */
   @ParameterizedTest
   @ValueSource(strings = {"000", "0", "1", "42", "099", "600", "700", "999", "1000", "2000", "-1"})
