Send no two calls of the same name on one connection

A copy of an answer names its call, but not which of two calls of the same name: a caller that used its id once more got a success, the late copy of the answer to its first request, where the server had failed the second one. The same holds for a repeatable request whose taker was lost and that comes to the taker's server again by the taker as a relay.

Attempts and relayed requests are named by the id of their request; calls whose answers name none, such as probes, are not affected.

That a connection stays open for 300 calls of different names is tested beside.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -214,6 +214,11 @@
     }
   }
 
+  @Override
+  public String callName() {
+    return flow.request().id();
+  }
+
   @Override
   public AnswerMatch match(int answerStatus, Map<String, String> answerHeaders) {
     return components.dialect().match(flow.request().id(), answerStatus, answerHeaders);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
@@ -35,6 +35,11 @@
   /** Matches answers with requests that are known by their headers. */
   @FunctionalInterface
   public interface AnswerMatcher {
+    /** Returns the name by which answers identify a request; empty if they don't. */
+    default String callName(Map<String, String> requestHeaders) {
+      return "";
+    }
+
     /** Returns how an answer relates to the request in whose place it arrived. */
     AnswerMatch match(
         Map<String, String> requestHeaders, int status, Map<String, String> answerHeaders);
@@ -173,6 +178,11 @@
       }
     }
 
+    @Override
+    public String callName() {
+      return answerMatcher.callName(relayed.headers());
+    }
+
     @Override
     public AnswerMatch match(int status, Map<String, String> headers) {
       return answerMatcher.match(relayed.headers(), status, headers);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/ServerLinks.java
@@ -365,6 +365,11 @@
       this.listener = listener;
     }
 
+    @Override
+    public String callName() {
+      return listener.callName();
+    }
+
     @Override
     public AnswerMatch match(int status, Map<String, String> headers) {
       return listener.match(status, headers);
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientCall.java
@@ -34,6 +34,11 @@
     return request;
   }
 
+  /** The name by which answers identify the call; empty if they don't. */
+  String name() {
+    return listener.callName();
+  }
+
   synchronized void startTimeout() {
     timeout =
         SharedEventLoops.eventLoopGroup()
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -54,6 +54,8 @@
   /** The number of calls that have been started on the connection. */
   private int calls;
 
+  private final RecentNames names = new RecentNames();
+
   private @Nullable ClientCall call;
   private @Nullable ChannelFuture requestWrite;
   private @Nullable Future<?> idleTimer;
@@ -120,6 +122,7 @@
     }
     call = newCall;
     calls++;
+    names.add(newCall.name());
     announcedEnd = null;
     reusable = false;
     skippedAnswers = 0;
@@ -128,6 +131,11 @@
     requestWrite = channel.writeAndFlush(encoded);
   }
 
+  /** Returns whether a call of this name was started on the connection, which has no call now. */
+  boolean hasCarried(String name) {
+    return names.contains(name);
+  }
+
   /** Closes a connection that has been taken from the pool and has no call. */
   void discard() {
     channel.close();
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpListener.java
@@ -19,6 +19,14 @@
     return AnswerMatch.THIS_CALL;
   }
 
+  /**
+   * Returns the name by which answers identify the call; empty if they don't. Calls of the same
+   * name use different connections, as a second answer to the one would be taken for the other's.
+   */
+  default String callName() {
+    return "";
+  }
+
   /** Called when the answer to another call is skipped. */
   default void onSkipped(int status, Map<String, String> headers, AnswerOrigin origin) {}
 
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
@@ -59,6 +59,49 @@
     }
   }
 
+  /** Guards against a copy of the answer to a call being delivered to a later one of its name. */
+  @Test
+  void areNotDeliveredToALaterCallOfTheSameName() throws Exception {
+    String first = answer(500, "Request: 1", "failed");
+    LinkedBlockingQueue<String> received = new LinkedBlockingQueue<>();
+    try (ScriptedServer server =
+        new ScriptedServer(
+            socket -> {
+              boolean again = !received.isEmpty();
+              received.add("request " + requestNumber(socket));
+              if (!again) {
+                ScriptedServer.write(socket, first);
+                requestNumber(socket);
+                ScriptedServer.write(socket, first);
+              }
+              ScriptedServer.write(socket, answer(200, "Request: 1", "run"));
+              requestNumber(socket);
+            })) {
+      assertEquals("head 500 null, part failed, end", call(server, 1));
+      assertEquals("head 200 null, part run, end", call(server, 1));
+    }
+  }
+
+  /** Guards against a connection that is closed although its next call has another name. */
+  @Test
+  void keepTheConnectionForCallsOfOtherNames() throws Exception {
+    LinkedBlockingQueue<String> connections = new LinkedBlockingQueue<>();
+    try (ScriptedServer server =
+        new ScriptedServer(
+            socket -> {
+              connections.add("connection");
+              while (true) {
+                int number = requestNumber(socket);
+                ScriptedServer.write(socket, answer(200, "Request: " + number, "run"));
+              }
+            })) {
+      for (int number = 1; number <= 300; number++) {
+        assertEquals("head 200 null, part run, end", call(server, number));
+      }
+      assertEquals(1, connections.size());
+    }
+  }
+
   /**
    * Guards against a part of a head that arrives between two calls being joined with the head of
    * the next answer.
@@ -181,6 +224,11 @@
       this.number = number;
     }
 
+    @Override
+    public String callName() {
+      return Integer.toString(number);
+    }
+
     @Override
     public AnswerMatch match(int status, Map<String, String> headers) {
       String named = headers.get("request");
