--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/NumberedListener.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/NumberedListener.java
@@ -14,6 +14,11 @@
     this.number = number;
   }
 
+  @Override
+  public String callName() {
+    return Integer.toString(number);
+  }
+
   @Override
   public AnswerMatch match(int status, Map<String, String> headers) {
     String named = headers.get("request");
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
@@ -61,6 +61,49 @@
     }
   }
 
+  /** Guards against a copy of the answer to a call being delivered to a later one of its name. */
+  @Test
+  void areNotDeliveredToALaterCallOfTheSameName() throws Exception {
+    String first = answer(500, "Request: 1", "failed");
+    LinkedBlockingQueue<String> received = new LinkedBlockingQueue<>();
+    try (ScriptedServer server =
+        new ScriptedServer(
+            socket -> {
+              boolean again = !received.isEmpty();
+              received.add("request " + ScriptedServer.requestNumber(socket));
+              if (!again) {
+                ScriptedServer.write(socket, first);
+                ScriptedServer.requestNumber(socket);
+                ScriptedServer.write(socket, first);
+              }
+              ScriptedServer.write(socket, answer(200, "Request: 1", "run"));
+              ScriptedServer.requestNumber(socket);
+            })) {
+      assertEquals("head 500 null, part failed, end", call(server, 1));
+      assertEquals("head 200 null, part run, end", call(server, 1));
+    }
+  }
+
+  /** Guards against a connection that is closed although its next call has another name. */
+  @Test
+  void keepTheConnectionForCallsOfOtherNames() throws Exception {
+    LinkedBlockingQueue<String> connections = new LinkedBlockingQueue<>();
+    try (ScriptedServer server =
+        new ScriptedServer(
+            socket -> {
+              connections.add("connection");
+              while (true) {
+                int number = ScriptedServer.requestNumber(socket);
+                ScriptedServer.write(socket, answer(200, "Request: " + number, "run"));
+              }
+            })) {
+      for (int number = 1; number <= 300; number++) {
+        assertEquals("head 200 null, part run, end", call(server, number));
+      }
+      assertEquals(1, connections.size());
+    }
+  }
+
   /**
    * Guards against a part of a head that arrives between two calls, or together with the end of an
    * answer, being joined with the head of the next answer.
