Add a failing test of resets that the end of a server's output hides

A server answers an upload that fits the socket buffers at once, without a length, closes its output and resets the connection; a Java server that closes a connection with unread bytes does both. Passed over until there is a fix: nothing that Java's sockets report after the end of the input shows the reset, short of another write.

--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/UnusualAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/UnusualAnswerTests.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -22,6 +23,7 @@
 @Timeout(30)
 class UnusualAnswerTests {
   private static final int BYTES_EXCEEDING_SOCKET_BUFFERS = 64 << 20;
+  private static final int BYTES_WITHIN_SOCKET_BUFFERS = 256 << 10;
 
   private final HttpClient client = new HttpClient(HttpClientConfig.defaults());
 
@@ -151,14 +153,27 @@
   @ParameterizedTest
   @EnumSource
   void reportsAnswerWithoutLengthAsBrokenIfRequestIsUnsent(EarlyEnd end) throws Exception {
+    checkPartIsBroken(end, BYTES_EXCEEDING_SOCKET_BUFFERS);
+  }
+
+  /**
+   * Guards against a part of an answer without a length being reported as complete if its server
+   * resets the connection, after closing its output, with the request still in socket buffers.
+   */
+  @Tag("known-red")
+  @ParameterizedTest
+  @EnumSource(names = {"CLOSE_OF_OUTPUT_THEN_RESET", "CLOSE_WITH_UNREAD_BYTES"})
+  void reportsAnswerWithoutLengthAsBrokenIfRequestIsUnread(EarlyEnd end) throws Exception {
+    checkPartIsBroken(end, BYTES_WITHIN_SOCKET_BUFFERS);
+  }
+
+  private void checkPartIsBroken(EarlyEnd end, int requestBytes) throws Exception {
     for (int i = 0; i < 20; i++) {
       LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
       CountDownLatch testEnded = new CountDownLatch(1);
       try (ScriptedServer server =
           new ScriptedServer(socket -> answerPartAndEnd(socket, end, testEnded))) {
-        client.send(
-            request(server, new byte[BYTES_EXCEEDING_SOCKET_BUFFERS]),
-            new RecordingListener(recorded));
+        client.send(request(server, new byte[requestBytes]), new RecordingListener(recorded));
         String last = recorded.take();
         while (last.startsWith("head") || last.startsWith("part")) {
           last = recorded.take();
