Let calls of one name be kept apart by their connections alone

A connection refuses a second call of a name, so a rejection that names its call needs no rule of its own: THIS_CALL_REJECTED is gone, and the connection of such a rejection stays in use. The rule stands in the connection now, where the random sequences of answers reach it; calls to a relay have the name of their request too.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -67,6 +67,11 @@
     this.outcome = outcome;
   }
 
+  @Override
+  public String callName() {
+    return listener.callName();
+  }
+
   @Override
   public AnswerMatch match(int status, Map<String, String> headers) {
     AnswerMatch relayed = RelayMessages.match(number, headers);
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerMatch.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerMatch.java
@@ -6,11 +6,6 @@
   BY_PLACE,
   /** It names the call. */
   THIS_CALL,
-  /**
-   * It names the call and rejects it. A later call may carry the same request under the same name,
-   * so the answer says nothing about which of them it rejects.
-   */
-  THIS_CALL_REJECTED,
   /** It names no call: only its position on the connection suggests one. */
   UNNAMED,
   /** It names another call, which it may have answered before. */
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -116,6 +116,8 @@
 
   /**
    * Starts a call, or runs {@code ifClosed} if the connection was closed before a byte was written.
+   * A connection that has carried a call of the same name is closed: a second copy of the answer to
+   * that one would be taken for this one's.
    *
    * <p>Input that has already arrived is handled first. If the server has closed a pooled
    * connection, this is noticed here, and the call does not count as sent.
@@ -125,6 +127,9 @@
   }
 
   private void startOnLoop(ClientCall newCall, Runnable ifClosed) {
+    if (names.contains(newCall.name())) {
+      channel.close();
+    }
     if (!channel.isActive()) {
       ifClosed.run();
       return;
@@ -153,11 +158,6 @@
     requestWrite = channel.writeAndFlush(encoded);
   }
 
-  /** Returns whether a call of this name was started on the connection, which has no call now. */
-  boolean hasCarried(String name) {
-    return names.contains(name);
-  }
-
   /** Closes a connection that has been taken from the pool and has no call. */
   void discard() {
     channel.close();
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -98,10 +98,6 @@
 
   private void sendOrConnect(InetSocketAddress address, ClientCall call) {
     ClientConnection pooled = pool.takeIdle(address);
-    while (pooled != null && pooled.hasCarried(call.name())) {
-      pooled.discard();
-      pooled = pool.takeIdle(address);
-    }
     if (pooled != null) {
       pooled.start(call, () -> sendOrConnect(address, call));
       return;
