Take the failure of another instance for no proof that a request has not run

An instance whose handler throws an exception answers 500 without a result, perhaps after it has sent the request to a server. The asking instance took every answer without a result as that of an earlier release, which has run nothing: it sent the request again, or told its caller that it had not run.

A 500 without a result says now that the request may have run. Earlier releases answer such calls with 404. The test of an answer without a result names the 404 that it stands for.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
@@ -50,6 +50,8 @@
     NOT_TAKEN,
     /** A request with this number was taken before, and may have run. */
     REPEATED,
+    /** The instance failed; the request may have run. */
+    FAILED,
     /** The instance would take a request now. */
     WILLING
   }
@@ -59,6 +61,9 @@
   /** The number of the call, which each answer to it repeats. */
   private static final String CALL = "teaseldeal-handover-call";
 
+  /** The status of an instance whose handler of the call threw an exception. */
+  private static final int HANDLER_FAILED = 500;
+
   private static final int LAYOUT = 1;
   private static final int MAX_HEADERS = 0xffff;
   private static final int FIXED_BYTES = 512;
@@ -195,15 +200,15 @@
 
   /**
    * Returns the result in an answer. One without a result comes from an instance of an earlier
-   * release, or was given before the request was looked at.
+   * release, or was given before the request was looked at, unless the instance failed.
    */
-  static Result result(Map<String, String> headers) {
+  static Result result(int status, Map<String, String> headers) {
     String name = headers.get(RESULT);
     for (Result result : Result.values()) {
       if (result.name().equals(name)) {
         return result;
       }
     }
-    return Result.NOT_TAKEN;
+    return status == HANDLER_FAILED ? Result.FAILED : Result.NOT_TAKEN;
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/RequestHandover.java
@@ -215,7 +215,7 @@
 
     @Override
     public void onHead(int status, Map<String, String> headers) {
-      if (HandoverMessage.result(headers) == Result.WILLING) {
+      if (HandoverMessage.result(status, headers) == Result.WILLING) {
         policy.onWilling(address, clock.instant());
       } else {
         policy.onUnwilling(address, clock.instant());
@@ -394,7 +394,7 @@
       if (ended) {
         return;
       }
-      result = HandoverMessage.result(answerHeaders);
+      result = HandoverMessage.result(answerStatus, answerHeaders);
       status = answerStatus;
       headers = HandoverMessage.callersHeaders(answerHeaders);
       switch (result) {
@@ -404,7 +404,7 @@
           passedEvents = route.resumable() ? new PassedEvents(stream) : null;
         }
         case COMPLETE -> policy.onWilling(sibling, clock.instant());
-        case NOT_TAKEN, REPEATED, WILLING -> policy.onUnwilling(sibling, clock.instant());
+        case NOT_TAKEN, REPEATED, FAILED, WILLING -> policy.onUnwilling(sibling, clock.instant());
       }
     }
 
@@ -458,7 +458,7 @@
           }
         }
         case NOT_TAKEN -> onNotTaken(collected.toString(StandardCharsets.UTF_8));
-        case REPEATED, WILLING -> onLost(collected.toString(StandardCharsets.UTF_8));
+        case REPEATED, FAILED, WILLING -> onLost(collected.toString(StandardCharsets.UTF_8));
       }
     }
 
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
@@ -23,6 +23,9 @@
 final class RelayMessages {
   private static final Logger LOG = LoggerFactory.getLogger(RelayMessages.class);
 
+  /** The status of an instance whose handler of the call threw an exception. */
+  private static final int HANDLER_FAILED = 500;
+
   /** Bounds how long another instance is believed to have no room. */
   private static final Duration MAX_NO_ROOM = Duration.ofSeconds(10);
 
@@ -190,15 +193,18 @@
     return kept;
   }
 
-  /** Returns the result in a relay's answer; an instance of an earlier release gives none. */
-  static Result result(Map<String, String> headers) {
+  /**
+   * Returns the result in a relay's answer. An instance of an earlier release gives none, and
+   * neither does a relay that failed, perhaps after it had sent the request.
+   */
+  static Result result(int status, Map<String, String> headers) {
     String name = headers.get(RESULT);
     for (Result result : Result.values()) {
       if (result.name().equals(name)) {
         return result;
       }
     }
-    return Result.REFUSED;
+    return status == HANDLER_FAILED ? Result.NO_ANSWER : Result.REFUSED;
   }
 
   /** Returns how the end of the server's answer was marked. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -70,7 +70,7 @@
   @Override
   public AnswerMatch match(int status, Map<String, String> headers) {
     AnswerMatch relayed = RelayMessages.match(number, headers);
-    boolean fromServer = RelayMessages.result(headers) == Result.ANSWER;
+    boolean fromServer = RelayMessages.result(status, headers) == Result.ANSWER;
     return relayed == AnswerMatch.UNNAMED && fromServer
         ? listener.match(status, RelayMessages.withoutRelayHeaders(headers))
         : relayed;
@@ -83,7 +83,7 @@
 
   @Override
   public void onHead(int status, Map<String, String> headers) {
-    result = RelayMessages.result(headers);
+    result = RelayMessages.result(status, headers);
     Map<String, String> serverHeaders = RelayMessages.withoutRelayHeaders(headers);
     if (result == Result.ANSWER
         && listener.match(status, serverHeaders) == AnswerMatch.OTHER_CALL) {
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RepeatedHandoverAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RepeatedHandoverAnswerTests.java
@@ -120,6 +120,13 @@
     assertEquals("502 ", call());
   }
 
+  /** Guards against a second run of a request whose taker failed after it had sent it. */
+  @Test
+  void provesNothingIfTheTakerFailed() throws Exception {
+    script = request -> "HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n";
+    assertEquals("502 ", call());
+  }
+
   private static String answer(String text, Received request) {
     return text.replace("CALL", request.header("teaseldeal-handover-call"));
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/handover/HandoverMessageTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/handover/HandoverMessageTests.java
@@ -57,6 +57,6 @@
   /** An instance of an earlier release answers without a result, before it looks at a request. */
   @Test
   void takesAnAnswerWithoutAResultAsNotTaken() {
-    assertEquals(Result.NOT_TAKEN, HandoverMessage.result(Map.of()));
+    assertEquals(Result.NOT_TAKEN, HandoverMessage.result(404, Map.of()));
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
@@ -152,6 +152,13 @@
     assertEquals(List.of(HttpFailure.NO_ANSWER.name()), call(2));
   }
 
+  /** Guards against a relay that failed after it had sent the request proving that it had not. */
+  @Test
+  void proveNothingIfTheRelayFailed() throws Exception {
+    script = request -> "HTTP/1.1 500 Failed\r\ncontent-length: 0\r\n\r\n";
+    assertEquals(List.of(HttpFailure.NO_ANSWER.name()), call(2));
+  }
+
   /** Guards against the late answer to a request that was given up reaching the next one. */
   @Test
   void areNotTakenForTheNextAnswerIfTheirRequestWasGivenUp() throws Exception {
