See a reset that the end of a server's output hides

A server answered an upload at once, without a length, sent a part and closed the connection with the rest of the upload unread. Such a close ends the output and resets the connection: reads report the orderly end only, and the upload, which fits the socket buffers, counts as written.

A write on such a connection fails. Before an answer that ends with its connection counts as complete, an empty line is written if the request had a body; after a request, servers ignore one. A reset that arrives only after this write is still missed.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -38,6 +38,9 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
   private static final long NO_LENGTH = -1;
 
+  /** An empty line, which servers ignore where a request is due. */
+  private static final byte[] IGNORED_LINE = {'\r', '\n'};
+
   /**
    * Limits of what is discarded before a call's own answer: interim answers and answers to other
    * requests. A faulty server may send them without end.
@@ -359,6 +362,13 @@
       close();
       return;
     }
+    if (end == AnswerEnd.CONNECTION_CLOSED && isResetBehindClose(current.request())) {
+      current.fail(
+          HttpFailure.BROKEN_ANSWER,
+          withAnnouncedEnd("the connection was reset before the request was read"));
+      close();
+      return;
+    }
     call = null;
     if (!current.complete(end, this::reuseOrClose)) {
       channel.close();
@@ -375,6 +385,19 @@
     }
   }
 
+  /**
+   * Returns whether the server reset the connection after closing its output, as one does that
+   * leaves a part of the request unread. Reads then report the orderly close only, but writes fail.
+   */
+  private boolean isResetBehindClose(HttpCallRequest request) {
+    if (request.body().length == 0) {
+      return false;
+    }
+    ChannelFuture probe =
+        channel.pipeline().firstContext().writeAndFlush(Unpooled.copiedBuffer(IGNORED_LINE));
+    return probe.isDone() && !probe.isSuccess();
+  }
+
   private boolean isRequestWritten() {
     return requestWrite != null && requestWrite.isSuccess();
   }
