--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -353,27 +353,9 @@
       current.failByProgress("the codec reported an end before a head");
       return;
     }
-    if (remainingBytes > 0) {
-      current.fail(HttpFailure.BROKEN_ANSWER, "%d bytes are missing".formatted(remainingBytes));
-      close();
-      return;
-    }
-    if (end == AnswerEnd.CONNECTION_CLOSED && !closedByServer) {
-      current.fail(HttpFailure.BROKEN_ANSWER, withAnnouncedEnd("the connection was lost"));
-      close();
-      return;
-    }
-    if (end == AnswerEnd.CONNECTION_CLOSED && !isRequestWritten()) {
-      current.fail(
-          HttpFailure.BROKEN_ANSWER,
-          withAnnouncedEnd("the connection was closed before the request was written"));
-      close();
-      return;
-    }
-    if (end == AnswerEnd.CONNECTION_CLOSED && isResetBehindClose(current.request())) {
-      current.fail(
-          HttpFailure.BROKEN_ANSWER,
-          withAnnouncedEnd("the connection was reset before the request was read"));
+    Optional<String> flaw = flaw(current.request(), end);
+    if (flaw.isPresent()) {
+      current.fail(HttpFailure.BROKEN_ANSWER, flaw.get());
       close();
       return;
     }
@@ -383,6 +365,29 @@
     }
   }
 
+  /** Returns why the answer that has ended is incomplete; empty if it is complete. */
+  private Optional<String> flaw(HttpCallRequest request, AnswerEnd end) {
+    if (remainingBytes > 0) {
+      return Optional.of("%d bytes are missing".formatted(remainingBytes));
+    }
+    return end == AnswerEnd.CONNECTION_CLOSED
+        ? flawOfClose(request).map(this::withAnnouncedEnd)
+        : Optional.empty();
+  }
+
+  /** Returns why the close of the connection isn't the end of an answer; empty if it is. */
+  private Optional<String> flawOfClose(HttpCallRequest request) {
+    if (!closedByServer) {
+      return Optional.of("the connection was lost");
+    }
+    if (!isRequestWritten()) {
+      return Optional.of("the connection was closed before the request was written");
+    }
+    return isResetBehindClose(request)
+        ? Optional.of("the connection was reset before the request was read")
+        : Optional.empty();
+  }
+
   private void reuseOrClose() {
     // An answer received before the whole request was written leaves the connection in an unknown
     // state. Bytes that follow the answer would become part of the next one.
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -25,12 +25,12 @@
  * HttpFailure} that says how far the call got.
  */
 public final class HttpClient implements AutoCloseable {
+  private static final int NO_CONNECT_TIMEOUT = 0;
+
   /**
    * Limits of a single read from a connection. Without them a server that sends without end would
    * keep the event loop from the other connections for tens of milliseconds.
    */
-  private static final int NO_CONNECT_TIMEOUT = 0;
-
   private static final int MIN_READ_BYTES = 64;
 
   private static final int INITIAL_READ_BYTES = 2048;
