--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -38,6 +38,9 @@
 final class ClientConnection extends ChannelInboundHandlerAdapter {
   private static final long NO_LENGTH = -1;
 
+  /** An empty line, which servers ignore where a request is due. */
+  private static final byte[] IGNORED_LINE = {'\r', '\n'};
+
   /**
    * Limits of what is discarded before a call's own answer: interim answers and answers to other
    * requests. A faulty server may send them without end.
@@ -57,6 +60,8 @@
   /** The number of calls that have been started on the connection. */
   private int calls;
 
+  private final RecentNames names = new RecentNames();
+
   private @Nullable ClientCall call;
   private @Nullable ChannelFuture requestWrite;
   private @Nullable Future<?> idleTimer;
@@ -114,6 +119,8 @@
 
   /**
    * Starts a call, or runs {@code ifClosed} if the connection was closed before a byte was written.
+   * A connection that has carried a call of the same name is closed: a second copy of the answer to
+   * that one would be taken for this one's.
    *
    * <p>Input that has already arrived is handled first. If the server has closed a pooled
    * connection, this is noticed here, and the call does not count as sent.
@@ -123,6 +130,9 @@
   }
 
   private void startOnLoop(ClientCall newCall, Runnable ifClosed) {
+    if (names.contains(newCall.name())) {
+      channel.close();
+    }
     if (!channel.isActive()) {
       ifClosed.run();
       return;
@@ -142,6 +152,7 @@
     }
     call = newCall;
     calls++;
+    names.add(newCall.name());
     announcedEnd = null;
     reusable = false;
     skippedAnswers = 0;
@@ -352,6 +363,20 @@
       close();
       return;
     }
+    if (end == AnswerEnd.CONNECTION_CLOSED && !isRequestWritten()) {
+      current.fail(
+          HttpFailure.BROKEN_ANSWER,
+          withAnnouncedEnd("the connection was closed before the request was written"));
+      close();
+      return;
+    }
+    if (end == AnswerEnd.CONNECTION_CLOSED && isResetBehindClose(current.request())) {
+      current.fail(
+          HttpFailure.BROKEN_ANSWER,
+          withAnnouncedEnd("the connection was reset before the request was read"));
+      close();
+      return;
+    }
     call = null;
     if (!current.complete(end, this::reuseOrClose)) {
       channel.close();
@@ -361,16 +386,30 @@
   private void reuseOrClose() {
     // An answer received before the whole request was written leaves the connection in an unknown
     // state. Bytes that follow the answer would become part of the next one.
-    if (reusable
-        && requestWrite != null
-        && requestWrite.isSuccess()
-        && !decoder.hasUndecodedBytes()) {
+    if (reusable && isRequestWritten() && !decoder.hasUndecodedBytes()) {
       returnToPool();
     } else {
       channel.close();
     }
   }
 
+  /**
+   * Returns whether the server reset the connection after closing its output, as one does that
+   * leaves a part of the request unread. Reads then report the orderly close only, but writes fail.
+   */
+  private boolean isResetBehindClose(HttpCallRequest request) {
+    if (request.body().length == 0) {
+      return false;
+    }
+    ChannelFuture probe =
+        channel.pipeline().firstContext().writeAndFlush(Unpooled.copiedBuffer(IGNORED_LINE));
+    return probe.isDone() && !probe.isSuccess();
+  }
+
+  private boolean isRequestWritten() {
+    return requestWrite != null && requestWrite.isSuccess();
+  }
+
   @Override
   public void channelInactive(ChannelHandlerContext ctx) {
     cancelIdleTimer();
