--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
@@ -28,9 +28,9 @@
     UNNAMED_REJECTION(
         "HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
     UNNAMED_FAILURE(answer(500, "X: y", "failed before")),
-    UNNAMED_SUCCESS(answer(200, "Reply-Seal: s", "of another")),
+    UNNAMED_SUCCESS(answer(200, "Seal: s", "of another")),
     UNNAMED_CHUNKS(
-        "HTTP/1.1 200 OK\r\nReply-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+        "HTTP/1.1 200 OK\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n"
             + "a\r\nof another\r\n0\r\n\r\n"),
     NAMED_REJECTION(answer(503, "Request: 1", "full")),
     NAMED_SUCCESS(answer(200, "Request: 1", "of another"));
@@ -169,7 +169,7 @@
   @ValueSource(ints = {500, 42, 7, 999})
   void areNotJoinedWithTheNextAnswerIfTheirHeadIsCutBeforeIt(int ownStatus) throws Exception {
     String own = answer(ownStatus, "Request: 2", "failed");
-    String copy = "HTTP/1.1 200 OK\r\nReply-Seal: 12\r\nRequest: 1\r\nContent-Length: 10\r\n\r\n";
+    String copy = "HTTP/1.1 200 OK\r\nSeal: 12\r\nRequest: 1\r\nContent-Length: 10\r\n\r\n";
     List<String> delivered = new ArrayList<>();
     for (int bytes = 1; bytes < copy.length(); bytes++) {
       String cut = copy.substring(0, bytes);
