Match a named answer in one place

No behaviour. Dialect and AnswerMatcher no longer take a status, which nothing has used since rejections need no rule of their own.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Attempt.java
@@ -221,7 +221,7 @@
 
   @Override
   public AnswerMatch match(int answerStatus, Map<String, String> answerHeaders) {
-    return components.dialect().match(flow.request().id(), answerStatus, answerHeaders);
+    return components.dialect().match(flow.request().id(), answerHeaders);
   }
 
   @Override
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/Dialect.java
@@ -28,7 +28,7 @@
   HttpCallRequest forward(CallerRequest request, ForwardingTerms terms);
 
   /** Returns how an answer relates to the request {@code id} in whose place it arrived. */
-  AnswerMatch match(String id, int status, Map<String, String> headers);
+  AnswerMatch match(String id, Map<String, String> headers);
 
   /** The id of the request that an answer names, for the log; empty if it names none. */
   String answeredRequest(Map<String, String> headers);
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
@@ -184,11 +184,7 @@
 
   /** Returns which call an answer names; that of an instance of an earlier release none. */
   static AnswerMatch match(long call, Map<String, String> headers) {
-    String named = headers.get(CALL);
-    if (named == null) {
-      return AnswerMatch.UNNAMED;
-    }
-    return named.equals(Long.toString(call)) ? AnswerMatch.THIS_CALL : AnswerMatch.OTHER_CALL;
+    return AnswerMatch.of(headers.get(CALL), Long.toString(call));
   }
 
   /** Returns the headers of an answer that are passed on to the caller. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
@@ -163,11 +163,7 @@
 
   /** Returns which call a relay's answer names; that of an instance of an earlier release none. */
   static AnswerMatch match(long call, Map<String, String> headers) {
-    String named = headers.get(CALL);
-    if (named == null) {
-      return AnswerMatch.UNNAMED;
-    }
-    return named.equals(Long.toString(call)) ? AnswerMatch.THIS_CALL : AnswerMatch.OTHER_CALL;
+    return AnswerMatch.of(headers.get(CALL), Long.toString(call));
   }
 
   /** Returns how long a relay says that it has no room; zero if it doesn't say it. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RequestRelay.java
@@ -41,8 +41,7 @@
     }
 
     /** Returns how an answer relates to the request in whose place it arrived. */
-    AnswerMatch match(
-        Map<String, String> requestHeaders, int status, Map<String, String> answerHeaders);
+    AnswerMatch match(Map<String, String> requestHeaders, Map<String, String> answerHeaders);
   }
 
   /** The path of the HTTP call that relays a request. */
@@ -185,7 +184,7 @@
 
     @Override
     public AnswerMatch match(int status, Map<String, String> headers) {
-      return answerMatcher.match(relayed.headers(), status, headers);
+      return answerMatcher.match(relayed.headers(), headers);
     }
 
     @Override
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/FakeDialect.java
@@ -115,7 +115,7 @@
   }
 
   @Override
-  public AnswerMatch match(String id, int status, Map<String, String> headers) {
+  public AnswerMatch match(String id, Map<String, String> headers) {
     return AnswerMatch.BY_PLACE;
   }
 
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/CutRelayedAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/CutRelayedAnswerTests.java
@@ -128,7 +128,7 @@
         new RequestRelay(
             newLinks("instance-1", client::send, List.of(), client::send),
             servers,
-            (sent, status, got) -> AnswerMatch.THIS_CALL);
+            (sent, got) -> AnswerMatch.THIS_CALL);
     links = newLinks("instance-2", client::send, List.of(toRelay.address()), client::send);
     links.tick();
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
@@ -242,13 +242,7 @@
 
     @Override
     public AnswerMatch match(int status, Map<String, String> headers) {
-      String named = headers.get(REQUEST);
-      if (named == null) {
-        return AnswerMatch.UNNAMED;
-      }
-      return named.equals(Integer.toString(number))
-          ? AnswerMatch.THIS_CALL
-          : AnswerMatch.OTHER_CALL;
+      return AnswerMatch.of(headers.get(REQUEST), Integer.toString(number));
     }
 
     @Override
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/UnusualRelayedAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/UnusualRelayedAnswerTests.java
@@ -212,7 +212,7 @@
 
     @Override
     public AnswerMatch match(
-        Map<String, String> requestHeaders, int status, Map<String, String> answerHeaders) {
+        Map<String, String> requestHeaders, Map<String, String> answerHeaders) {
       return AnswerMatch.THIS_CALL;
     }
   }
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelDialect.java
@@ -105,7 +105,7 @@
   }
 
   @Override
-  public AnswerMatch match(String id, int status, Map<String, String> headers) {
+  public AnswerMatch match(String id, Map<String, String> headers) {
     return AnswerMatch.BY_PLACE;
   }
 
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -209,8 +209,7 @@
             this::onEvent,
             time,
             new Random(fleet.nextSeed()));
-    requestRelay =
-        new RequestRelay(links, servers, (asked, status, answered) -> AnswerMatch.BY_PLACE);
+    requestRelay = new RequestRelay(links, servers, (asked, answered) -> AnswerMatch.BY_PLACE);
     dispatcher =
         new RequestDispatcher(
             new GatewayComponents(
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerSequenceTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerSequenceTests.java
@@ -201,11 +201,7 @@
 
     @Override
     public AnswerMatch match(int answerStatus, Map<String, String> headers) {
-      String named = headers.get("request");
-      if (named == null) {
-        return AnswerMatch.UNNAMED;
-      }
-      return named.equals(name) ? AnswerMatch.THIS_CALL : AnswerMatch.OTHER_CALL;
+      return AnswerMatch.of(headers.get("request"), name);
     }
 
     @Override
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/NumberedListener.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/NumberedListener.java
@@ -19,10 +19,6 @@
 
   @Override
   public AnswerMatch match(int status, Map<String, String> headers) {
-    String named = headers.get("request");
-    if (named == null) {
-      return AnswerMatch.UNNAMED;
-    }
-    return named.equals(Integer.toString(number)) ? AnswerMatch.THIS_CALL : AnswerMatch.OTHER_CALL;
+    return AnswerMatch.of(headers.get("request"), Integer.toString(number));
   }
 }
