Let the tests of repeated answers share their calls and links

No behaviour. The client's two test classes each had the code that sends a numbered call and collects what is reported (NumberedListener.call), three classes of the gateway the same list of one server and links of fourteen arguments (RelayFixture), one of them from before.

--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/CutRelayedAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/CutRelayedAnswerTests.java
@@ -7,12 +7,9 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
@@ -21,14 +18,9 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.teaseldeal.api.BackendServerId;
 import org.teaseldeal.gateway.fake.CuttingProxy;
 import org.teaseldeal.gateway.fake.CuttingProxy.Cut;
-import org.teaseldeal.gateway.fake.ManualClock;
 import org.teaseldeal.gateway.path.RelayMessages.Result;
-import org.teaseldeal.gateway.server.BackendServer;
-import org.teaseldeal.gateway.server.ServerDirectory;
-import org.teaseldeal.gateway.server.ServerListing;
 import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.AnswerMatch;
@@ -95,8 +87,6 @@
     }
   }
 
-  private final ManualClock clock = new ManualClock();
-  private final ServerDirectory servers = new ServerDirectory();
   private final HttpClient client = new HttpClient(HttpClientConfig.defaults());
   private final AtomicInteger statementsRead = new AtomicInteger();
   private final LinkedBlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
@@ -106,6 +96,7 @@
   private HttpServer relay;
   private CuttingProxy toServer;
   private CuttingProxy toRelay;
+  private RelayFixture fixture;
   private ServerLinks links;
 
   @BeforeEach
@@ -114,20 +105,11 @@
     toServer = new CuttingProxy(server.address());
     relay = start(exchange -> relayHandler.handle(exchange));
     toRelay = new CuttingProxy(relay.address());
-    servers.put(
-        new ServerListing(
-            new BackendServerId("server-1"),
-            "register",
-            toServer.address(),
-            "hall-a",
-            "v1",
-            6,
-            false,
-            Optional.of(Instant.EPOCH)));
+    fixture = new RelayFixture(toServer.address());
     relayHandler =
         new RequestRelay(
             newLinks("instance-1", client::send, List.of(), client::send),
-            servers,
+            fixture.servers,
             (sent, got) -> AnswerMatch.THIS_CALL);
     links = newLinks("instance-2", client::send, List.of(toRelay.address()), client::send);
     links.tick();
@@ -139,28 +121,16 @@
 
   private ServerLinks newLinks(
       String instance, BackendPort direct, List<String> peers, BackendPort probes) {
-    ServerLimits limits = ServerLimits.alone(instance, event -> {}, clock, new Random(1));
-    return new ServerLinks(
+    return fixture.newLinks(
         instance,
         direct,
         client::send,
-        () -> peers,
+        peers,
         probes,
-        probed ->
-            new HttpCallRequest(probed.address(), "GET", "/health", Map.of(), new byte[0], TIMEOUT),
-        servers,
-        limits,
-        new ServerStatementHandler(
-            (answering, status, headers) -> {
-              statementsRead.incrementAndGet();
-              return ServerStatements.NONE;
-            },
-            limits,
-            new LeaveAnnouncements(instance, servers, note -> {}, event -> {}),
-            event -> {}),
-        event -> {},
-        clock,
-        new Random(1));
+        (answering, status, headers) -> {
+          statementsRead.incrementAndGet();
+          return ServerStatements.NONE;
+        });
   }
 
   @AfterEach
@@ -172,10 +142,6 @@
     server.close();
   }
 
-  private BackendServer server() {
-    return servers.find(new BackendServerId("server-1")).orElseThrow();
-  }
-
   /**
    * Guards against an answer that is cut on its way through a relay being reported as complete, or
    * as proof that the request was not sent.
@@ -243,15 +209,15 @@
             List.of(),
             (request, listener) -> client.send(request, new ReportingListener(listener, answered)));
     probing.tick();
-    probing.sendDirectly(server(), REQUEST, new RecordingListener());
+    probing.sendDirectly(fixture.server(), REQUEST, new RecordingListener());
     assertEquals(NOT_SENT, outcomes.take());
-    clock.advance(TIMEOUT);
+    fixture.clock.advance(TIMEOUT);
     toServer.setCut(cut);
     client.closeIdle(toServer.address());
-    assertTrue(probing.isLost(server()));
+    assertTrue(probing.isLost(fixture.server()));
     probing.tick();
     answered.take();
-    return !probing.isLost(server());
+    return !probing.isLost(fixture.server());
   }
 
   private static HttpCall refuse(HttpCallRequest request, HttpListener listener) {
@@ -271,8 +237,8 @@
     client.closeIdle(toRelay.address());
     client.closeIdle(toServer.address());
     // A relay that failed is left out for some time.
-    clock.advance(Duration.ofMinutes(1));
-    links.sendThroughRelay(server(), REQUEST, new RecordingListener());
+    fixture.clock.advance(Duration.ofMinutes(1));
+    links.sendThroughRelay(fixture.server(), REQUEST, new RecordingListener());
     List<String> events = new ArrayList<>();
     do {
       events.add(outcomes.take());
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
@@ -4,12 +4,9 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -17,13 +14,8 @@
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
-import org.teaseldeal.api.BackendServerId;
-import org.teaseldeal.gateway.fake.ManualClock;
 import org.teaseldeal.gateway.fake.ScriptedPeer;
 import org.teaseldeal.gateway.fake.ScriptedPeer.Received;
-import org.teaseldeal.gateway.server.BackendServer;
-import org.teaseldeal.gateway.server.ServerDirectory;
-import org.teaseldeal.gateway.server.ServerListing;
 import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.AnswerMatch;
@@ -75,8 +67,7 @@
     }
   }
 
-  private final ManualClock clock = new ManualClock();
-  private final ServerDirectory servers = new ServerDirectory();
+  private final RelayFixture fixture = new RelayFixture("127.0.0.1:1");
   private final HttpClient client = new HttpClient(HttpClientConfig.defaults());
   private final LinkedBlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
   private volatile ScriptedPeer.Script script = request -> "";
@@ -86,35 +77,14 @@
   @BeforeEach
   void start() throws IOException {
     relay = new ScriptedPeer(request -> script.answer(request));
-    servers.put(
-        new ServerListing(
-            new BackendServerId("server-1"),
-            "register",
-            "127.0.0.1:1",
-            "hall-a",
-            "v1",
-            6,
-            false,
-            Optional.of(Instant.EPOCH)));
-    ServerLimits limits = ServerLimits.alone("instance-1", event -> {}, clock, new Random(1));
     links =
-        new ServerLinks(
+        fixture.newLinks(
             "instance-1",
             RepeatedRelayAnswerTests::refuse,
             client::send,
-            () -> List.of(relay.address()),
+            List.of(relay.address()),
             RepeatedRelayAnswerTests::refuse,
-            probed -> request(0),
-            servers,
-            limits,
-            new ServerStatementHandler(
-                (answering, status, headers) -> ServerStatements.NONE,
-                limits,
-                new LeaveAnnouncements("instance-1", servers, note -> {}, event -> {}),
-                event -> {}),
-            event -> {},
-            clock,
-            new Random(1));
+            (answering, status, headers) -> ServerStatements.NONE);
     links.tick();
   }
 
@@ -173,7 +143,7 @@
           }
           return answer(OWN_ANSWER, request);
         };
-    HttpCall given = links.sendThroughRelay(server(), request(1), new NumberedListener(1));
+    HttpCall given = links.sendThroughRelay(fixture.server(), request(1), new NumberedListener(1));
     received.take();
     given.cancel();
     cancelled.add("1");
@@ -201,10 +171,6 @@
     return () -> {};
   }
 
-  private BackendServer server() {
-    return servers.find(new BackendServerId("server-1")).orElseThrow();
-  }
-
   private static HttpCallRequest request(int number) {
     return new HttpCallRequest(
         "127.0.0.1:1",
@@ -218,8 +184,8 @@
   /** Sends a request through the relay, and returns what is reported of its answer. */
   private List<String> call(int number) throws Exception {
     // A relay that failed is left out for some time.
-    clock.advance(Duration.ofMinutes(1));
-    links.sendThroughRelay(server(), request(number), new NumberedListener(number));
+    fixture.clock.advance(Duration.ofMinutes(1));
+    links.sendThroughRelay(fixture.server(), request(number), new NumberedListener(number));
     List<String> events = new ArrayList<>();
     do {
       events.add(outcomes.take());
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/UnusualRelayedAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/UnusualRelayedAnswerTests.java
@@ -12,12 +12,9 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.time.Instant;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
-import java.util.Random;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
 import org.junit.jupiter.api.AfterEach;
@@ -27,10 +24,6 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
-import org.teaseldeal.api.BackendServerId;
-import org.teaseldeal.gateway.fake.ManualClock;
-import org.teaseldeal.gateway.server.ServerDirectory;
-import org.teaseldeal.gateway.server.ServerListing;
 import org.teaseldeal.gateway.server.ServerStatements;
 import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.AnswerMatch;
@@ -59,56 +52,37 @@
     ONCE_THE_PART_WAS_RECEIVED
   }
 
-  private final ManualClock clock = new ManualClock();
-  private final ServerDirectory servers = new ServerDirectory();
   private final HttpClient client = new HttpClient(HttpClientConfig.defaults());
   private final LinkedBlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
   private final Semaphore partReceived = new Semaphore(0);
   private ServerSocket server;
   private HttpServer relay;
+  private RelayFixture fixture;
   private ServerLinks links;
 
   @BeforeEach
   void start() throws IOException {
     server = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
     server.setReceiveBufferSize(RECEIVE_BUFFER_BYTES);
-    servers.put(
-        new ServerListing(
-            new BackendServerId("server-1"),
-            "register",
-            IpAddresses.format((InetSocketAddress) server.getLocalSocketAddress()),
-            "hall-a",
-            "v1",
-            6,
-            false,
-            Optional.of(Instant.EPOCH)));
+    fixture =
+        new RelayFixture(IpAddresses.format((InetSocketAddress) server.getLocalSocketAddress()));
     HttpServerConfig config = HttpServerConfig.defaults("127.0.0.1", 0);
     relay =
         HttpServer.start(
-            config, new RequestRelay(newLinks("instance-1", List.of()), servers, new IdMatcher()));
+            config,
+            new RequestRelay(newLinks("instance-1", List.of()), fixture.servers, new IdMatcher()));
     links = newLinks("instance-2", List.of(IpAddresses.format(relay.address())));
     links.tick();
   }
 
   private ServerLinks newLinks(String instance, List<String> peers) {
-    ServerLimits limits = ServerLimits.alone(instance, event -> {}, clock, new Random(1));
-    return new ServerLinks(
+    return fixture.newLinks(
         instance,
         client::send,
         client::send,
-        () -> peers,
+        peers,
         client::send,
-        probed -> request(new byte[0]),
-        servers,
-        limits,
-        new ServerStatementHandler(
-            (answering, status, headers) -> ServerStatements.NONE,
-            limits,
-            new LeaveAnnouncements(instance, servers, note -> {}, event -> {}),
-            event -> {}),
-        event -> {},
-        clock,
-        new Random(1));
+        (answering, status, headers) -> ServerStatements.NONE);
   }
 
   @AfterEach
@@ -253,10 +227,7 @@
   }
 
   private List<String> sendThroughRelay(byte[] body) throws Exception {
-    links.sendThroughRelay(
-        servers.find(new BackendServerId("server-1")).orElseThrow(),
-        request(body),
-        new RecordingListener());
+    links.sendThroughRelay(fixture.server(), request(body), new RecordingListener());
     List<String> events = new ArrayList<>();
     do {
       events.add(outcomes.take());
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerBoundaryTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/AnswerBoundaryTests.java
@@ -3,12 +3,8 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.LinkedBlockingQueue;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
@@ -18,8 +14,6 @@
 /** Tests of answers on one connection whose boundaries the server states wrongly or not at all. */
 @Timeout(60)
 class AnswerBoundaryTests {
-  private static final String NO_OUTCOME = "none";
-
   private static final String FAKE_ANSWER =
       "HTTP/1.1 200 OK\r\nX-Method: FAKE\r\nContent-Length: 4\r\n\r\nfake";
 
@@ -120,8 +114,8 @@
               ScriptedServer.write(socket, between + exchange.own);
               ScriptedServer.requestNumber(socket);
             })) {
-      call(server, 1, exchange.firstMethod);
-      String events = call(server, 2, exchange.secondMethod);
+      NumberedListener.call(client, server, exchange.firstMethod, 1);
+      String events = NumberedListener.call(client, server, exchange.secondMethod, 2);
       assertTrue(exchange.allows(events), events);
     }
   }
@@ -145,8 +139,8 @@
                 ScriptedServer.write(socket, OWN);
                 ScriptedServer.requestNumber(socket);
               })) {
-        call(server, 1, "POST");
-        String events = call(server, 2, "POST");
+        NumberedListener.call(client, server, "POST", 1);
+        String events = NumberedListener.call(client, server, "POST", 2);
         if (!events.equals(OWN_EVENTS)) {
           violations.add("part of %d bytes: %s".formatted(bytes, events));
         }
@@ -154,24 +148,4 @@
     }
     assertEquals(List.of(), violations);
   }
-
-  /** Sends a call with a number and returns what the client reports. */
-  private String call(ScriptedServer server, int number, String method) throws Exception {
-    LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
-    client.send(
-        new HttpCallRequest(
-            IpAddresses.format(server.address()),
-            method,
-            "/answer",
-            Map.of("request", Integer.toString(number)),
-            new byte[0],
-            Duration.ofSeconds(2)),
-        new NumberedListener(recorded, number));
-    List<String> events = new ArrayList<>();
-    do {
-      String event = recorded.poll(4, TimeUnit.SECONDS);
-      events.add(event == null ? NO_OUTCOME : event);
-    } while (events.getLast().startsWith("head") || events.getLast().startsWith("part"));
-    return String.join(", ", events);
-  }
 }
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/RepeatedAnswerTests.java
@@ -4,10 +4,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.net.Socket;
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -222,22 +220,7 @@
         .formatted(status, header, body.length(), body);
   }
 
-  /** Sends a call with a number and returns what the client reports. */
-  private String call(ScriptedServer server, int number) throws Exception {
-    LinkedBlockingQueue<String> recorded = new LinkedBlockingQueue<>();
-    client.send(
-        new HttpCallRequest(
-            IpAddresses.format(server.address()),
-            "GET",
-            "/answer",
-            Map.of("request", Integer.toString(number)),
-            new byte[0],
-            Duration.ofSeconds(10)),
-        new NumberedListener(recorded, number));
-    List<String> events = new ArrayList<>();
-    do {
-      events.add(recorded.take());
-    } while (events.getLast().startsWith("head") || events.getLast().startsWith("part"));
-    return String.join(", ", events);
+  private String call(ScriptedServer server, int number) throws InterruptedException {
+    return NumberedListener.call(client, server, "GET", number);
   }
 }
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/ScriptedServer.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/ScriptedServer.java
@@ -2,7 +2,6 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
-import java.io.EOFException;
 import java.io.IOException;
 import java.io.OutputStream;
 import java.net.InetAddress;
@@ -11,12 +10,16 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
-import java.util.Locale;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /** A server that handles one connection at a time: runs a script on it and then closes it. */
 final class ScriptedServer implements AutoCloseable {
+  private static final Pattern REQUEST_NUMBER =
+      Pattern.compile("\r\nrequest: *(\\d+)\r\n", Pattern.CASE_INSENSITIVE);
+
   /** The script that runs on each connection. */
   interface Script {
     void run(Socket socket) throws Exception;
@@ -64,8 +67,8 @@
     listener.close();
   }
 
-  /** Reads the head of a request. */
-  static void readRequest(Socket socket) throws IOException {
+  /** Reads the head of a request and returns it. */
+  static String readRequest(Socket socket) throws IOException {
     StringBuilder head = new StringBuilder();
     while (head.indexOf("\r\n\r\n") < 0) {
       int next = socket.getInputStream().read();
@@ -74,30 +77,13 @@
       }
       head.append((char) next);
     }
+    return head.toString();
   }
 
   /** Reads a request without a body and returns its number. */
-  static int requestNumber(Socket socket) throws Exception {
-    String line = "";
-    int number = 0;
-    for (StringBuilder next = new StringBuilder(); ; ) {
-      int read = socket.getInputStream().read();
-      if (read < 0) {
-        throw new EOFException();
-      }
-      if (read != '\n') {
-        next.append((char) read);
-        continue;
-      }
-      line = next.toString().strip();
-      next.setLength(0);
-      if (line.isEmpty()) {
-        return number;
-      }
-      if (line.toLowerCase(Locale.ROOT).startsWith("request:")) {
-        number = Integer.parseInt(line.substring(line.indexOf(':') + 1).strip());
-      }
-    }
+  static int requestNumber(Socket socket) throws IOException {
+    Matcher number = REQUEST_NUMBER.matcher(readRequest(socket));
+    return number.find() ? Integer.parseInt(number.group(1)) : 0;
   }
 
   /** Waits until the client has closed the connection. */
