Count skipped answers in a class of their own

ClientConnection reset three counters by hand for each call and knew their limits; SkippedAnswers has both. Interim answers and those to another call are two branches now instead of two conditions of one.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ClientConnection.java
@@ -41,14 +41,6 @@
   /** An empty line, which servers ignore where a request is due. */
   private static final byte[] IGNORED_LINE = {'\r', '\n'};
 
-  /**
-   * Limits of what is discarded before a call's own answer: interim answers and answers to other
-   * requests. A faulty server may send them without end.
-   */
-  private static final int MAX_SKIPPED_ANSWERS = 32;
-
-  private static final int MAX_SKIPPED_BYTES = 256 << 10;
-
   private static final AtomicLong LAST_NUMBER = new AtomicLong();
 
   private final long number = LAST_NUMBER.incrementAndGet();
@@ -72,13 +64,7 @@
   /** Whether another call may follow the present one on the connection. */
   private boolean reusable;
 
-  /** The answers, and the bytes of their bodies, that were discarded since the call started. */
-  private int skippedAnswers;
-
-  /** Those of the discarded answers that named another call. */
-  private int skippedOthers;
-
-  private int skippedBytes;
+  private SkippedAnswers skipped = new SkippedAnswers();
 
   private @Nullable Duration serverIdleTimeout;
   private long remainingBytes;
@@ -155,9 +141,7 @@
     names.add(newCall.name());
     announcedEnd = null;
     reusable = false;
-    skippedAnswers = 0;
-    skippedOthers = 0;
-    skippedBytes = 0;
+    skipped = new SkippedAnswers();
     requestWrite = channel.writeAndFlush(encoded);
   }
 
@@ -250,7 +234,7 @@
       return;
     }
     if (object instanceof HttpResponse head) {
-      Optional<String> violation = AnswerHeads.violation(head, calls == 1 && skippedAnswers == 0);
+      Optional<String> violation = AnswerHeads.violation(head, calls == 1 && skipped.count() == 0);
       if (violation.isPresent()) {
         failAsMalformed(call, violation.get());
         return;
@@ -259,7 +243,7 @@
     }
     if (object instanceof HttpContent content) {
       if (skippingAnswer) {
-        skippedBytes += content.content().readableBytes();
+        skipped.addBodyBytes(content.content().readableBytes());
       } else {
         readContent(call, content);
       }
@@ -276,10 +260,8 @@
   }
 
   private void failIfTooMuchIsSkipped() {
-    if (call != null
-        && (skippedAnswers > MAX_SKIPPED_ANSWERS || skippedBytes > MAX_SKIPPED_BYTES)) {
-      call.failByProgress(
-          "%d answers with %d bytes were not for the call".formatted(skippedAnswers, skippedBytes));
+    if (call != null && skipped.exceedLimits()) {
+      call.failByProgress(skipped.toString());
       close();
     }
   }
@@ -287,23 +269,24 @@
   private void readHead(ClientCall current, HttpResponse head) {
     int status = head.status().code();
     Map<String, String> headers = copyWithLowerCaseNames(head.headers());
-    boolean interim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
-    AnswerMatch match = interim ? AnswerMatch.THIS_CALL : current.match(status, headers);
-    AnswerOrigin origin = new AnswerOrigin(number, calls, skippedAnswers, match);
-    skippingAnswer = interim || match == AnswerMatch.OTHER_CALL;
-    if (skippingAnswer) {
-      skippedAnswers++;
-      if (!interim) {
-        skippedOthers++;
-        current.reportSkipped(status, headers, origin);
-      }
+    if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
+      skippingAnswer = true;
+      skipped.addInterim();
+      return;
+    }
+    AnswerMatch match = current.match(status, headers);
+    AnswerOrigin origin = new AnswerOrigin(number, calls, skipped.count(), match);
+    if (match == AnswerMatch.OTHER_CALL) {
+      skippingAnswer = true;
+      skipped.addOther();
+      current.reportSkipped(status, headers, origin);
       return;
     }
     // A server that answers twice sends the second copy where the answer to the next call is due.
     reusable =
         HttpUtil.isKeepAlive(head)
             && match.allowsReuse()
-            && skippedOthers == 0
+            && !skipped.includeOther()
             && statesItsEnd(current.request());
     serverIdleTimeout = KeepAliveHeader.parseTimeout(headers);
     AnswerEnd end = announcedEnd(current.request(), head);
@@ -407,7 +390,7 @@
       return false;
     }
     ChannelFuture probe =
-        channel.pipeline().firstContext().writeAndFlush(Unpooled.copiedBuffer(IGNORED_LINE));
+        channel.pipeline().firstContext().writeAndFlush(Unpooled.wrappedBuffer(IGNORED_LINE));
     return probe.isDone() && !probe.isSuccess();
   }
 
