Answer only requests that were read in the test of relayed copies

The test's server answered a second connection as soon as it was accepted. If that answer arrived before the request was written, the client rightly took the bytes for no answer to it, closed the connection and reported NOT_SENT.

The server now reads each request before it answers; what the test checks is unchanged.

--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/UnusualRelayedAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/UnusualRelayedAnswerTests.java
@@ -138,17 +138,22 @@
   private static void answerTwice(
       Socket socket, String first, LinkedBlockingQueue<String> connections) throws Exception {
     connections.add("connection");
+    readRequest(socket.getInputStream());
     if (connections.size() == 1) {
-      readHead(socket.getInputStream());
-      socket.getInputStream().skipNBytes(1);
       write(socket, first);
-      readHead(socket.getInputStream());
+      readRequest(socket.getInputStream());
       write(socket, first);
     }
     write(socket, answer(200, "run"));
     socket.getInputStream().transferTo(OutputStream.nullOutputStream());
   }
 
+  /** Reads a request with a body of one byte. */
+  private static void readRequest(InputStream in) throws IOException {
+    readHead(in);
+    in.skipNBytes(1);
+  }
+
   private void acceptAll(Ending script) {
     while (!server.isClosed()) {
       try {
