Match the answers of engines and services with their attempts by name

Callers of teaseldeal-router could get another caller's answer, or a refusal that wasn't true. Requests bore Attempt-Id, which answers didn't repeat.

Engines and services now repeat Attempt-Id in each answer, also to queries of usage. An answer that names another attempt is skipped and logged, and a connection on which one came without a name isn't used again.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
@@ -10,13 +10,15 @@
 /** Collects a complete answer up to a maximum size. */
 final class AnswerCollector implements HttpListener {
   private final int maxBytes;
+  private final CallMatcher matcher;
   private final CompletableFuture<HttpAnswer> answer = new CompletableFuture<>();
   private final ByteArrayOutputStream body = new ByteArrayOutputStream();
   private int status;
   private Map<String, String> headers = Map.of();
 
-  AnswerCollector(int maxBytes) {
+  AnswerCollector(int maxBytes, CallMatcher matcher) {
     this.maxBytes = maxBytes;
+    this.matcher = matcher;
   }
 
   CompletableFuture<HttpAnswer> answer() {
@@ -41,6 +43,16 @@
         });
   }
 
+  @Override
+  public String callName() {
+    return matcher.callName();
+  }
+
+  @Override
+  public AnswerMatch match(int answerStatus, Map<String, String> answerHeaders) {
+    return matcher.match(answerHeaders);
+  }
+
   @Override
   public void onHead(int answerStatus, Map<String, String> answerHeaders) {
     status = answerStatus;
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -68,7 +68,12 @@
    * timeout. The future fails with {@link HttpFailureException}; cancelling it cancels the call.
    */
   public CompletableFuture<HttpAnswer> fetch(HttpCallRequest request) {
-    AnswerCollector collector = new AnswerCollector(config.maxAnswerBytes());
+    return fetch(request, CallMatcher.BY_PLACE);
+  }
+
+  /** Fetches an answer like {@link #fetch(HttpCallRequest)}, but only one that names the call. */
+  public CompletableFuture<HttpAnswer> fetch(HttpCallRequest request, CallMatcher matcher) {
+    AnswerCollector collector = new AnswerCollector(config.maxAnswerBytes(), matcher);
     HttpCall call = send(request, collector);
     collector.cancelOnCompletion(call, request.timeout());
     return collector.answer();
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/BlockedEventLoopTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/BlockedEventLoopTests.java
@@ -105,7 +105,7 @@
       Thread.ofVirtual().start(() -> answerWhileBlocked(answering));
       List<CompletableFuture<HttpAnswer>> answers = new ArrayList<>();
       for (int i = 0; i < CONNECTIONS; i++) {
-        AnswerCollector collector = new AnswerCollector(1 << 16);
+        AnswerCollector collector = new AnswerCollector(1 << 16, CallMatcher.BY_PLACE);
         client.send(request(answering), collector);
         answers.add(collector.answer());
       }
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/AttemptListener.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/AttemptListener.java
@@ -3,8 +3,12 @@
 import java.util.Map;
 import java.util.function.Consumer;
 import org.teaseldeal.api.AttemptId;
+import org.teaseldeal.cli.log.LogLine;
 import org.teaseldeal.core.AttemptFailure;
 import org.teaseldeal.core.event.InstanceEvent;
+import org.teaseldeal.net.AnswerMatch;
+import org.teaseldeal.net.AnswerOrigin;
+import org.teaseldeal.net.CallMatcher;
 import org.teaseldeal.net.HttpFailure;
 import org.teaseldeal.net.HttpListener;
 
@@ -18,6 +22,7 @@
   private static final int MAX_DRAINED_BYTES = 1 << 16;
 
   private final AttemptId attempt;
+  private final CallMatcher matcher;
   private final Consumer<InstanceEvent> events;
   private final Runnable onCompletion;
   private final Runnable closeConnection;
@@ -38,6 +43,7 @@
       Runnable onCompletion,
       Runnable closeConnection) {
     this.attempt = attempt;
+    this.matcher = BackendCalls.matcher(attempt);
     this.events = events;
     this.onCompletion = onCompletion;
     this.closeConnection = closeConnection;
@@ -70,6 +76,26 @@
     closeConnection.run();
   }
 
+  @Override
+  public final String callName() {
+    return matcher.callName();
+  }
+
+  @Override
+  public final AnswerMatch match(int status, Map<String, String> headers) {
+    return matcher.match(headers);
+  }
+
+  @Override
+  public final void onSkipped(int status, Map<String, String> headers, AnswerOrigin origin) {
+    LogLine.of("the answer to another attempt was skipped")
+        .with("attempt", attempt)
+        .with("answered", headers.getOrDefault(matcher.header(), ""))
+        .with("status", status)
+        .with("connection", origin.connection())
+        .warn();
+  }
+
   /** Handles a part of the answer's body; not called once the attempt has completed. */
   abstract void onBody(byte[] part);
 
--- a/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/BackendCalls.java
+++ b/teaseldeal-router/src/main/java/org/teaseldeal/router/backend/BackendCalls.java
@@ -19,6 +19,7 @@
 import org.teaseldeal.core.Payload;
 import org.teaseldeal.core.command.InstanceCommand;
 import org.teaseldeal.core.event.InstanceEvent;
+import org.teaseldeal.net.CallMatcher;
 import org.teaseldeal.net.HttpAnswer;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpClient;
@@ -34,6 +35,10 @@
   private static final Duration RESPONSE_HEAD_TIMEOUT = Duration.ofMinutes(10);
 
   private static final Duration USAGE_QUERY_TIMEOUT = Duration.ofSeconds(2);
+
+  /** The header by which requests name their attempt, and answers the attempt they belong to. */
+  private static final String ATTEMPT_ID = "Attempt-Id";
+
   private static final byte[] NO_BODY = new byte[0];
 
   private final HttpClient client;
@@ -99,6 +104,11 @@
     requestUsage("GET", command.attempt(), command.request(), command.address());
   }
 
+  /** Returns what matches the answers of backend servers with an attempt. */
+  static CallMatcher matcher(AttemptId attempt) {
+    return new CallMatcher(ATTEMPT_ID, attempt.toString());
+  }
+
   private void stop(AttemptId attempt) {
     RunningAttempt removed = runningAttempts.remove(attempt);
     if (removed != null) {
@@ -134,8 +144,7 @@
           "GET",
           "%s/stream?from=%d"
               .formatted(requestPath(command.request()), command.resumeFrom().getAsLong()),
-          Map.of(
-              "Attempt-Id", command.attempt().toString(), "Request-Id", command.request().value()),
+          Map.of(ATTEMPT_ID, command.attempt().toString(), "Request-Id", command.request().value()),
           NO_BODY,
           RESPONSE_HEAD_TIMEOUT);
     }
@@ -148,7 +157,7 @@
             "application/json",
             "Request-Id",
             command.request().value(),
-            "Attempt-Id",
+            ATTEMPT_ID,
             command.attempt().toString(),
             "Priority",
             Integer.toString(command.priority())),
@@ -174,7 +183,7 @@
       InstanceCommand.StartAttempt command, Payload.PlainCall plain) {
     plainAddresses.add(command.address());
     Map<String, String> ids =
-        Map.of("Request-Id", command.request().value(), "Attempt-Id", command.attempt().toString());
+        Map.of("Request-Id", command.request().value(), ATTEMPT_ID, command.attempt().toString());
     Map<String, String> headers = new HashMap<>(ids);
     if (!plain.contentType().isEmpty()) {
       headers.put("Content-Type", plain.contentType());
@@ -192,7 +201,13 @@
     client
         .fetch(
             new HttpCallRequest(
-                address, method, requestPath(request), Map.of(), NO_BODY, USAGE_QUERY_TIMEOUT))
+                address,
+                method,
+                requestPath(request),
+                Map.of(ATTEMPT_ID, attempt.toString()),
+                NO_BODY,
+                USAGE_QUERY_TIMEOUT),
+            matcher(attempt))
         .whenComplete((answer, failure) -> events.accept(usageEvent(attempt, answer, failure)));
   }
 
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/engine/EngineHandler.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/engine/EngineHandler.java
@@ -15,6 +15,7 @@
 import org.teaseldeal.standin.admin.History;
 import org.teaseldeal.standin.fault.ActiveFaults;
 import org.teaseldeal.standin.fault.SeededChance;
+import org.teaseldeal.standin.runtime.AttemptNames;
 import org.teaseldeal.standin.runtime.Json;
 import org.teaseldeal.standin.runtime.LaggedValue;
 import org.teaseldeal.standin.runtime.RequestTarget;
@@ -223,7 +224,8 @@
       history.add("silent-answer", line -> line.put("request", generation.request().requestId()));
       return;
     }
-    ResponseStream stream = exchange.startStream(200, EVENT_STREAM_HEADERS);
+    ResponseStream stream =
+        exchange.startStream(200, AttemptNames.headers(exchange, EVENT_STREAM_HEADERS));
     GenerationRequest request = generation.request();
     SseSink.AnswerMetadata metadata =
         new SseSink.AnswerMetadata(
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/runtime/Json.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/runtime/Json.java
@@ -23,8 +23,6 @@
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
           .build();
 
-  private static final Map<String, String> HEADERS = Map.of("Content-Type", "application/json");
-
   private Json() {}
 
   /** Creates an empty object. */
@@ -62,7 +60,9 @@
 
   /** Answers a request with {@code node}. */
   public static void respond(HttpExchange exchange, int status, JsonNode node) {
-    exchange.respond(status, HEADERS, bytes(node));
+    Map<String, String> headers =
+        AttemptNames.headers(exchange, Map.of("Content-Type", "application/json"));
+    exchange.respond(status, headers, bytes(node));
   }
 
   /** Answers a request with {@code {"error": message}}. */
--- a/teaseldeal-standin/src/main/java/org/teaseldeal/standin/service/PlainServiceHandler.java
+++ b/teaseldeal-standin/src/main/java/org/teaseldeal/standin/service/PlainServiceHandler.java
@@ -11,6 +11,7 @@
 import org.teaseldeal.net.HttpHandler;
 import org.teaseldeal.standin.admin.History;
 import org.teaseldeal.standin.fault.ActiveFaults;
+import org.teaseldeal.standin.runtime.AttemptNames;
 import org.teaseldeal.standin.runtime.Json;
 import org.teaseldeal.standin.runtime.Scheduler;
 
@@ -73,7 +74,8 @@
     }
     if (running >= settings.maxRunning() || faults.shouldInject(current.refuseShare())) {
       recordEvent("refused", call);
-      call.exchange.respond(503, Map.of("Not-Run", "true"), new byte[0]);
+      call.exchange.respond(
+          503, AttemptNames.headers(call.exchange, Map.of("Not-Run", "true")), new byte[0]);
       return true;
     }
     return false;
--- a/teaseldeal-standin/src/test/java/org/teaseldeal/standin/engine/EngineTests.java
+++ b/teaseldeal-standin/src/test/java/org/teaseldeal/standin/engine/EngineTests.java
@@ -7,6 +7,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.settings.SettingsParser.Parsed;
@@ -156,6 +157,15 @@
       assertEquals(1L, history.counts().get("submitted"));
     }
 
+    /** Guards against answers that a client can match with its attempts only by their order. */
+    @Test
+    void answersNameTheirAttempt() {
+      assertEquals(Optional.of("a1"), submit("r1", "a1", PROMPT, 4).answeredAttempt());
+      FakeExchange unknown =
+          send(FakeExchange.get("/v1/requests/r2/stream").withHeader("Attempt-Id", "a2"));
+      assertEquals(Optional.of("a2"), unknown.answeredAttempt());
+    }
+
     // The instance that reads the stream crashes midway. Another instance resumes the stream at the
     // position that the caller's answer has reached.
     @Test
--- a/teaseldeal-standin/src/test/java/org/teaseldeal/standin/runtime/FakeExchange.java
+++ b/teaseldeal-standin/src/test/java/org/teaseldeal/standin/runtime/FakeExchange.java
@@ -19,6 +19,7 @@
   private final Map<String, String> headers = new HashMap<>();
   private final StringBuilder answer = new StringBuilder();
   private int status;
+  private Map<String, String> answerHeaders = Map.of();
   private boolean ended;
   private boolean aborted;
   private Runnable callerDisconnectAction = () -> {};
@@ -43,6 +44,11 @@
     return status;
   }
 
+  /** Returns the attempt that the answer names, or nothing. */
+  public Optional<String> answeredAttempt() {
+    return Optional.ofNullable(answerHeaders.get("Attempt-Id"));
+  }
+
   public String text() {
     return answer.toString();
   }
@@ -120,17 +126,18 @@
   }
 
   @Override
-  public void respond(int answerStatus, Map<String, String> answerHeaders, byte[] answerBody) {
-    startStream(answerStatus, answerHeaders).write(answerBody);
+  public void respond(int answerStatus, Map<String, String> head, byte[] answerBody) {
+    startStream(answerStatus, head).write(answerBody);
     ended = true;
   }
 
   @Override
-  public ResponseStream startStream(int answerStatus, Map<String, String> answerHeaders) {
+  public ResponseStream startStream(int answerStatus, Map<String, String> head) {
     if (status != 0 || aborted) {
       throw new IllegalStateException("the exchange was answered twice");
     }
     status = answerStatus;
+    answerHeaders = head;
     return this;
   }
 
--- a/teaseldeal-standin/src/test/java/org/teaseldeal/standin/service/PlainServiceTests.java
+++ b/teaseldeal-standin/src/test/java/org/teaseldeal/standin/service/PlainServiceTests.java
@@ -5,6 +5,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.teaseldeal.standin.admin.History;
@@ -43,12 +44,20 @@
     assertEquals("{\"by_request\":{\"r1\":2,\"r2\":1},\"by_key\":{\"k\":3}}", runs());
   }
 
+  /** Guards against answers that a client can match with its attempts only by their order. */
+  @Test
+  void answersNameTheirAttempt() {
+    assertEquals(Optional.of("a1"), call("r1").answeredAttempt());
+  }
+
   @Nested
   class Faults {
     @Test
     void refusedCallIsNotRun() {
       set("{\"refuse_share\":1}");
-      assertEquals(503, call("r1").status());
+      FakeExchange refused = call("r1");
+      assertEquals(503, refused.status());
+      assertEquals(Optional.of("a1"), refused.answeredAttempt());
       assertEquals("{\"by_request\":{},\"by_key\":{}}", runs());
     }
 
@@ -97,6 +106,7 @@
     FakeExchange exchange =
         new FakeExchange("POST", "/bids/7?lot=3", "{\"bid\":9}")
             .withHeader("Request-Id", requestId)
+            .withHeader("Attempt-Id", "a1")
             .withHeader("Idempotency-Key", "k");
     service.handle(exchange);
     time.advanceMillis(20);
