Name the status of a failed handler in one place

The server, relays and hand-overs each had a constant of their own for the status that says that a handler threw an exception, so that one could change without the others. 43 tests of the server and 86 of relays and hand-overs hold.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverMessage.java
@@ -16,6 +16,7 @@
 import org.teaseldeal.api.Preconditions;
 import org.teaseldeal.net.AnswerMatch;
 import org.teaseldeal.net.HttpExchange;
+import org.teaseldeal.net.HttpHandler;
 
 /**
  * A caller's request on its way from the instance that received it to the one that decides about
@@ -61,9 +62,6 @@
   /** The number of the call, which each answer to it repeats. */
   private static final String CALL = "teaseldeal-handover-call";
 
-  /** The status of an instance whose handler of the call threw an exception. */
-  private static final int HANDLER_FAILED = 500;
-
   private static final int LAYOUT = 1;
   private static final int MAX_HEADERS = 0xffff;
   private static final int FIXED_BYTES = 512;
@@ -205,6 +203,6 @@
         return result;
       }
     }
-    return status == HANDLER_FAILED ? Result.FAILED : Result.NOT_TAKEN;
+    return status == HttpHandler.FAILED_STATUS ? Result.FAILED : Result.NOT_TAKEN;
   }
 }
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayMessages.java
@@ -18,14 +18,12 @@
 import org.teaseldeal.net.AnswerMatch;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpExchange;
+import org.teaseldeal.net.HttpHandler;
 
 /** The HTTP headers with which instances relay requests to backend servers for each other. */
 final class RelayMessages {
   private static final Logger LOG = LoggerFactory.getLogger(RelayMessages.class);
 
-  /** The status of an instance whose handler of the call threw an exception. */
-  private static final int HANDLER_FAILED = 500;
-
   /** Bounds how long another instance is believed to have no room. */
   private static final Duration MAX_NO_ROOM = Duration.ofSeconds(10);
 
@@ -200,7 +198,7 @@
         return result;
       }
     }
-    return status == HANDLER_FAILED ? Result.NO_ANSWER : Result.REFUSED;
+    return status == HttpHandler.FAILED_STATUS ? Result.NO_ANSWER : Result.REFUSED;
   }
 
   /** Returns how the end of the server's answer was marked. */
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/CallMatcher.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/CallMatcher.java
@@ -6,7 +6,7 @@
 /**
  * Matches answers with a call that they name in a header.
  *
- * @param header the header in which answers name the call, in lower case; empty if they don't
+ * @param header the header in which answers name the call, in any case; empty if they don't
  * @param callName the name of the call
  */
 public record CallMatcher(String header, String callName) {
--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/ServerConnection.java
@@ -73,9 +73,9 @@
    */
   private static final int MAX_REJECTED_CONNECTIONS = 256;
 
-  /** Promises nothing: the handler may have begun to carry out the request. */
   private static final HttpAnswer HANDLER_FAILED =
-      new HttpAnswer(500, Map.of(), "the request could not be handled".getBytes(UTF_8));
+      new HttpAnswer(
+          HttpHandler.FAILED_STATUS, Map.of(), "the request could not be handled".getBytes(UTF_8));
 
   private enum State {
     IDLE,
