--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/path/RelayedCall.java
@@ -89,19 +89,21 @@
   @Override
   public void onHead(int status, Map<String, String> headers) {
     result = RelayMessages.result(status, headers);
-    Map<String, String> serverHeaders = RelayMessages.withoutRelayHeaders(headers);
-    if (result == Result.ANSWER
-        && listener.match(status, serverHeaders) == AnswerMatch.OTHER_CALL) {
-      result = Result.NO_ANSWER;
-    }
     if (result == Result.NO_ROOM) {
       noRoomFor = RelayMessages.noRoomFor(headers);
-    }
-    if (result == Result.ANSWER) {
+    } else if (result == Result.ANSWER) {
       announcedEnd = RelayMessages.answerEnd(headers);
-      outcome.onAnswered(status, serverHeaders);
-      listener.onHead(status, serverHeaders);
+      onServerHead(status, RelayMessages.withoutRelayHeaders(headers));
+    }
+  }
+
+  private void onServerHead(int status, Map<String, String> headers) {
+    if (listener.match(status, headers) == AnswerMatch.OTHER_CALL) {
+      result = Result.NO_ANSWER;
+      return;
     }
+    outcome.onAnswered(status, headers);
+    listener.onHead(status, headers);
   }
 
   @Override
