Let the tests of relays and hand-overs share their repeated answers

Two tests each had a script of their own that sends the first answer again, two a listener that records an answer's outcome, and one a raw server where ScriptedPeer does the same and reads each request before it answers.

--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/ScriptedPeer.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/fake/ScriptedPeer.java
@@ -12,6 +12,8 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import org.teaseldeal.net.IpAddresses;
 
 /** A fake server whose answers a test writes byte by byte. */
@@ -35,6 +37,23 @@
     String answer(Received request) throws Exception;
   }
 
+  /**
+   * Returns a script that answers the first request by {@code first}, and all others by {@code
+   * others}. Where one of those follows another request on its connection, it writes the first
+   * answer again in front.
+   */
+  public static Script repeatingFirst(Script first, Script others) {
+    Queue<String> firstAnswer = new ConcurrentLinkedQueue<>();
+    return request -> {
+      if (firstAnswer.isEmpty()) {
+        firstAnswer.add(first.answer(request));
+        return firstAnswer.element();
+      }
+      String copy = request.position() > 1 ? firstAnswer.element() : "";
+      return copy + others.answer(request);
+    };
+  }
+
   private final ServerSocket listener = new ServerSocket(0, 16, InetAddress.getByName("127.0.0.1"));
   private final Script script;
   private volatile boolean closesAfterAnswer;
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RepeatedHandoverAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/RepeatedHandoverAnswerTests.java
@@ -94,16 +94,9 @@
   @ParameterizedTest
   @EnumSource
   void isNotTakenForTheNextAnswer(First first) throws Exception {
-    LinkedBlockingQueue<String> firstAnswers = new LinkedBlockingQueue<>();
     script =
-        request -> {
-          if (firstAnswers.isEmpty()) {
-            firstAnswers.add(answer(first.text, request));
-            return firstAnswers.element();
-          }
-          String copy = request.position() > 1 ? firstAnswers.element() : "";
-          return copy + answer(OWN_ANSWER, request);
-        };
+        ScriptedPeer.repeatingFirst(
+            request -> answer(first.text, request), request -> answer(OWN_ANSWER, request));
     call();
     assertEquals("500 own", call());
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RelayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RelayFixture.java
@@ -23,6 +23,12 @@
   final ServerDirectory servers = new ServerDirectory();
 
   RelayFixture(String serverAddress) {
+    listServer(serverAddress);
+  }
+
+  /** Lists the server at an address, in place of the one that it was listed at. */
+  void listServer(String serverAddress) {
+    servers.remove(SERVER);
     servers.put(
         new ServerListing(
             SERVER,
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/RepeatedRelayAnswerTests.java
@@ -4,7 +4,6 @@
 
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -17,7 +16,6 @@
 import org.teaseldeal.gateway.fake.ScriptedPeer;
 import org.teaseldeal.gateway.fake.ScriptedPeer.Received;
 import org.teaseldeal.gateway.server.ServerStatements;
-import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.AnswerMatch;
 import org.teaseldeal.net.HttpCall;
 import org.teaseldeal.net.HttpCallRequest;
@@ -69,7 +67,6 @@
 
   private final RelayFixture fixture = new RelayFixture("127.0.0.1:1");
   private final HttpClient client = new HttpClient(HttpClientConfig.defaults());
-  private final LinkedBlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
   private volatile ScriptedPeer.Script script = request -> "";
   private ScriptedPeer relay;
   private ServerLinks links;
@@ -101,16 +98,9 @@
   @ParameterizedTest
   @EnumSource
   void areNotTakenForTheNextAnswer(First first) throws Exception {
-    LinkedBlockingQueue<String> firstAnswers = new LinkedBlockingQueue<>();
     script =
-        request -> {
-          if (request.header(REQUEST).equals("1")) {
-            firstAnswers.add(answer(first.text, request));
-            return firstAnswers.element();
-          }
-          String copy = request.position() > 1 ? firstAnswers.element() : "";
-          return copy + answer(OWN_ANSWER, request);
-        };
+        ScriptedPeer.repeatingFirst(
+            request -> answer(first.text, request), request -> answer(OWN_ANSWER, request));
     call(1);
     assertEquals(OWN_ANSWER_REPORTED, call(2));
   }
@@ -185,16 +175,13 @@
   private List<String> call(int number) throws Exception {
     // A relay that failed is left out for some time.
     fixture.clock.advance(Duration.ofMinutes(1));
-    links.sendThroughRelay(fixture.server(), request(number), new NumberedListener(number));
-    List<String> events = new ArrayList<>();
-    do {
-      events.add(outcomes.take());
-    } while (events.getLast().startsWith("head"));
-    return events;
+    NumberedListener listener = new NumberedListener(number);
+    links.sendThroughRelay(fixture.server(), request(number), listener);
+    return listener.awaitEnd();
   }
 
   /** Matches answers by the number of their request. */
-  private final class NumberedListener implements HttpListener {
+  private static final class NumberedListener extends OutcomeRecorder {
     private final int number;
 
     NumberedListener(int number) {
@@ -210,23 +197,5 @@
     public AnswerMatch match(int status, Map<String, String> headers) {
       return AnswerMatch.of(headers.get(REQUEST), Integer.toString(number));
     }
-
-    @Override
-    public void onHead(int status, Map<String, String> headers) {
-      outcomes.add("head " + status);
-    }
-
-    @Override
-    public void onBodyPart(byte[] part) {}
-
-    @Override
-    public void onEnd(AnswerEnd end) {
-      outcomes.add("end");
-    }
-
-    @Override
-    public void onFailure(HttpFailure failure, String detail) {
-      outcomes.add(failure.name());
-    }
   }
 }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/UnusualRelayedAnswerTests.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/path/UnusualRelayedAnswerTests.java
@@ -5,18 +5,16 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -24,14 +22,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.teaseldeal.gateway.fake.ScriptedPeer;
 import org.teaseldeal.gateway.server.ServerStatements;
-import org.teaseldeal.net.AnswerEnd;
 import org.teaseldeal.net.AnswerMatch;
 import org.teaseldeal.net.HttpCallRequest;
 import org.teaseldeal.net.HttpClient;
 import org.teaseldeal.net.HttpClientConfig;
 import org.teaseldeal.net.HttpFailure;
-import org.teaseldeal.net.HttpListener;
 import org.teaseldeal.net.HttpServer;
 import org.teaseldeal.net.HttpServerConfig;
 import org.teaseldeal.net.IpAddresses;
@@ -53,7 +50,6 @@
   }
 
   private final HttpClient client = new HttpClient(HttpClientConfig.defaults());
-  private final LinkedBlockingQueue<String> outcomes = new LinkedBlockingQueue<>();
   private final Semaphore partReceived = new Semaphore(0);
   private ServerSocket server;
   private HttpServer relay;
@@ -127,50 +123,23 @@
    */
   @Test
   void isNotTheAnswerToARepeatOfItsRequest() throws Exception {
-    String first = answer(500, "failed");
-    LinkedBlockingQueue<String> connections = new LinkedBlockingQueue<>();
-    Thread.ofVirtual().start(() -> acceptAll(socket -> answerTwice(socket, first, connections)));
-    assertEquals(List.of("head 500", "end"), sendThroughRelay(new byte[1]));
-    assertEquals(List.of("head 200", "end"), sendThroughRelay(new byte[1]));
-    assertEquals(2, connections.size());
-  }
-
-  private static void answerTwice(
-      Socket socket, String first, LinkedBlockingQueue<String> connections) throws Exception {
-    connections.add("connection");
-    readRequest(socket.getInputStream());
-    if (connections.size() == 1) {
-      write(socket, first);
-      readRequest(socket.getInputStream());
-      write(socket, first);
-    }
-    write(socket, answer(200, "run"));
-    socket.getInputStream().transferTo(OutputStream.nullOutputStream());
-  }
-
-  /** Reads a request with a body of one byte. */
-  private static void readRequest(InputStream in) throws IOException {
-    readHead(in);
-    in.skipNBytes(1);
-  }
-
-  private void acceptAll(Ending script) {
-    while (!server.isClosed()) {
-      try {
-        Socket socket = server.accept();
-        Thread.ofVirtual().start(() -> run(script, socket));
-      } catch (IOException e) {
-        return;
-      }
-    }
-  }
-
-  private static void run(Ending script, Socket socket) {
-    try (socket) {
-      script.run(socket);
-    } catch (Exception e) {
-      // The relay closed the connection, or the test has ended.
+    AtomicInteger connections = new AtomicInteger();
+    ScriptedPeer.Script repeating =
+        ScriptedPeer.repeatingFirst(
+            request -> answer(500, "failed"), request -> answer(200, "run"));
+    try (ScriptedPeer stuttering =
+        new ScriptedPeer(
+            request -> {
+              if (request.position() == 1) {
+                connections.incrementAndGet();
+              }
+              return repeating.answer(request);
+            })) {
+      fixture.listServer(stuttering.address());
+      assertEquals(List.of("head 500", "end"), sendThroughRelay(new byte[1]));
+      assertEquals(List.of("head 200", "end"), sendThroughRelay(new byte[1]));
     }
+    assertEquals(2, connections.get());
   }
 
   private static String answer(int status, String body) {
@@ -178,10 +147,6 @@
         .formatted(status, body.length(), body);
   }
 
-  private static void write(Socket socket, String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-  }
-
   /** Names each request by its id. */
   private static final class IdMatcher implements RequestRelay.AnswerMatcher {
     @Override
@@ -232,33 +197,15 @@
   }
 
   private List<String> sendThroughRelay(byte[] body) throws Exception {
-    links.sendThroughRelay(fixture.server(), request(body), new RecordingListener());
-    List<String> events = new ArrayList<>();
-    do {
-      events.add(outcomes.take());
-    } while (events.getLast().startsWith("head"));
-    return events;
+    PartRecorder listener = new PartRecorder();
+    links.sendThroughRelay(fixture.server(), request(body), listener);
+    return listener.awaitEnd();
   }
 
-  private final class RecordingListener implements HttpListener {
-    @Override
-    public void onHead(int status, Map<String, String> headers) {
-      outcomes.add("head " + status);
-    }
-
+  private final class PartRecorder extends OutcomeRecorder {
     @Override
     public void onBodyPart(byte[] part) {
       partReceived.release();
     }
-
-    @Override
-    public void onEnd(AnswerEnd end) {
-      outcomes.add("end");
-    }
-
-    @Override
-    public void onFailure(HttpFailure failure, String detail) {
-      outcomes.add(failure.name());
-    }
   }
 }
