Say in the log when a read of a topic leaves records out

An instance that reads a topic slower than it grows left no sign of it but late PlanInForce lines. A read now says how many records follow those that it returned (TopicBehind, counted by topic); the store tells its end in each answer, which was skipped. The line tells a backlog from a store that doesn't answer (Dependency).

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/event/GatewayEvent.java
@@ -261,6 +261,16 @@
   /** A published plan could not be read. The previous plan remains the current one. */
   record PlanUnreadable(long offset, String detail) implements GatewayEvent {}
 
+  /**
+   * A read of a topic of the shared log did not return all records that the topic had.
+   *
+   * @param records how many it returned
+   * @param newerRecords how many follow them
+   * @param took how long the read took
+   */
+  record TopicBehind(String topic, int records, long newerRecords, Duration took)
+      implements GatewayEvent {}
+
   /**
    * A backend server was listed, restarted, is leaving, or was removed from the list.
    *
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedLog.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/log/SharedLog.java
@@ -33,11 +33,22 @@
 
   /** The outcome of a read. */
   sealed interface ReadOutcome {
-    /** The records in order; {@code next} is the offset to read from next. */
-    record Records(List<PositionedRecord> records, long next) implements ReadOutcome {
+    /**
+     * The records in order.
+     *
+     * @param next the offset to read from next
+     * @param end the offset after the log's last record; more than {@code next} if a single read
+     *     doesn't return all records
+     */
+    record Records(List<PositionedRecord> records, long next, long end) implements ReadOutcome {
       public Records {
         records = List.copyOf(records);
       }
+
+      /** Creates the outcome of a read that returned all records. */
+      public Records(List<PositionedRecord> records, long next) {
+        this(records, next, next);
+      }
     }
 
     /** The records at the requested offset are no longer retained. */
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/metrics/GatewayMetrics.java
@@ -63,6 +63,7 @@
       case GatewayEvent.WaitsForRoom waiting -> count("requests_that_waited_for_room");
       case GatewayEvent.PlanInForce plan -> planVersion.set(plan.version());
       case GatewayEvent.PlanUnreadable unreadable -> count("plans_unreadable");
+      case GatewayEvent.TopicBehind behind -> count("reads_behind_", behind.topic());
       case GatewayEvent.ServerListed listed -> count("servers_listed_as_", listed.state());
       case GatewayEvent.ServerUnusable unusable -> count("servers_unusable_", unusable.reason());
       case GatewayEvent.ServerWarmUp warmUp ->
