Don't give up an answer of the store that is still arriving

A read had 0.7 s beyond its wait for the whole answer, and the first load after a start 0.7 s a page. What took longer over a slow link was thrown away and begun again from the same offset, the store counted as unreachable, and the call went through a relay with a link as slow. A link that needs longer than that for one large configuration would never have got it.

HttpClientTests.SlowAnswers: the same answer fails by fetch, as before.

--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/HttpClient.java
@@ -79,6 +79,18 @@
     return collector.answer();
   }
 
+  /**
+   * Fetches an answer like {@link #fetch(HttpCallRequest)}, but one that has begun may take longer
+   * than the request's timeout: as long as it goes on arriving, it has another {@code extension}.
+   */
+  public CompletableFuture<HttpAnswer> fetchWhileArriving(
+      HttpCallRequest request, Duration extension) {
+    AnswerCollector collector = new AnswerCollector(config.maxAnswerBytes(), CallMatcher.BY_PLACE);
+    HttpCall call = send(request, collector);
+    collector.cancelOnCompletionOrSilence(call, request.timeout(), extension);
+    return collector.answer();
+  }
+
   /** Closes the idle connections to {@code address}. */
   public void closeIdle(String address) {
     InetSocketAddress socketAddress;
--- a/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
+++ b/teaseldeal-net/src/test/java/org/teaseldeal/net/HttpClientTests.java
@@ -14,6 +14,7 @@
 import java.time.Instant;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -85,6 +86,72 @@
     }
   }
 
+  /** Tests of answers whose body takes longer than the request's timeout. */
+  @Nested
+  class SlowAnswers {
+    private static final int PARTS = 4;
+    private static final String PART = "x".repeat(AnswerCollector.MIN_BYTES_PER_EXTENSION);
+    private static final Duration TIMEOUT = Duration.ofMillis(200);
+
+    /** Guards against a large answer over a slow link that is begun again and again. */
+    @Test
+    void areFetchedWhileTheyArrive() throws Exception {
+      try (ScriptedServer server = startSlowServer(PARTS)) {
+        HttpAnswer answer = client.fetchWhileArriving(request(server), Duration.ofSeconds(5)).get();
+        assertEquals(PART.repeat(PARTS), answer.text());
+      }
+    }
+
+    @Test
+    void failWhenTheyStopArriving() throws Exception {
+      try (ScriptedServer server = startSlowServer(1)) {
+        assertFailsAsBroken(client.fetchWhileArriving(request(server), TIMEOUT));
+      }
+    }
+
+    @Test
+    void failAtTheTimeoutIfTheyMustBeCompleteByThen() throws Exception {
+      try (ScriptedServer server = startSlowServer(PARTS)) {
+        assertFailsAsBroken(client.fetch(request(server)));
+      }
+    }
+
+    private static HttpCallRequest request(ScriptedServer server) {
+      return HttpClientTests.request(server.address(), "GET", "").withTimeout(TIMEOUT);
+    }
+
+    /** Announces {@link #PARTS} parts and sends the first ones, each after a pause. */
+    private static ScriptedServer startSlowServer(int sentParts) throws IOException {
+      return new ScriptedServer(
+          socket -> {
+            ScriptedServer.readRequest(socket);
+            ScriptedServer.write(
+                socket,
+                "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n".formatted(PARTS * PART.length()));
+            for (int i = 0; i < sentParts; i++) {
+              ScriptedServer.write(socket, PART);
+              pause();
+            }
+            ScriptedServer.readRequest(socket);
+          });
+    }
+
+    private static void pause() {
+      try {
+        Thread.sleep(TIMEOUT.dividedBy(2));
+      } catch (InterruptedException e) {
+        Thread.currentThread().interrupt();
+      }
+    }
+
+    private static void assertFailsAsBroken(CompletableFuture<HttpAnswer> answer) {
+      ExecutionException thrown = assertThrows(ExecutionException.class, answer::get);
+      assertEquals(
+          HttpFailure.BROKEN_ANSWER,
+          assertInstanceOf(HttpFailureException.class, thrown.getCause()).failure());
+    }
+  }
+
   @Nested
   class Failures {
     /** Guards against a request that can't be encoded and is neither sent nor given up. */
