Hand a request over only to an instance with the same configuration

An instance that is late handed requests over to others that had its configuration or a newer one. Its caller was then answered by the newer one, and its next request, which the instance kept, by the older one: a step back within the time that an instance may be behind.

The receiver refuses as it does for a newer configuration, and the sender asks another or serves the request. HandedOverRequestTests.doesNotTakeARequestOfAnOlderPlan failed before: the request was taken.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverReceiver.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/handover/HandoverReceiver.java
@@ -131,7 +131,9 @@
     if (current == null || !takesRequests.getAsBoolean()) {
       return "the instance is not ready, or stops";
     }
-    if (current.version() < message.planVersion()) {
+    // A caller must not be answered by a newer plan than the one by which the sender handles the
+    // caller's next request.
+    if (current.version() != message.planVersion()) {
       return "the plan's version is %d, expected %d"
           .formatted(current.version(), message.planVersion());
     }
