Don't say that a route is unknown by a configuration that may be outdated

An instance that had not reached the store for seconds answered 404 or 401 for routes and keys that were added meanwhile. Clients don't repeat after these, so their request was lost, and the refusal was not true. If the last completed read of the configuration began more than 1.8 s ago, the instance now answers 503, not run, with a time to come back. Requests on known routes are served as before.

A 402 by a total that may have been raised, and requests on routes and keys that may have been removed, are as before.

--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/GatewayComponents.java
@@ -1,5 +1,6 @@
 package org.teaseldeal.gateway.flow;
 
+import java.time.Duration;
 import java.time.InstantSource;
 import java.util.function.IntSupplier;
 import java.util.function.Supplier;
@@ -20,6 +21,7 @@
  * The components that handle requests and what they depend on.
  *
  * @param plan the current plan; null until one is known
+ * @param planAge how long ago the current plan was known to be the newest one
  * @param streamOrigins the software versions of the backend servers at which streams began
  * @param peerLoads the load that the other instances have outstanding at the backend servers
  * @param cachedPrompts the prompt parts that are presumably in the backend servers' caches
@@ -28,6 +30,7 @@
  */
 public record GatewayComponents(
     Supplier<@Nullable GatewayPlan> plan,
+    Supplier<Duration> planAge,
     ServerDirectory servers,
     TokenRequests tokens,
     RequestQuarantine quarantine,
--- a/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
+++ b/teaseldeal-gateway/src/main/java/org/teaseldeal/gateway/flow/RequestDispatcher.java
@@ -41,6 +41,15 @@
    */
   private static final Duration STARTING_RETRY_AFTER = Duration.ofMillis(500);
 
+  /**
+   * The age from which a plan may be outdated: more than the longest pause between two reads of a
+   * store that answers, and less than the time within which a new plan has to take effect.
+   */
+  private static final Duration MAX_PLAN_AGE = Duration.ofMillis(1800);
+
+  /** The time in which an instance that lost the store finds another way to it. */
+  private static final Duration OUTDATED_PLAN_RETRY_AFTER = Duration.ofSeconds(1);
+
   /**
    * How long a request is held until the first configuration is read, which happens some tens of
    * milliseconds after callers can connect. If it takes longer than this, the configuration store
@@ -462,13 +471,11 @@
   private Result<Admitted> admit(GatewayPlan plan, CallerRequest request, Instant arrived) {
     Optional<Route> route = plan.route(request.host(), request.target());
     if (route.isEmpty()) {
-      return Result.err(
-          Problem.of(ErrorKind.UNKNOWN_SERVICE, "no route in version " + plan.version()));
+      return refuseByPlan(ErrorKind.UNKNOWN_SERVICE, "no route in version " + plan.version());
     }
     Optional<PrepaidCustomer> customer = request.key().flatMap(plan::customerOfKey);
     if (customer.isEmpty() && plan.hasCustomers() && !route.get().keyless()) {
-      return Result.err(
-          Problem.of(ErrorKind.UNAUTHENTICATED, "key unknown in version " + plan.version()));
+      return refuseByPlan(ErrorKind.UNAUTHENTICATED, "key unknown in version " + plan.version());
     }
     if (hasCrashedServers(request)) {
       return Result.err(CRASHED_SERVERS);
@@ -539,6 +546,17 @@
     return answerTimesByRoute.computeIfAbsent(route.name(), name -> new RecentDurations());
   }
 
+  /**
+   * Refuses a request for what the plan lacks. A newer plan may have it if this one was not lately
+   * known to be the newest, and then the caller may come back.
+   */
+  private Result<Admitted> refuseByPlan(ErrorKind kind, String detail) {
+    return components.planAge().get().compareTo(MAX_PLAN_AGE) > 0
+        ? retryableRefusal(
+            ErrorKind.NOT_READY, detail + ", which may be outdated", OUTDATED_PLAN_RETRY_AFTER)
+        : Result.err(Problem.of(kind, detail));
+  }
+
   private Result<Admitted> retryableRefusal(ErrorKind kind, String detail, Duration retryAfter) {
     return Result.err(Problem.retryable(kind, detail, withJitter(retryAfter)));
   }
--- a/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
+++ b/teaseldeal-gateway/src/test/java/org/teaseldeal/gateway/flow/GatewayFixture.java
@@ -204,6 +204,8 @@
   /** Whether the configuration has been read. */
   boolean configured = true;
 
+  Duration planAge = Duration.ZERO;
+
   private static final Set<String> ONLY_INSTANCE = Set.of("instance-1");
 
   GatewayFixture() {
@@ -257,6 +259,7 @@
         new RequestDispatcher(
             new GatewayComponents(
                 () -> configured ? plan : null,
+                () -> planAge,
                 servers,
                 new TokenRequests(accounts, holders, new NoPeers(), () -> true, events::add, clock),
                 quarantine,
--- a/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
+++ b/teaseldeal-model/src/main/java/org/teaseldeal/model/ModelInstance.java
@@ -214,6 +214,7 @@
         new RequestDispatcher(
             new GatewayComponents(
                 () -> plan,
+                () -> Duration.ZERO,
                 servers,
                 tokenRequests,
                 quarantine,
