--- a/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
+++ b/teaseldeal-net/src/main/java/org/teaseldeal/net/AnswerCollector.java
@@ -35,14 +35,8 @@
    * soon as the future completes in any way.
    */
   void cancelOnCompletion(HttpCall call, Duration timeout) {
-    EventLoop loop = SharedEventLoops.eventLoopGroup().next();
-    Future<?> timer =
-        SharedEventLoops.scheduleAfterPendingInput(loop, timeout.plus(GRACE), this::failIncomplete);
-    answer.whenComplete(
-        (completed, failure) -> {
-          timer.cancel(false);
-          call.cancel();
-        });
+    answer.whenComplete((completed, failure) -> call.cancel());
+    unlessCompletedAfter(timeout.plus(GRACE), this::failIncomplete);
   }
 
   /**
@@ -52,23 +46,21 @@
    */
   void cancelOnCompletionOrSilence(HttpCall call, Duration timeout, Duration extension) {
     answer.whenComplete((completed, failure) -> call.cancel());
-    checkProgressAfter(timeout.plus(GRACE), 0, extension);
+    unlessCompletedAfter(timeout.plus(GRACE), () -> extendIfArriving(0, extension));
+  }
+
+  private void extendIfArriving(int bytesBefore, Duration extension) {
+    int bytes = body.size();
+    if (bytes - bytesBefore >= MIN_BYTES_PER_EXTENSION) {
+      unlessCompletedAfter(extension, () -> extendIfArriving(bytes, extension));
+    } else {
+      failIncomplete();
+    }
   }
 
-  private void checkProgressAfter(Duration delay, int bytesBefore, Duration extension) {
+  private void unlessCompletedAfter(Duration delay, Runnable task) {
     EventLoop loop = SharedEventLoops.eventLoopGroup().next();
-    Future<?> timer =
-        SharedEventLoops.scheduleAfterPendingInput(
-            loop,
-            delay,
-            () -> {
-              int bytes = body.size();
-              if (bytes - bytesBefore >= MIN_BYTES_PER_EXTENSION) {
-                checkProgressAfter(extension, bytes, extension);
-              } else {
-                failIncomplete();
-              }
-            });
+    Future<?> timer = SharedEventLoops.scheduleAfterPendingInput(loop, delay, task);
     answer.whenComplete((completed, failure) -> timer.cancel(false));
   }
 
